--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,84 @@
+/** Lint rules: typescript-eslint's recommended set plus the naming rules of Deno's style guide. */
+import tseslint from "typescript-eslint";
+
+const snakeCaseFile = {
+  create(context) {
+    return {
+      Program(node) {
+        const name = context.filename.split("/").at(-1) ?? "";
+        if (!/^[a-z0-9_]+(\.config)?\.(ts|js)$/.test(name)) {
+          context.report({
+            node,
+            message: `file name "${name}" must be snake_case`,
+          });
+        }
+      },
+    };
+  },
+};
+
+const boundedFileLength = ["error", {
+  max: 400,
+  skipBlankLines: false,
+  skipComments: false,
+}];
+
+export default tseslint.config(
+  { ignores: ["dist", "node_modules"] },
+  ...tseslint.configs.recommendedTypeChecked,
+  {
+    languageOptions: {
+      parserOptions: {
+        projectService: { allowDefaultProject: ["eslint.config.js"] },
+        tsconfigRootDir: import.meta.dirname,
+      },
+    },
+    plugins: { local: { rules: { "snake-case-file": snakeCaseFile } } },
+    rules: {
+      "local/snake-case-file": "error",
+      "max-lines": boundedFileLength,
+      "max-depth": ["error", 4],
+      "func-style": ["error", "declaration", { allowArrowFunctions: false }],
+      "eqeqeq": "error",
+      "prefer-const": "error",
+      "no-console": "error",
+      "@typescript-eslint/naming-convention": [
+        "error",
+        {
+          selector: "typeLike",
+          format: ["PascalCase"],
+          leadingUnderscore: "allow",
+        },
+        {
+          selector: "function",
+          format: ["camelCase"],
+          leadingUnderscore: "allow",
+        },
+        {
+          selector: "variable",
+          format: ["camelCase", "UPPER_CASE", "PascalCase"],
+          leadingUnderscore: "allow",
+        },
+        {
+          selector: "parameter",
+          format: ["camelCase"],
+          leadingUnderscore: "allow",
+        },
+      ],
+      "@typescript-eslint/no-unused-vars": ["error", {
+        argsIgnorePattern: "^_",
+      }],
+      "@typescript-eslint/consistent-type-imports": "error",
+      "@typescript-eslint/no-floating-promises": ["error", {
+        ignoreVoid: true,
+      }],
+      "@typescript-eslint/require-await": "off",
+    },
+  },
+  { files: ["**/*_test.ts"], rules: { "max-lines": "off" } },
+  { files: ["eslint.config.js"], ...tseslint.configs.disableTypeChecked },
+  {
+    files: ["bin/**", "demo/**", "bench/**", "invariants/**"],
+    rules: { "no-console": "off" },
+  },
+);
