--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,62 @@
+/** The bench command: runs one bench by name and exits 1 when a bound is broken. */
+import { cac } from "cac";
+import {
+  type BenchReport,
+  isHeld,
+  isPassed,
+  type RunBench,
+} from "./bench_report.ts";
+
+const BENCHES: Readonly<Record<string, () => Promise<{ runBench: RunBench }>>> =
+  {};
+
+const DEFAULT_SEED = 1;
+
+function printReport(report: BenchReport, json: boolean): void {
+  if (!json) {
+    console.table(report.rows);
+    for (const bound of report.bounds) {
+      const sign = bound.comparison === "at_most" ? "<=" : ">=";
+      const verdict = isHeld(bound) ? "held  " : "BROKEN";
+      console.log(
+        `${verdict} ${bound.name}: ${bound.value} ${sign} ${bound.limit}`,
+      );
+    }
+    return;
+  }
+  const bounds = report.bounds.map((bound) => ({
+    ...bound,
+    held: isHeld(bound),
+  }));
+  console.log(JSON.stringify({ ...report, bounds, passed: isPassed(report) }));
+}
+
+async function runNamed(
+  name: string | undefined,
+  options: { json?: boolean; large?: boolean; seed?: number },
+): Promise<void> {
+  const load = name === undefined ? undefined : BENCHES[name];
+  if (!load) {
+    console.error(
+      `usage: npm run bench -- NAME; names: ${Object.keys(BENCHES).join(", ")}`,
+    );
+    process.exitCode = 2;
+    return;
+  }
+  const { runBench } = await load();
+  const report = await runBench({
+    seed: options.seed ?? DEFAULT_SEED,
+    large: options.large ?? false,
+  });
+  printReport(report, options.json ?? false);
+  process.exitCode = isPassed(report) ? 0 : 1;
+}
+
+const command = cac("bench");
+command.command("[name]", "Runs one bench")
+  .option("--json", "Print one JSON object as the last line")
+  .option("--large", "Use the larger sizes")
+  .option("--seed <number>", "Seed of the run")
+  .action(runNamed);
+command.help();
+command.parse();
--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -30,3 +30,6 @@
 export function brandId<Id extends Branded<string>>(value: string): Id {
   return value as Id;
 }
+
+/** An IP address and port, written `ip:port`. */
+export type SocketAddress = Branded<"SocketAddress">;
--- /dev/null
+++ b/src/core/settings_schema.ts
@@ -0,0 +1,47 @@
+/**
+ * The schema of a router's settings file: who it is, where it listens, and how
+ * it finds the platform and its peers.
+ */
+import { z } from "zod";
+import {
+  integerText,
+  listText,
+  nameText,
+  socketAddressText,
+} from "./text_schema.ts";
+
+/** The parsed settings file. */
+export const settingsSchema = z.strictObject({
+  router: z.strictObject({
+    host: nameText(),
+    dataCentre: nameText(),
+    callerAddress: socketAddressText().default("127.0.0.1:8080"),
+    peerAddress: socketAddressText().default("127.0.0.1:7080"),
+    seeds: listText(socketAddressText()).default([]),
+    maximumBodyBytes: integerText({ minimum: 1_024, maximum: 1_073_741_824 })
+      .default(4_194_304),
+    logLevel: z.enum(["debug", "info", "warn", "error", "silent"]).default(
+      "info",
+    ),
+  }),
+  platform: z.strictObject({
+    address: socketAddressText().default("127.0.0.1:9080"),
+    timeoutMilliseconds: integerText({ minimum: 10, maximum: 60_000 }).default(
+      2_000,
+    ),
+    key: z.string().default(""),
+  }).default({
+    address: "127.0.0.1:9080",
+    timeoutMilliseconds: 2_000,
+    key: "",
+  }),
+  security: z.strictObject({
+    /** Shared by all routers of the fleet; signs frames' handshake and resume tokens. */
+    fleetKey: z.string().min(16, "expected at least 16 characters"),
+    /** Sent to backend servers that check who calls them. */
+    backendKey: z.string().default(""),
+  }),
+});
+
+/** The settings of one router. */
+export type Settings = z.infer<typeof settingsSchema>;
--- /dev/null
+++ b/src/core/text_schema.ts
@@ -0,0 +1,73 @@
+/**
+ * Schema pieces for INI values, which are all strings: strict numbers, booleans
+ * and comma-separated lists, each with a message that says what is allowed.
+ */
+import { z } from "zod";
+
+/** Options of a number read from text. */
+export interface NumberBounds {
+  readonly minimum: number;
+  readonly maximum: number;
+}
+
+function _numberText(
+  pattern: RegExp,
+  what: string,
+  { minimum, maximum }: NumberBounds,
+) {
+  const message = `expected ${what} from ${minimum} to ${maximum}`;
+  return z.string().regex(pattern, message).transform(Number).refine(
+    (value) => value >= minimum && value <= maximum,
+    message,
+  );
+}
+
+/** A whole number written in decimal digits. */
+export function integerText(bounds: NumberBounds) {
+  return _numberText(/^\d+$/, "a whole number", bounds);
+}
+
+/** A decimal number without an exponent. */
+export function decimalText(bounds: NumberBounds) {
+  return _numberText(/^\d+(\.\d+)?$/, "a number", bounds);
+}
+
+/** `true` or `false`. */
+export function booleanText() {
+  return z.union([
+    z.boolean(),
+    z.enum(["true", "false"], "expected true or false"),
+  ])
+    .transform((value) => value === true || value === "true");
+}
+
+/** Lower-case letters, digits and hyphens: safe in ids, keys and URLs. */
+export function nameText() {
+  return z.string().regex(
+    /^[a-z0-9][a-z0-9-]{0,62}$/,
+    "expected 1 to 63 lower-case letters, digits or hyphens",
+  );
+}
+
+/** A comma-separated list of items. */
+export function listText<Item extends z.ZodType<unknown, string>>(item: Item) {
+  return z.string().transform((text) =>
+    text.split(",").map((part) => part.trim()).filter((part) => part !== "")
+  ).pipe(z.array(item));
+}
+
+/** An IPv4 address and a port, or a bracketed IPv6 address and a port. */
+export function socketAddressText() {
+  return z.string().regex(
+    /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/,
+    "expected an IP address and a port, such as 127.0.0.1:7000",
+  );
+}
+
+/** A SHA-256 hash in hexadecimal. */
+export function hashText() {
+  return z.string().regex(
+    /^[0-9a-f]{64}$/,
+    "expected a SHA-256 hash of 64 hexadecimal digits",
+  );
+}
--- /dev/null
+++ b/src/frame_codec.ts
@@ -0,0 +1,120 @@
+/**
+ * Frames between routers: a 4-byte big-endian length followed by one CBOR map.
+ * The decoder refuses oversized frames before it buffers them.
+ */
+import { Decoder, Encoder } from "cbor-x";
+import { err, ok, type Result } from "neverthrow";
+import { type ApplicationError, createError } from "./core/errors.ts";
+
+/** Version of the frame format. */
+export const FRAME_VERSION = 1;
+/** Largest payload of a frame, in bytes. */
+export const MAXIMUM_FRAME_BYTES = 2 * 1024 * 1024;
+const LENGTH_BYTES = 4;
+
+/** One message between routers, as it travels. */
+export interface Frame {
+  /** Protocol version. */
+  readonly v: number;
+  /** Message kind. */
+  readonly k: string;
+  /** Correlation number of a request and its reply; 0 for one-way messages. */
+  readonly i: number;
+  /** True for a reply. */
+  readonly r: boolean;
+  /** Configuration generation of the sender. */
+  readonly g: number;
+  /** Body of the message. */
+  readonly b: unknown;
+}
+
+const _encoder = new Encoder({ useRecords: false, tagUint8Array: false });
+const _decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
+
+/** Encodes a frame, or fails with `frame_too_large`. */
+export function encodeFrame(frame: Frame): Result<Buffer, ApplicationError> {
+  const payload = _encoder.encode(frame);
+  if (payload.length > MAXIMUM_FRAME_BYTES) {
+    return err(
+      createError("frame_too_large", `${payload.length} bytes`, [frame.k]),
+    );
+  }
+  const bytes = Buffer.allocUnsafe(LENGTH_BYTES + payload.length);
+  bytes.writeUInt32BE(payload.length, 0);
+  payload.copy(bytes, LENGTH_BYTES);
+  return ok(bytes);
+}
+
+function _isFrame(value: unknown): value is Frame {
+  if (typeof value !== "object" || value === null) return false;
+  const candidate = value as Record<string, unknown>;
+  return typeof candidate.v === "number" && typeof candidate.k === "string" &&
+    typeof candidate.i === "number" && typeof candidate.r === "boolean" &&
+    typeof candidate.g === "number";
+}
+
+function _decodePayload(payload: Buffer): Result<Frame, ApplicationError> {
+  let value: unknown;
+  try {
+    value = _decoder.decode(payload);
+  } catch (cause) {
+    return err(createError("malformed_frame", String(cause)));
+  }
+  if (!_isFrame(value)) {
+    return err(createError("malformed_frame", "a header field is missing"));
+  }
+  if (value.v !== FRAME_VERSION) {
+    return err(createError("unsupported_version", `version ${value.v}`));
+  }
+  return ok(value);
+}
+
+/** Splits a byte stream into frames. */
+export interface FrameReader {
+  /** Adds bytes and returns the frames they complete, or the first fault. */
+  push(bytes: Buffer): Result<Frame[], ApplicationError>;
+}
+
+/** Creates a reader for one connection. */
+export function createFrameReader(): FrameReader {
+  let chunks: Buffer[] = [];
+  let bufferedBytes = 0;
+
+  function take(length: number): Buffer {
+    const all = chunks.length === 1
+      ? chunks[0] as Buffer
+      : Buffer.concat(chunks);
+    const rest = all.subarray(length);
+    chunks = rest.length > 0 ? [rest] : [];
+    bufferedBytes = rest.length;
+    return all.subarray(0, length);
+  }
+
+  function peekLength(): number {
+    const first = chunks[0] as Buffer;
+    if (first.length >= LENGTH_BYTES) return first.readUInt32BE(0);
+    chunks = [Buffer.concat(chunks)];
+    return (chunks[0] as Buffer).readUInt32BE(0);
+  }
+
+  return {
+    push(bytes) {
+      chunks.push(bytes);
+      bufferedBytes += bytes.length;
+      const frames: Frame[] = [];
+      while (bufferedBytes >= LENGTH_BYTES) {
+        const length = peekLength();
+        if (length > MAXIMUM_FRAME_BYTES) {
+          return err(createError("frame_too_large", `${length} bytes`));
+        }
+        if (bufferedBytes < LENGTH_BYTES + length) break;
+        const frame = _decodePayload(
+          take(LENGTH_BYTES + length).subarray(LENGTH_BYTES),
+        );
+        if (frame.isErr()) return err(frame.error);
+        frames.push(frame.value);
+      }
+      return ok(frames);
+    },
+  };
+}
--- /dev/null
+++ b/src/peer_connection.ts
@@ -0,0 +1,217 @@
+/**
+ * One TCP connection between two routers. Both sides prove that they hold the
+ * fleet key before any other message is accepted.
+ */
+import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
+import type { Socket } from "node:net";
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import { type ApplicationError, createError } from "./core/errors.ts";
+import {
+  brandId,
+  type DataCentreId,
+  type HostId,
+  type IncarnationId,
+  type SocketAddress,
+} from "./core/ids.ts";
+import {
+  createFrameReader,
+  encodeFrame,
+  type Frame,
+  FRAME_VERSION,
+} from "./frame_codec.ts";
+import type { PeerCounters, PeerIdentity } from "./peer_network.ts";
+
+const NONCE_BYTES = 16;
+/** Time for both sides to prove themselves, in milliseconds. */
+export const HANDSHAKE_TIMEOUT_MILLISECONDS = 2_000;
+/** Unsent bytes beyond which one-way messages are dropped. */
+const MAXIMUM_BUFFERED_BYTES = 8 * 1024 * 1024;
+
+const _helloSchema = z.strictObject({
+  host: z.string().min(1).max(253),
+  dataCentre: z.string().min(1).max(253),
+  incarnation: z.string().min(1).max(64),
+  address: z.string().max(64),
+  nonce: z.string().length(NONCE_BYTES * 2),
+});
+const _proofSchema = z.strictObject({ proof: z.string().length(64) });
+
+/** What a connection needs to know about this side. */
+export interface PeerConnectionOptions {
+  readonly socket: Socket;
+  readonly self: PeerIdentity;
+  readonly fleetKey: string;
+  /** True on the side that opened the connection. */
+  readonly opened: boolean;
+  readonly counters: PeerCounters;
+  readonly generation: () => number;
+  readonly onFrame: (frame: Frame, connection: PeerConnection) => void;
+  readonly onReady: (connection: PeerConnection) => void;
+  readonly onClose: (
+    reason: ApplicationError,
+    connection: PeerConnection,
+  ) => void;
+}
+
+/** A connection whose other side is known once `identity` is set. */
+export interface PeerConnection {
+  identity(): PeerIdentity | undefined;
+  /** Writes a frame; false if the connection is closed, congested or the frame too large. */
+  send(
+    kind: string,
+    correlation: number,
+    reply: boolean,
+    body: unknown,
+  ): boolean;
+  close(reason: ApplicationError): void;
+}
+
+function _proofOf(
+  fleetKey: string,
+  role: string,
+  nonce: string,
+  host: string,
+): string {
+  return createHmac("sha256", fleetKey).update(`${role}\0${nonce}\0${host}`)
+    .digest("hex");
+}
+
+function _sameDigest(left: string, right: string): boolean {
+  const [leftBytes, rightBytes] = [Buffer.from(left), Buffer.from(right)];
+  return leftBytes.length === rightBytes.length &&
+    timingSafeEqual(leftBytes, rightBytes);
+}
+
+/** Starts the handshake on a socket and returns the connection. */
+export function createPeerConnection(
+  options: PeerConnectionOptions,
+): PeerConnection {
+  const { socket, self, fleetKey, opened, counters } = options;
+  const reader = createFrameReader();
+  const ownNonce = randomBytes(NONCE_BYTES).toString("hex");
+  const [ownRole, peerRole] = opened
+    ? ["opener", "listener"]
+    : ["listener", "opener"];
+  let claimed: PeerIdentity | undefined;
+  let proved = false;
+  let closed = false;
+  const handshakeTimer = setTimeout(() => {
+    close(createError("peer_unreachable", "the handshake timed out"));
+  }, HANDSHAKE_TIMEOUT_MILLISECONDS);
+
+  function close(reason: ApplicationError): void {
+    if (closed) return;
+    closed = true;
+    clearTimeout(handshakeTimer);
+    socket.destroy();
+    options.onClose(reason, connection);
+  }
+
+  function send(
+    kind: string,
+    correlation: number,
+    reply: boolean,
+    body: unknown,
+  ): boolean {
+    if (closed || socket.writableLength > MAXIMUM_BUFFERED_BYTES) return false;
+    const encoded = encodeFrame({
+      v: FRAME_VERSION,
+      k: kind,
+      i: correlation,
+      r: reply,
+      g: options.generation(),
+      b: body,
+    });
+    if (encoded.isErr()) return false;
+    counters.messagesSent++;
+    counters.bytesSent += encoded.value.length;
+    socket.write(encoded.value);
+    return true;
+  }
+
+  function acceptHello(frame: Frame): Result<void, ApplicationError> {
+    const hello = _helloSchema.safeParse(frame.b);
+    if (!hello.success) {
+      return err(
+        createError("malformed_frame", hello.error.message, ["hello"]),
+      );
+    }
+    claimed = {
+      host: brandId<HostId>(hello.data.host),
+      dataCentre: brandId<DataCentreId>(hello.data.dataCentre),
+      incarnation: brandId<IncarnationId>(hello.data.incarnation),
+      address: brandId<SocketAddress>(hello.data.address),
+    };
+    send("proof", 0, false, {
+      proof: _proofOf(fleetKey, ownRole, hello.data.nonce, self.host),
+    });
+    return ok(undefined);
+  }
+
+  function acceptProof(frame: Frame): Result<void, ApplicationError> {
+    const message = _proofSchema.safeParse(frame.b);
+    if (!message.success || !claimed) {
+      return err(createError("malformed_frame", "no valid proof"));
+    }
+    const expected = _proofOf(fleetKey, peerRole, ownNonce, claimed.host);
+    if (!_sameDigest(expected, message.data.proof)) {
+      return err(
+        createError("unauthenticated", "the peer does not hold the fleet key"),
+      );
+    }
+    proved = true;
+    clearTimeout(handshakeTimer);
+    options.onReady(connection);
+    return ok(undefined);
+  }
+
+  function acceptFrame(frame: Frame): Result<void, ApplicationError> {
+    if (proved) {
+      options.onFrame(frame, connection);
+      return ok(undefined);
+    }
+    if (frame.k === "hello") return acceptHello(frame);
+    if (frame.k === "proof") return acceptProof(frame);
+    return err(
+      createError("unauthenticated", "a message came before the handshake", [
+        frame.k,
+      ]),
+    );
+  }
+
+  const connection: PeerConnection = {
+    identity: () => proved ? claimed : undefined,
+    send: (kind, correlation, reply, body) =>
+      proved && send(kind, correlation, reply, body),
+    close,
+  };
+
+  socket.setNoDelay(true);
+  socket.on("data", (bytes) => {
+    counters.bytesReceived += bytes.length;
+    const frames = reader.push(bytes);
+    if (frames.isErr()) return close(frames.error);
+    for (const frame of frames.value) {
+      counters.messagesReceived++;
+      const accepted = acceptFrame(frame);
+      if (accepted.isErr()) return close(accepted.error);
+    }
+  });
+  socket.on(
+    "error",
+    (cause) => close(createError("peer_unreachable", cause.message)),
+  );
+  socket.on(
+    "close",
+    () => close(createError("peer_unreachable", "the connection was closed")),
+  );
+  send("hello", 0, false, {
+    host: self.host,
+    dataCentre: self.dataCentre,
+    incarnation: self.incarnation,
+    address: self.address,
+    nonce: ownNonce,
+  });
+  return connection;
+}
--- /dev/null
+++ b/src/peer_network.ts
@@ -0,0 +1,91 @@
+/**
+ * The interface between routers: one-way messages, requests with a reply and a
+ * configuration generation on every frame. Tasks depend on this class only, so
+ * a test or another harness can stand in for the network.
+ */
+import type { Result } from "neverthrow";
+import type { ApplicationError } from "./core/errors.ts";
+import type {
+  DataCentreId,
+  HostId,
+  IncarnationId,
+  SocketAddress,
+} from "./core/ids.ts";
+
+/** Every kind of message between routers. */
+export const PEER_MESSAGE_KINDS = [
+  "membership.probe",
+  "membership.probe_indirect",
+  "membership.updates",
+  "membership.sync",
+  "configuration.announce",
+  "configuration.fetch_head",
+  "configuration.fetch_chunks",
+  "load.report",
+  "load.summary",
+  "admission.request",
+  "admission.release",
+  "admission.renew",
+  "admission.cancel",
+  "chat.lookup",
+  "chat.remember",
+  "execution.run",
+  "execution.outcome",
+  "limits.renew",
+  "backend.state",
+] as const;
+
+/** One of the closed list of message kinds. */
+export type PeerMessageKind = typeof PEER_MESSAGE_KINDS[number];
+
+/** Who is at the other end of a connection, proved by the handshake. */
+export interface PeerIdentity {
+  readonly host: HostId;
+  readonly dataCentre: DataCentreId;
+  readonly incarnation: IncarnationId;
+  readonly address: SocketAddress;
+}
+
+/** Traffic of one router with its peers since it started. */
+export interface PeerCounters {
+  bytesSent: number;
+  bytesReceived: number;
+  messagesSent: number;
+  messagesReceived: number;
+}
+
+/** Handles one kind of message; the returned value is the reply to a request. */
+export type PeerHandler = (body: unknown, from: PeerIdentity) => unknown;
+
+/** Sends messages to other routers and receives theirs. */
+export abstract class PeerNetwork {
+  /** Opens the listening socket and resolves with its address. */
+  abstract start(): Promise<SocketAddress>;
+  /** Closes all sockets. */
+  abstract stop(): Promise<void>;
+  /** Sends a message without waiting. It may be lost. */
+  abstract send(to: SocketAddress, kind: PeerMessageKind, body: unknown): void;
+  /**
+   * Sends a request and waits for its reply. Fails with `peer_unreachable` when
+   * no connection could be made (the frame was never written) and with
+   * `outcome_unknown` when the frame was written and no reply came.
+   */
+  abstract request(
+    to: SocketAddress,
+    kind: PeerMessageKind,
+    body: unknown,
+    timeoutMilliseconds: number,
+  ): Promise<Result<unknown, ApplicationError>>;
+  /** Registers the handler of a kind. */
+  abstract handle(kind: PeerMessageKind, handler: PeerHandler): void;
+  /** Calls the listener with the generation that a peer's frame carried. */
+  abstract onGeneration(
+    listener: (generation: number, from: PeerIdentity) => void,
+  ): void;
+  /** Sets the generation that outgoing frames carry. */
+  abstract setGeneration(generation: number): void;
+  /** Returns the traffic counters. */
+  abstract counters(): Readonly<PeerCounters>;
+  /** Returns plain data for the state dump. */
+  abstract describe(): unknown;
+}
--- /dev/null
+++ b/src/tcp_peer_network.ts
@@ -0,0 +1,378 @@
+/**
+ * The peer network over TCP. Connections are opened on demand, kept, and used
+ * by both sides; requests are matched to replies by correlation number.
+ */
+import {
+  type AddressInfo,
+  connect,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
+import { err, ok, type Result } from "neverthrow";
+import {
+  type ApplicationError,
+  createError,
+  ERROR_ANSWERS,
+  type ErrorKind,
+} from "./core/errors.ts";
+import { brandId, type SocketAddress } from "./core/ids.ts";
+import type { Frame } from "./frame_codec.ts";
+import {
+  createPeerConnection,
+  type PeerConnection,
+} from "./peer_connection.ts";
+import {
+  type PeerCounters,
+  type PeerHandler,
+  type PeerIdentity,
+  type PeerMessageKind,
+  PeerNetwork,
+} from "./peer_network.ts";
+
+/** Time to open a connection to a peer, in milliseconds. */
+const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+/** A peer that refused a connection is not dialled again for this long. */
+const REDIAL_DELAY_MILLISECONDS = 200;
+const MAXIMUM_WAITING_MESSAGES = 256;
+
+/** What the network needs to know about this router. */
+export interface TcpPeerNetworkOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly fleetKey: string;
+  readonly identity: Omit<PeerIdentity, "address">;
+}
+
+type Settle = (result: Result<unknown, ApplicationError>) => void;
+
+interface _PendingRequest {
+  readonly settle: Settle;
+  readonly timer: NodeJS.Timeout;
+  connection: PeerConnection | undefined;
+}
+
+interface _WaitingMessage {
+  readonly kind: PeerMessageKind;
+  readonly correlation: number;
+  readonly body: unknown;
+}
+
+interface _Link {
+  connection: PeerConnection | undefined;
+  waiting: _WaitingMessage[];
+  dialing: boolean;
+  refusedUntil: number;
+}
+
+function _errorFrom(body: unknown): ApplicationError {
+  const candidate = body as { error?: ApplicationError };
+  const kind: ErrorKind =
+    candidate.error && candidate.error.kind in ERROR_ANSWERS
+      ? candidate.error.kind
+      : "internal";
+  return createError(kind, String(candidate.error?.detail ?? ""));
+}
+
+class _TcpPeerNetwork extends PeerNetwork {
+  readonly #options: TcpPeerNetworkOptions;
+  readonly #handlers = new Map<string, PeerHandler>();
+  readonly #links = new Map<string, _Link>();
+  readonly #connections = new Set<PeerConnection>();
+  readonly #pending = new Map<number, _PendingRequest>();
+  readonly #counters: PeerCounters = {
+    bytesSent: 0,
+    bytesReceived: 0,
+    messagesSent: 0,
+    messagesReceived: 0,
+  };
+  readonly #generationListeners:
+    ((generation: number, from: PeerIdentity) => void)[] = [];
+  #server: Server | undefined;
+  #address = brandId<SocketAddress>("");
+  #generation = 0;
+  #nextCorrelation = 1;
+  #stopped = false;
+  #rejectedConnections = 0;
+
+  constructor(options: TcpPeerNetworkOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override async start(): Promise<SocketAddress> {
+    const server = createServer((socket) => this.#adopt(socket, false));
+    this.#server = server;
+    await new Promise<void>((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(this.#options.port, this.#options.host, resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    this.#address = brandId<SocketAddress>(`${this.#options.host}:${port}`);
+    return this.#address;
+  }
+
+  override async stop(): Promise<void> {
+    this.#stopped = true;
+    const reason = createError("stopping", "the router stops");
+    for (const connection of [...this.#connections]) connection.close(reason);
+    for (const correlation of [...this.#pending.keys()]) {
+      this.#settle(
+        correlation,
+        err(createError("outcome_unknown", "the router stops")),
+      );
+    }
+    await new Promise<void>((resolve) => {
+      if (this.#server) this.#server.close(() => resolve());
+      else resolve();
+    });
+  }
+
+  override send(to: SocketAddress, kind: PeerMessageKind, body: unknown): void {
+    this.#deliver(to, { kind, correlation: 0, body });
+  }
+
+  override request(
+    to: SocketAddress,
+    kind: PeerMessageKind,
+    body: unknown,
+    timeoutMilliseconds: number,
+  ): Promise<Result<unknown, ApplicationError>> {
+    if (this.#stopped) {
+      return Promise.resolve(err(createError("peer_unreachable", "stopped")));
+    }
+    return new Promise((resolve) => {
+      const correlation = this.#nextCorrelation++;
+      const timer = setTimeout(
+        () => this.#expire(correlation, to),
+        timeoutMilliseconds,
+      );
+      this.#pending.set(correlation, {
+        settle: resolve,
+        timer,
+        connection: undefined,
+      });
+      this.#deliver(to, { kind, correlation, body });
+    });
+  }
+
+  override handle(kind: PeerMessageKind, handler: PeerHandler): void {
+    this.#handlers.set(kind, handler);
+  }
+
+  override onGeneration(
+    listener: (generation: number, from: PeerIdentity) => void,
+  ): void {
+    this.#generationListeners.push(listener);
+  }
+
+  override setGeneration(generation: number): void {
+    this.#generation = generation;
+  }
+
+  override counters(): Readonly<PeerCounters> {
+    return this.#counters;
+  }
+
+  override describe(): unknown {
+    return {
+      address: this.#address,
+      connections: [...this.#connections].map((connection) =>
+        connection.identity()?.host
+      ),
+      pendingRequests: this.#pending.size,
+      rejectedConnections: this.#rejectedConnections,
+      ...this.#counters,
+    };
+  }
+
+  #link(to: SocketAddress): _Link {
+    let link = this.#links.get(to);
+    if (!link) {
+      link = {
+        connection: undefined,
+        waiting: [],
+        dialing: false,
+        refusedUntil: 0,
+      };
+      this.#links.set(to, link);
+    }
+    return link;
+  }
+
+  #deliver(to: SocketAddress, message: _WaitingMessage): void {
+    if (this.#stopped) return;
+    const link = this.#link(to);
+    if (link.connection) {
+      this.#write(link.connection, message);
+      return;
+    }
+    const refused = !link.dialing && performance.now() < link.refusedUntil;
+    if (refused || link.waiting.length >= MAXIMUM_WAITING_MESSAGES) {
+      this.#settle(
+        message.correlation,
+        err(createError("peer_unreachable", to)),
+      );
+      return;
+    }
+    link.waiting.push(message);
+    if (!link.dialing) this.#dial(to, link);
+  }
+
+  #write(connection: PeerConnection, message: _WaitingMessage): void {
+    const pending = this.#pending.get(message.correlation);
+    if (message.correlation !== 0 && !pending) return;
+    if (pending) pending.connection = connection;
+    if (
+      !connection.send(message.kind, message.correlation, false, message.body)
+    ) {
+      this.#settle(
+        message.correlation,
+        err(createError("peer_unreachable", "not writable")),
+      );
+    }
+  }
+
+  #dial(to: SocketAddress, link: _Link): void {
+    link.dialing = true;
+    const separator = to.lastIndexOf(":");
+    const socket = connect({
+      host: to.slice(0, separator),
+      port: Number(to.slice(separator + 1)),
+      timeout: CONNECT_TIMEOUT_MILLISECONDS,
+    });
+    socket.once("timeout", () => socket.destroy());
+    socket.once("connect", () => {
+      socket.setTimeout(0);
+      this.#adopt(socket, true, to);
+    });
+    socket.once("error", () => this.#dialFailed(to));
+    socket.once("close", () => this.#dialFailed(to));
+  }
+
+  #dialFailed(to: SocketAddress): void {
+    const link = this.#link(to);
+    if (link.connection) return;
+    link.dialing = false;
+    link.refusedUntil = performance.now() + REDIAL_DELAY_MILLISECONDS;
+    const waiting = link.waiting;
+    link.waiting = [];
+    for (const message of waiting) {
+      this.#settle(
+        message.correlation,
+        err(createError("peer_unreachable", to)),
+      );
+    }
+  }
+
+  #adopt(socket: Socket, opened: boolean, to?: SocketAddress): void {
+    const connection = createPeerConnection({
+      socket,
+      opened,
+      self: { ...this.#options.identity, address: this.#address },
+      fleetKey: this.#options.fleetKey,
+      counters: this.#counters,
+      generation: () => this.#generation,
+      onFrame: (frame, source) => this.#receive(frame, source),
+      onReady: (ready) => this.#ready(ready, to),
+      onClose: (reason, lost) => this.#lost(reason, lost, to),
+    });
+    this.#connections.add(connection);
+  }
+
+  #ready(connection: PeerConnection, to: SocketAddress | undefined): void {
+    const key = to ?? connection.identity()?.address;
+    if (!key) return;
+    const link = this.#link(key);
+    if (link.connection && !to) return;
+    link.connection = connection;
+    link.dialing = false;
+    const waiting = link.waiting;
+    link.waiting = [];
+    for (const message of waiting) this.#write(connection, message);
+  }
+
+  #lost(
+    reason: ApplicationError,
+    connection: PeerConnection,
+    to: SocketAddress | undefined,
+  ): void {
+    this.#connections.delete(connection);
+    if (reason.kind !== "peer_unreachable" && reason.kind !== "stopping") {
+      this.#rejectedConnections++;
+    }
+    for (const [key, link] of this.#links) {
+      if (link.connection === connection) this.#links.delete(key);
+    }
+    if (to) this.#dialFailed(to);
+    for (const [correlation, pending] of this.#pending) {
+      if (pending.connection !== connection) continue;
+      this.#settle(
+        correlation,
+        err(createError("outcome_unknown", reason.detail)),
+      );
+    }
+  }
+
+  #expire(correlation: number, to: SocketAddress): void {
+    const written = this.#pending.get(correlation)?.connection !== undefined;
+    const kind = written ? "outcome_unknown" : "peer_unreachable";
+    this.#settle(correlation, err(createError(kind, `no reply from ${to}`)));
+  }
+
+  #settle(
+    correlation: number,
+    result: Result<unknown, ApplicationError>,
+  ): void {
+    const pending = this.#pending.get(correlation);
+    if (!pending) return;
+    this.#pending.delete(correlation);
+    clearTimeout(pending.timer);
+    pending.settle(result);
+  }
+
+  #receive(frame: Frame, connection: PeerConnection): void {
+    const from = connection.identity();
+    if (!from) return;
+    for (const listener of this.#generationListeners) listener(frame.g, from);
+    if (frame.r) {
+      const failed = frame.k === "error";
+      this.#settle(frame.i, failed ? err(_errorFrom(frame.b)) : ok(frame.b));
+      return;
+    }
+    void this.#answer(frame, from, connection);
+  }
+
+  async #answer(
+    frame: Frame,
+    from: PeerIdentity,
+    connection: PeerConnection,
+  ): Promise<void> {
+    const handler = this.#handlers.get(frame.k);
+    try {
+      const reply = handler ? await handler(frame.b, from) : undefined;
+      if (frame.i === 0) return;
+      if (handler) connection.send(frame.k, frame.i, true, reply);
+      else this.#refuse(connection, frame, createError("not_found", frame.k));
+    } catch (cause) {
+      if (frame.i !== 0) {
+        this.#refuse(connection, frame, createError("internal", String(cause)));
+      }
+    }
+  }
+
+  #refuse(
+    connection: PeerConnection,
+    frame: Frame,
+    error: ApplicationError,
+  ): void {
+    connection.send("error", frame.i, true, { error });
+  }
+}
+
+/** Creates the TCP network of one router. */
+export function createTcpPeerNetwork(
+  options: TcpPeerNetworkOptions,
+): PeerNetwork {
+  return new _TcpPeerNetwork(options);
+}
--- /dev/null
+++ b/src/timer_service.ts
@@ -0,0 +1,198 @@
+/**
+ * The timer service. Tasks subscribe to it instead of calling global timers, so
+ * a test can move time by hand and a dump can list what is pending.
+ */
+
+/** Reads the current time. */
+export abstract class Clock {
+  /** Milliseconds since an arbitrary start; never goes back. */
+  abstract monotonicMilliseconds(): number;
+  /** Milliseconds since the Unix epoch; may jump. */
+  abstract wallMilliseconds(): number;
+}
+
+/** A pending timer that can be cancelled. */
+export interface Subscription {
+  cancel(): void;
+}
+
+/** Calls listeners once or repeatedly. */
+export abstract class TimerService {
+  abstract readonly clock: Clock;
+  /** Calls the listener every `periodMilliseconds` until cancelled. */
+  abstract every(
+    periodMilliseconds: number,
+    name: string,
+    listener: () => void,
+  ): Subscription;
+  /** Calls the listener once after `delayMilliseconds` unless cancelled. */
+  abstract after(
+    delayMilliseconds: number,
+    name: string,
+    listener: () => void,
+  ): Subscription;
+  /** Cancels everything that is pending. */
+  abstract stop(): void;
+
+  /** Resolves after a delay. */
+  sleep(delayMilliseconds: number, name: string): Promise<void> {
+    return new Promise((resolve) =>
+      this.after(delayMilliseconds, name, resolve)
+    );
+  }
+}
+
+class _SystemClock extends Clock {
+  override monotonicMilliseconds(): number {
+    return performance.now();
+  }
+
+  override wallMilliseconds(): number {
+    return Date.now();
+  }
+}
+
+class _SystemTimerService extends TimerService {
+  override readonly clock: Clock = new _SystemClock();
+  readonly #pending = new Set<Subscription>();
+
+  override every(
+    periodMilliseconds: number,
+    _name: string,
+    listener: () => void,
+  ): Subscription {
+    const timer = setInterval(listener, periodMilliseconds);
+    return this.#track(() => clearInterval(timer));
+  }
+
+  override after(
+    delayMilliseconds: number,
+    _name: string,
+    listener: () => void,
+  ): Subscription {
+    const timer = setTimeout(() => {
+      this.#pending.delete(subscription);
+      listener();
+    }, delayMilliseconds);
+    const subscription = this.#track(() => clearTimeout(timer));
+    return subscription;
+  }
+
+  override stop(): void {
+    for (const subscription of [...this.#pending]) subscription.cancel();
+  }
+
+  #track(clear: () => void): Subscription {
+    const subscription: Subscription = {
+      cancel: () => {
+        this.#pending.delete(subscription);
+        clear();
+      },
+    };
+    this.#pending.add(subscription);
+    return subscription;
+  }
+}
+
+/** Creates a timer service on the system's clocks. */
+export function createSystemTimerService(): TimerService {
+  return new _SystemTimerService();
+}
+
+interface _ManualTimer {
+  dueMilliseconds: number;
+  readonly order: number;
+  readonly periodMilliseconds: number | undefined;
+  readonly listener: () => void;
+}
+
+class _ManualClock extends Clock {
+  nowMilliseconds = 0;
+
+  override monotonicMilliseconds(): number {
+    return this.nowMilliseconds;
+  }
+
+  override wallMilliseconds(): number {
+    return this.nowMilliseconds;
+  }
+}
+
+/** A timer service whose time moves only when told to. */
+export class ManualTimerService extends TimerService {
+  readonly #clock = new _ManualClock();
+  readonly #timers = new Set<_ManualTimer>();
+  #created = 0;
+
+  override get clock(): Clock {
+    return this.#clock;
+  }
+
+  override every(
+    periodMilliseconds: number,
+    _name: string,
+    listener: () => void,
+  ): Subscription {
+    return this.#add(periodMilliseconds, periodMilliseconds, listener);
+  }
+
+  override after(
+    delayMilliseconds: number,
+    _name: string,
+    listener: () => void,
+  ): Subscription {
+    return this.#add(delayMilliseconds, undefined, listener);
+  }
+
+  override stop(): void {
+    this.#timers.clear();
+  }
+
+  /** Moves time forward and calls due listeners in order of their due time. */
+  advance(milliseconds: number): void {
+    const end = this.#clock.nowMilliseconds + milliseconds;
+    for (let timer = this.#nextDue(end); timer; timer = this.#nextDue(end)) {
+      this.#fire(timer);
+    }
+    this.#clock.nowMilliseconds = end;
+  }
+
+  #add(
+    delay: number,
+    period: number | undefined,
+    listener: () => void,
+  ): Subscription {
+    const timer: _ManualTimer = {
+      dueMilliseconds: this.#clock.nowMilliseconds + delay,
+      order: this.#created++,
+      periodMilliseconds: period,
+      listener,
+    };
+    this.#timers.add(timer);
+    return { cancel: () => void this.#timers.delete(timer) };
+  }
+
+  #nextDue(end: number): _ManualTimer | undefined {
+    let next: _ManualTimer | undefined;
+    for (const timer of this.#timers) {
+      if (timer.dueMilliseconds > end) continue;
+      const earlier = !next || timer.dueMilliseconds < next.dueMilliseconds ||
+        (timer.dueMilliseconds === next.dueMilliseconds &&
+          timer.order < next.order);
+      if (earlier) next = timer;
+    }
+    return next;
+  }
+
+  #fire(timer: _ManualTimer): void {
+    this.#clock.nowMilliseconds = timer.dueMilliseconds;
+    if (timer.periodMilliseconds === undefined) this.#timers.delete(timer);
+    else timer.dueMilliseconds += timer.periodMilliseconds;
+    timer.listener();
+  }
+}
+
+/** Creates a timer service that a test moves by hand. */
+export function createManualTimerService(): ManualTimerService {
+  return new ManualTimerService();
+}
