--- /dev/null
+++ b/src/execution_task.ts
@@ -0,0 +1,299 @@
+/**
+ * Runs non-idempotent calls at most once. The router named in a request id
+ * decides and runs; every other router forwards to it and never runs the call.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import {
+  answerFor,
+  type ApplicationError,
+  createError,
+  type ErrorKind,
+} from "./core/errors.ts";
+import {
+  createExecutionLedger,
+  type ExecutionLedger,
+  type LedgerDecision,
+} from "./core/execution_ledger.ts";
+import {
+  brandId,
+  type IncarnationId,
+  type RequestId,
+  type WorkspaceId,
+} from "./core/ids.ts";
+import { safeParseRequestId } from "./core/request_id.ts";
+import type { MembershipView } from "./membership_view.ts";
+import type { PeerNetwork } from "./peer_network.ts";
+import type { ServiceAnswer, ServiceCall } from "./service_call.ts";
+import { Task } from "./task.ts";
+import type { TimerService } from "./timer_service.ts";
+
+/** Extra time beyond a call's deadline for the reply to travel, in milliseconds. */
+const FORWARD_GRACE_MILLISECONDS = 500;
+const QUERY_TIMEOUT_MILLISECONDS = 2_000;
+
+const _runMessageSchema = z.object({
+  id: z.string(),
+  workspace: z.string(),
+  service: z.string(),
+  method: z.string(),
+  path: z.string(),
+  headers: z.record(z.string(), z.string()),
+  body: z.instanceof(Uint8Array),
+  priority: z.enum(["high", "normal", "low"]),
+  remainingMilliseconds: z.number().min(0),
+});
+const _queryMessageSchema = z.object({ id: z.string(), workspace: z.string() });
+const _answerSchema = z.object({
+  status: z.number().int(),
+  headers: z.record(z.string(), z.string()),
+  body: z.instanceof(Uint8Array),
+  backendServer: z.string(),
+});
+
+/** The state of a request as its owner knows it. */
+export interface RequestOutcome {
+  readonly state: Exclude<LedgerDecision<ServiceAnswer>["kind"], "run">;
+  readonly answer?: ServiceAnswer | undefined;
+}
+
+/** Sends one call to a backend server; called at most once per request id. */
+export type CallRunner = (
+  call: ServiceCall,
+) => Promise<Result<ServiceAnswer, ApplicationError>>;
+
+/** What the task needs. */
+export interface ExecutionTaskOptions {
+  readonly incarnation: IncarnationId;
+  readonly network: PeerNetwork;
+  readonly members: MembershipView;
+  readonly timers: TimerService;
+  readonly run: CallRunner;
+}
+
+type CallResult = Result<ServiceAnswer, ApplicationError>;
+
+const DECISION_ERRORS: Readonly<Record<string, readonly [ErrorKind, string]>> =
+  {
+    refused: ["request_refused", "use a fresh request id"],
+    unknown: ["outcome_unknown", "the call was sent and no answer came"],
+    expired: ["request_expired", "the id is older than the retention"],
+    foreign: ["outcome_unknown", "the router that owned the id is gone"],
+    forbidden: ["forbidden", "the id belongs to another workspace"],
+  };
+
+function _errorOf(decision: string): ApplicationError {
+  const [kind, detail] = DECISION_ERRORS[decision] ?? ["internal", decision];
+  return createError(kind, detail, ["x-sapphirecart-request-id"]);
+}
+
+/** The at-most-once duty of one router. */
+export class ExecutionTask extends Task {
+  override readonly name = "execution";
+  readonly #options: ExecutionTaskOptions;
+  readonly #ledger: ExecutionLedger<ServiceAnswer>;
+  readonly #running = new Map<RequestId, Promise<CallResult>>();
+
+  constructor(options: ExecutionTaskOptions) {
+    super();
+    this.#options = options;
+    this.#ledger = createExecutionLedger({ incarnation: options.incarnation });
+  }
+
+  override async start(): Promise<void> {
+    const { network } = this.#options;
+    network.handle("execution.run", (body) => this.#handleRun(body));
+    network.handle("execution.outcome", (body) => this.#handleQuery(body));
+  }
+
+  /** Waits for the calls that are running. */
+  override async stop(): Promise<void> {
+    await Promise.all(this.#running.values());
+  }
+
+  override describe(): unknown {
+    return { incarnation: this.#options.incarnation, ...this.#ledger.counts() };
+  }
+
+  /** Returns the epoch that callers put into the ids they make. */
+  epoch(): number {
+    return this.#ledger.epochAt(this.#now());
+  }
+
+  /** Makes an id for a request that came without one. */
+  issueId(randomPart: string): RequestId {
+    return this.#ledger.issue(randomPart, this.#now());
+  }
+
+  /** Runs a call here, or forwards it to the router that owns its id. */
+  async execute(call: ServiceCall): Promise<CallResult> {
+    const parts = safeParseRequestId(call.id);
+    if (parts.isErr()) return err(parts.error);
+    if (parts.value.incarnation === this.#options.incarnation) {
+      return this.#executeHere(call);
+    }
+    return this.#forward(call, parts.value.incarnation);
+  }
+
+  /** Returns the outcome of an earlier request; an unseen id is sealed by its owner. */
+  async query(
+    id: RequestId,
+    workspace: WorkspaceId,
+  ): Promise<Result<RequestOutcome, ApplicationError>> {
+    const parts = safeParseRequestId(id);
+    if (parts.isErr()) return err(parts.error);
+    if (parts.value.incarnation === this.#options.incarnation) {
+      return ok(this.#queryHere(id, workspace));
+    }
+    const owner = this.#findMember(parts.value.incarnation);
+    if (!owner) return ok({ state: "unknown" });
+    const reply = await this.#options.network.request(
+      owner.address,
+      "execution.outcome",
+      { id, workspace },
+      QUERY_TIMEOUT_MILLISECONDS,
+    );
+    return reply.isErr()
+      ? ok({ state: "unknown" })
+      : ok(reply.value as RequestOutcome);
+  }
+
+  #now(): number {
+    return this.#options.timers.clock.monotonicMilliseconds();
+  }
+
+  #findMember(incarnation: IncarnationId) {
+    return this.#options.members.liveMembers().find((member) =>
+      member.incarnation === incarnation
+    );
+  }
+
+  async #executeHere(call: ServiceCall): Promise<CallResult> {
+    const decision = this.#ledger.begin(call.id, call.workspace, this.#now());
+    if (decision.kind === "run") {
+      const running = this.#runOnce(call);
+      this.#running.set(call.id, running);
+      return running;
+    }
+    if (decision.kind === "running") {
+      return this.#running.get(call.id) ?? err(_errorOf("unknown"));
+    }
+    if (decision.kind === "finished" && decision.answer) {
+      return ok(decision.answer);
+    }
+    if (decision.kind === "finished") {
+      return err(
+        createError(
+          "outcome_unknown",
+          "the call ran; its answer was too large to keep",
+        ),
+      );
+    }
+    return err(_errorOf(decision.kind));
+  }
+
+  async #runOnce(call: ServiceCall): Promise<CallResult> {
+    const result = await this.#safeRun(call);
+    if (result.isOk()) {
+      const answer = result.value;
+      this.#ledger.settle(call.id, {
+        kind: "finished",
+        answer,
+        answerBytes: answer.body.byteLength,
+      });
+    } else {
+      const notRun = answerFor(result.error).runState === "not_run";
+      this.#ledger.settle(call.id, { kind: notRun ? "refused" : "unknown" });
+    }
+    this.#running.delete(call.id);
+    return result;
+  }
+
+  async #safeRun(call: ServiceCall): Promise<CallResult> {
+    try {
+      return await this.#options.run(call);
+    } catch (cause) {
+      return err(createError("outcome_unknown", String(cause)));
+    }
+  }
+
+  /** Any failure to reach the owner leaves the outcome to the owner alone. */
+  async #forward(
+    call: ServiceCall,
+    incarnation: IncarnationId,
+  ): Promise<CallResult> {
+    const owner = this.#findMember(incarnation);
+    if (!owner) return err(_errorOf("foreign"));
+    const remainingMilliseconds = call.deadlineMilliseconds - this.#now();
+    const reply = await this.#options.network.request(
+      owner.address,
+      "execution.run",
+      {
+        id: call.id,
+        workspace: call.workspace,
+        service: call.service,
+        method: call.method,
+        path: call.path,
+        headers: call.headers,
+        body: call.body,
+        priority: call.priority,
+        remainingMilliseconds: Math.max(0, remainingMilliseconds),
+      },
+      Math.max(0, remainingMilliseconds) + FORWARD_GRACE_MILLISECONDS,
+    );
+    if (reply.isErr()) {
+      const kind = reply.error.kind;
+      if (kind === "peer_unreachable") {
+        return err(createError("outcome_unknown", kind));
+      }
+      return err(reply.error);
+    }
+    return this.#readForwardedAnswer(reply.value);
+  }
+
+  #readForwardedAnswer(value: unknown): CallResult {
+    const { answer, error } = value as {
+      answer?: unknown;
+      error?: ApplicationError;
+    };
+    if (error) return err(createError(error.kind, error.detail, error.path));
+    const parsed = _answerSchema.safeParse(answer);
+    if (!parsed.success) {
+      return err(createError("outcome_unknown", "malformed forwarded answer"));
+    }
+    return ok(parsed.data);
+  }
+
+  async #handleRun(body: unknown): Promise<unknown> {
+    const message = _runMessageSchema.safeParse(body);
+    if (!message.success) {
+      return { error: createError("malformed_frame", message.error.message) };
+    }
+    const { remainingMilliseconds, id, workspace, ...rest } = message.data;
+    const result = await this.#executeHere({
+      ...rest,
+      id: brandId<RequestId>(id),
+      workspace: brandId<WorkspaceId>(workspace),
+      deadlineMilliseconds: this.#now() + remainingMilliseconds,
+    });
+    return result.isOk() ? { answer: result.value } : { error: result.error };
+  }
+
+  #handleQuery(body: unknown): RequestOutcome {
+    const message = _queryMessageSchema.safeParse(body);
+    if (!message.success) return { state: "unknown" };
+    return this.#queryHere(
+      brandId<RequestId>(message.data.id),
+      brandId<WorkspaceId>(message.data.workspace),
+    );
+  }
+
+  #queryHere(id: RequestId, workspace: WorkspaceId): RequestOutcome {
+    const decision = this.#ledger.query(id, workspace, this.#now());
+    if (decision.kind === "run") return { state: "refused" };
+    if (decision.kind === "finished") {
+      return { state: "finished", answer: decision.answer };
+    }
+    return { state: decision.kind };
+  }
+}
--- /dev/null
+++ b/src/service_call.ts
@@ -0,0 +1,47 @@
+/** A call to a plain service and its answer, as they travel inside a router and between routers. */
+import type { Priority } from "./core/fleet_schema.ts";
+import type { RequestId, WorkspaceId } from "./core/ids.ts";
+
+/** A call to a plain service. */
+export interface ServiceCall {
+  readonly id: RequestId;
+  readonly workspace: WorkspaceId;
+  readonly service: string;
+  readonly method: string;
+  /** Path and query on the backend server, beginning with a slash. */
+  readonly path: string;
+  /** End-to-end headers only; authorization and connection headers are left out. */
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+  readonly priority: Priority;
+  /** On this router's monotonic clock. */
+  readonly deadlineMilliseconds: number;
+}
+
+/** The complete answer of a plain service. */
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+  readonly backendServer: string;
+}
+
+/**
+ * Whether a call is idempotent: it matches one of the service's idempotent
+ * calls, written `METHOD /path`, where a trailing `*` matches the rest.
+ */
+export function isIdempotentCall(
+  idempotentCalls: readonly string[],
+  method: string,
+  path: string,
+): boolean {
+  const pathOnly = path.split("?")[0] ?? path;
+  return idempotentCalls.some((pattern) => {
+    const [patternMethod = "", patternPath = ""] = pattern.split(" ");
+    if (patternMethod !== method) return false;
+    if (patternPath.endsWith("*")) {
+      return pathOnly.startsWith(patternPath.slice(0, -1));
+    }
+    return pathOnly === patternPath;
+  });
+}
