--- /dev/null
+++ b/src/access.ts
@@ -0,0 +1,108 @@
+/**
+ * Who may call. Keys are kept as SHA-256 hashes in the fleet file; the index
+ * from hash to workspace or operator is rebuilt with each configuration.
+ */
+import { createHash } from "node:crypto";
+import { err, ok, type Result } from "neverthrow";
+import { type ApplicationError, createError } from "./core/errors.ts";
+import type { ConfigurationSnapshot, Workspace } from "./core/fleet_schema.ts";
+import { brandId, type WorkspaceId } from "./core/ids.ts";
+import type { ConfigurationView } from "./configuration_view.ts";
+
+/** A workspace that proved who it is. */
+export interface AuthenticatedWorkspace {
+  readonly id: WorkspaceId;
+  readonly settings: Workspace;
+}
+
+/** Checks bearer keys against the configuration in force. */
+export interface Access {
+  /** Identifies a workspace, or fails with `unauthenticated` or `not_ready`. */
+  workspaceOf(
+    authorization: string | undefined,
+  ): Result<AuthenticatedWorkspace, ApplicationError>;
+  /** Identifies an operator by name, or fails with `unauthenticated`, `forbidden` or `not_ready`. */
+  operatorOf(
+    authorization: string | undefined,
+  ): Result<string, ApplicationError>;
+}
+
+interface _KeyIndex {
+  readonly snapshot: ConfigurationSnapshot;
+  readonly workspaces: ReadonlyMap<string, AuthenticatedWorkspace>;
+  readonly operators: ReadonlyMap<string, string>;
+}
+
+/** Returns the hash of a key as the fleet file holds it. */
+export function hashKey(key: string): string {
+  return createHash("sha256").update(key).digest("hex");
+}
+
+function _buildIndex(snapshot: ConfigurationSnapshot): _KeyIndex {
+  const { workspaces, operators } = snapshot.fleet;
+  return {
+    snapshot,
+    workspaces: new Map(
+      Object.entries(workspaces).map(([name, settings]) =>
+        [settings.keyHash, {
+          id: brandId<WorkspaceId>(name),
+          settings,
+        }] as const
+      ),
+    ),
+    operators: new Map(
+      Object.entries(operators).map(([name, { keyHash }]) => [keyHash, name]),
+    ),
+  };
+}
+
+function _bearerKey(
+  authorization: string | undefined,
+): Result<string, ApplicationError> {
+  const match = /^Bearer ([!-~]{1,512})$/.exec(authorization ?? "");
+  if (match) return ok(match[1] as string);
+  return err(
+    createError("unauthenticated", "expected `Bearer KEY`", ["authorization"]),
+  );
+}
+
+/** Creates the key check over a configuration view. */
+export function createAccess(configuration: ConfigurationView): Access {
+  let index: _KeyIndex | undefined;
+
+  function currentIndex(): Result<_KeyIndex, ApplicationError> {
+    const snapshot = configuration.current();
+    if (!snapshot) return err(createError("not_ready", "no configuration yet"));
+    if (index?.snapshot !== snapshot) index = _buildIndex(snapshot);
+    return ok(index);
+  }
+
+  return {
+    workspaceOf(authorization) {
+      return currentIndex().andThen(({ workspaces }) =>
+        _bearerKey(authorization).andThen((key) => {
+          const workspace = workspaces.get(hashKey(key));
+          if (workspace) return ok(workspace);
+          return err(
+            createError("unauthenticated", "unknown workspace key", [
+              "authorization",
+            ]),
+          );
+        })
+      );
+    },
+    operatorOf(authorization) {
+      return currentIndex().andThen(({ workspaces, operators }) =>
+        _bearerKey(authorization).andThen((key) => {
+          const hash = hashKey(key);
+          const operator = operators.get(hash);
+          if (operator !== undefined) return ok(operator);
+          const kind = workspaces.has(hash) ? "forbidden" : "unauthenticated";
+          return err(
+            createError(kind, "an operator key is needed", ["authorization"]),
+          );
+        })
+      );
+    },
+  };
+}
--- /dev/null
+++ b/src/chat_answer.ts
@@ -0,0 +1,111 @@
+/**
+ * Writes a chat answer in the OpenAI format: one JSON object, or server-sent
+ * events whose ids are resume tokens and whose end is an explicit `[DONE]`.
+ */
+import { Readable } from "node:stream";
+import type { FastifyReply } from "fastify";
+import type {
+  ChatAnswer,
+  ChatAnswerEvent,
+  ChatUsage,
+} from "./caller_services.ts";
+import {
+  answerFor,
+  type ApplicationError,
+  toErrorBody,
+} from "./core/errors.ts";
+
+/** How the answer is presented. */
+export interface ChatAnswerFormat {
+  readonly id: string;
+  readonly model: string;
+  readonly stream: boolean;
+}
+
+function _usageBody(usage: ChatUsage | undefined) {
+  if (!usage) return undefined;
+  return {
+    prompt_tokens: usage.promptTokens,
+    completion_tokens: usage.completionTokens,
+    total_tokens: usage.promptTokens + usage.completionTokens,
+    prompt_tokens_details: { cached_tokens: usage.cachedTokens },
+  };
+}
+
+function _chunkBody(event: ChatAnswerEvent, { id, model }: ChatAnswerFormat) {
+  return {
+    id,
+    object: "chat.completion.chunk",
+    model,
+    choices: [{
+      index: 0,
+      delta: { content: event.text },
+      finish_reason: event.done ? "stop" : null,
+    }],
+    offset: event.offset,
+    usage: _usageBody(event.usage),
+  };
+}
+
+async function* _serverSentEvents(
+  answer: ChatAnswer,
+  format: ChatAnswerFormat,
+) {
+  for await (const event of answer.events) {
+    if (event.isErr()) {
+      yield `event: error\ndata: ${
+        JSON.stringify(toErrorBody(event.error))
+      }\n\n`;
+      return;
+    }
+    const chunk = JSON.stringify(_chunkBody(event.value, format));
+    yield `id: ${event.value.resumeToken}\ndata: ${chunk}\n\n`;
+    if (event.value.done) yield "data: [DONE]\n\n";
+  }
+}
+
+async function _collect(answer: ChatAnswer) {
+  let text = "";
+  let usage: ChatUsage | undefined;
+  let failure: ApplicationError | undefined;
+  for await (const event of answer.events) {
+    if (event.isErr()) {
+      failure = event.error;
+      break;
+    }
+    text += event.value.text;
+    usage = event.value.usage ?? usage;
+  }
+  return { text, usage, failure };
+}
+
+/** Sends the answer in the format the caller asked for. */
+export async function answerWithChat(
+  reply: FastifyReply,
+  answer: ChatAnswer,
+  format: ChatAnswerFormat,
+): Promise<FastifyReply> {
+  reply.header("x-sapphirecart-backend-server", answer.backendServer);
+  if (format.stream) {
+    reply.header("content-type", "text/event-stream").header(
+      "cache-control",
+      "no-store",
+    );
+    return reply.send(Readable.from(_serverSentEvents(answer, format)));
+  }
+  const { text, usage, failure } = await _collect(answer);
+  if (failure) {
+    return reply.code(answerFor(failure).status).send(toErrorBody(failure));
+  }
+  return reply.send({
+    id: format.id,
+    object: "chat.completion",
+    model: format.model,
+    choices: [{
+      index: 0,
+      message: { role: "assistant", content: text },
+      finish_reason: "stop",
+    }],
+    usage: _usageBody(usage),
+  });
+}
