Add the caller library and the dispatch of chats (not joined yet)

Cause: the whole path needs a caller that retries only what is safe and a dispatch that finds a slot, streams and releases.

--- /dev/null
+++ b/src/caller.ts
@@ -0,0 +1,239 @@
+/**
+ * The caller library. It asks which routers to use, sends, retries only what is
+ * safe, resumes cut streams, and tells "not run" from "outcome unknown".
+ */
+import { randomBytes } from "node:crypto";
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import { BackendTransport } from "./backend_transport.ts";
+import { createAddressBook } from "./caller_addresses.ts";
+import {
+  type CallerAnswer,
+  createCallerHttp,
+  readFailure,
+} from "./caller_http.ts";
+import { type ChatEvent, type ChatOptions, streamChat } from "./caller_chat.ts";
+import {
+  answerFor,
+  type ApplicationError,
+  createError,
+} from "./core/errors.ts";
+import { brandId, type IncarnationId } from "./core/ids.ts";
+import type { RandomSource } from "./core/random.ts";
+import { formatRequestId } from "./core/request_id.ts";
+import {
+  createSystemTimerService,
+  type TimerService,
+} from "./timer_service.ts";
+
+const DEFAULT_DEADLINE_MILLISECONDS = 30_000;
+const MAXIMUM_ATTEMPTS = 6;
+/** Largest wait before the first retry; doubles with each further one. */
+const RETRY_DELAY_MILLISECONDS = 50;
+const OUTCOME_POLL_MILLISECONDS = 200;
+const RANDOM_ID_BYTES = 12;
+
+const _outcomeSchema = z.object({
+  state: z.enum([
+    "running",
+    "finished",
+    "refused",
+    "unknown",
+    "expired",
+    "foreign",
+  ]),
+  answer: z.object({
+    status: z.number(),
+    headers: z.record(z.string(), z.string()),
+    backend_server: z.string(),
+    body_base64: z.string(),
+  }).optional(),
+});
+
+/** What a caller needs. */
+export interface CallerOptions {
+  /** Addresses of some routers, to ask for the list of usable ones. */
+  readonly routers: readonly string[];
+  readonly workspaceKey: string;
+  readonly random: RandomSource;
+  readonly timers?: TimerService;
+}
+
+/** A call to a plain service. */
+export interface CallOptions {
+  readonly service: string;
+  readonly method: string;
+  readonly path: string;
+  readonly body?: string | Uint8Array;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly deadlineMilliseconds?: number;
+}
+
+/** A whole answer of a plain service. */
+export interface CallAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+}
+
+/** Proof that the work was not done and never will be for this call. */
+export interface NotRun {
+  readonly kind: "not_run";
+  readonly error: ApplicationError;
+}
+
+/** The work may or may not have been done; the caller must find out by its own means. */
+export interface OutcomeUnknown {
+  readonly kind: "outcome_unknown";
+  readonly error: ApplicationError;
+}
+
+/** Why a call brought no answer. */
+export type CallFailure = NotRun | OutcomeUnknown;
+
+/** A client of the fleet for one workspace. */
+export interface Caller {
+  /** Calls a plain service; the work runs at most once. */
+  call(options: CallOptions): Promise<Result<CallAnswer, CallFailure>>;
+  /** Streams a chat; a cut stream is resumed through another router. */
+  chat(
+    options: ChatOptions,
+  ): AsyncGenerator<Result<ChatEvent, CallFailure>, void>;
+  close(): Promise<void>;
+}
+
+/** Sorts an error by what it says about the work. */
+export function toCallFailure(error: ApplicationError): CallFailure {
+  const kind = answerFor(error).runState === "not_run"
+    ? "not_run"
+    : "outcome_unknown";
+  return { kind, error };
+}
+
+/** Creates a caller. */
+export function createCaller(options: CallerOptions): Caller {
+  const timers = options.timers ?? createSystemTimerService();
+  const transport = new BackendTransport(timers);
+  const http = createCallerHttp({
+    transport,
+    timers,
+    workspaceKey: options.workspaceKey,
+  });
+  const book = createAddressBook({
+    bootstrapAddresses: options.routers,
+    clock: timers.clock,
+    random: options.random,
+    ask: (address) => http.getJson(address, "/v1/addresses"),
+  });
+
+  function now(): number {
+    return timers.clock.monotonicMilliseconds();
+  }
+
+  function backOff(attempt: number): Promise<void> {
+    const limit = RETRY_DELAY_MILLISECONDS * 2 ** attempt;
+    return timers.sleep(options.random.next() * limit, "caller retry");
+  }
+
+  /** Asks the other routers, then the failed one, how a request ended. */
+  async function findOutcome(
+    id: string,
+    failedAddress: string,
+    deadline: number,
+  ): Promise<Result<CallerAnswer, CallFailure>> {
+    const unknown = createError(
+      "outcome_unknown",
+      "no router knows how the request ended",
+    );
+    while (now() < deadline) {
+      const addresses = await book.list();
+      const others = addresses.filter((entry) =>
+        entry.address !== failedAddress
+      );
+      const [entry] = others.length > 0 ? others : addresses;
+      if (!entry) break;
+      const body = await http.getJson(entry.address, `/v1/requests/${id}`);
+      const outcome = _outcomeSchema.safeParse(body);
+      if (!outcome.success) {
+        book.avoid(entry.address);
+      } else if (outcome.data.state === "refused") {
+        return err({
+          kind: "not_run",
+          error: createError("request_refused", "sealed"),
+        });
+      } else if (outcome.data.state === "finished" && outcome.data.answer) {
+        const { status, headers, body_base64 } = outcome.data.answer;
+        return ok({
+          status,
+          headers,
+          body: Buffer.from(body_base64, "base64"),
+        });
+      } else if (outcome.data.state !== "running") {
+        return err({ kind: "outcome_unknown", error: unknown });
+      }
+      await timers.sleep(OUTCOME_POLL_MILLISECONDS, "outcome poll");
+    }
+    return err({ kind: "outcome_unknown", error: unknown });
+  }
+
+  async function attempt(call: CallOptions, deadline: number) {
+    const [target] = await book.list();
+    if (!target) {
+      return err(
+        toCallFailure(createError("peer_unreachable", "no router answered")),
+      );
+    }
+    const incarnation = brandId<IncarnationId>(target.incarnation);
+    const randomPart = randomBytes(RANDOM_ID_BYTES).toString("hex");
+    const id = formatRequestId(incarnation, target.epoch, randomPart);
+    const sent = await http.send(target.address, {
+      method: call.method,
+      path: `/v1/services/${call.service}${call.path}`,
+      headers: { ...call.headers, "x-sapphirecart-request-id": id },
+      body: call.body,
+      deadline,
+    });
+    if (sent.isErr()) {
+      book.avoid(target.address);
+      const failure = toCallFailure(sent.error);
+      if (failure.kind === "not_run") return err(failure);
+      return findOutcome(id, target.address, deadline);
+    }
+    const failure = readFailure(sent.value);
+    if (!failure) return ok(sent.value);
+    if (answerFor(failure).status === 503) book.avoid(target.address);
+    return err(toCallFailure(failure));
+  }
+
+  function mayRetry({ kind, error }: CallFailure): boolean {
+    return kind === "not_run" && answerFor(error).retryable;
+  }
+
+  async function call(
+    callOptions: CallOptions,
+  ): Promise<Result<CallAnswer, CallFailure>> {
+    const allowed = callOptions.deadlineMilliseconds ??
+      DEFAULT_DEADLINE_MILLISECONDS;
+    const deadline = now() + allowed;
+    for (let attempts = 1;; attempts++) {
+      const result = await attempt(callOptions, deadline);
+      const over = attempts >= MAXIMUM_ATTEMPTS || now() >= deadline;
+      if (result.isOk() || over || !mayRetry(result.error)) return result;
+      await backOff(attempts);
+    }
+  }
+
+  return {
+    call,
+    chat: (chatOptions) =>
+      streamChat(chatOptions, {
+        http,
+        book,
+        now,
+        backOff,
+        defaultDeadlineMilliseconds: DEFAULT_DEADLINE_MILLISECONDS,
+        maximumAttempts: MAXIMUM_ATTEMPTS,
+      }),
+    close: () => transport.stop(),
+  };
+}
--- /dev/null
+++ b/src/chat_dispatch.ts
@@ -0,0 +1,275 @@
+/**
+ * Sends chats to engines. Generation is idempotent, so a chat that has brought
+ * no event is tried on another engine within the retry budget; once events have
+ * been delivered, the stream is resumed on its engine or ends with an error.
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { AdmissionClient, Slot } from "./admission_client.ts";
+import type { BackendClient, ChatOpening, ChatStreamEvents } from "./backend_client.ts";
+import { findSlot } from "./backend_slots.ts";
+import type { ChatAnswer, ChatAnswerEvent } from "./caller_services.ts";
+import type { ChatHomeTask } from "./chat_home_task.ts";
+import { type ChatRequest, estimatePromptTokens } from "./chat_request.ts";
+import type { ConfigurationView } from "./configuration_view.ts";
+import { type ApplicationError, createError } from "./core/errors.ts";
+import { brandId, type BackendServerId, type SocketAddress, type WorkspaceId } from "./core/ids.ts";
+import type { RetryBudget } from "./core/retry_budget.ts";
+import { createResumeToken, safeParseResumeToken } from "./core/resume_token.ts";
+import type { Candidate } from "./core/routing.ts";
+import type { Metrics } from "./metrics.ts";
+import type { RoutingContext } from "./routing_context.ts";
+import type { TimerService } from "./timer_service.ts";
+
+/** Time for the rest of a resumed stream, in milliseconds. */
+const RESUME_DEADLINE_MILLISECONDS = 60_000;
+
+/** What the dispatch needs. */
+export interface ChatDispatchOptions {
+  readonly configuration: ConfigurationView;
+  readonly routing: RoutingContext;
+  readonly admission: AdmissionClient;
+  readonly chatHome: ChatHomeTask;
+  readonly backends: BackendClient;
+  readonly retries: RetryBudget;
+  readonly timers: TimerService;
+  readonly metrics: Metrics;
+  readonly fleetKey: string;
+  /** Reports that a backend server could not be reached. */
+  readonly onUnreachable: (backendServer: BackendServerId) => void;
+}
+
+/** Sends chats to engines. */
+export interface ChatDispatch {
+  start(request: ChatRequest): Promise<Result<ChatAnswer, ApplicationError>>;
+  resume(workspace: WorkspaceId, token: string): Promise<Result<ChatAnswer, ApplicationError>>;
+}
+
+interface _Started {
+  readonly slot: Slot;
+  readonly opening: Extract<ChatOpening, { kind: "stream" }>;
+}
+
+interface _StreamSource {
+  readonly workspace: WorkspaceId;
+  readonly model: string;
+  readonly backendServer: string;
+  readonly streamId: string;
+  readonly events: ChatStreamEvents;
+  readonly arrivedAt: number | undefined;
+  readonly onEnd: (usage: ChatAnswerEvent["usage"]) => void;
+}
+
+/** Creates the chat dispatch of one router. */
+export function createChatDispatch(options: ChatDispatchOptions): ChatDispatch {
+  const { routing, admission, backends, retries, timers, metrics } = options;
+
+  function now(): number {
+    return timers.clock.monotonicMilliseconds();
+  }
+
+  function addressOf(backendServer: string): SocketAddress | undefined {
+    const server = options.configuration.current()?.fleet.backendServers[backendServer];
+    return server && brandId<SocketAddress>(server.address);
+  }
+
+  async function rank(request: ChatRequest): Promise<Result<readonly Candidate[], ApplicationError>> {
+    const { workspace, chat, body } = request;
+    const target = { kind: "model", model: body.model, adapter: body.adapter } as const;
+    if (!routing.index()?.eligible(workspace, target)) {
+      return err(createError("forbidden", `model ${body.model}`, ["model"]));
+    }
+    const remembered = chat === undefined ? [] : await options.chatHome.lookup(workspace, chat);
+    return ok(routing.rank({
+      workspace,
+      chat,
+      target,
+      promptTokens: estimatePromptTokens(body),
+      outputTokens: body.max_tokens,
+    }, remembered));
+  }
+
+  async function open(
+    request: ChatRequest,
+    slot: Slot,
+  ): Promise<Result<_Started, ApplicationError>> {
+    const address = addressOf(slot.backendServer);
+    if (!address) return err(createError("no_backend_server", slot.backendServer));
+    const { workspace, chat, body, priority } = request;
+    const opened = await backends.streamChat({
+      address,
+      requestId: request.id,
+      deadline: request.deadlineMilliseconds,
+      body: {
+        ...body,
+        priority,
+        ...(chat === undefined ? {} : { chat: `${workspace}/${chat}` }),
+      },
+    });
+    if (opened.isErr()) return err(opened.error);
+    if (opened.value.kind === "stream") return ok({ slot, opening: opened.value });
+    const { status } = opened.value.answer;
+    return err(createError("backend_failed", `${slot.backendServer} answered ${status}`));
+  }
+
+  /** One attempt on the best server with room that has not failed this request. */
+  async function attempt(
+    request: ChatRequest,
+    failed: ReadonlySet<BackendServerId>,
+  ): Promise<Result<_Started, ApplicationError & { server?: BackendServerId }>> {
+    const ranked = await rank(request);
+    if (ranked.isErr()) return err(ranked.error);
+    const fleet = options.configuration.current()?.fleet.fleet;
+    const slot = await findSlot(
+      {
+        workspace: request.workspace,
+        priority: request.priority,
+        deadlineMilliseconds: request.deadlineMilliseconds,
+        queueWaitMilliseconds: fleet?.queueWaitMilliseconds ?? 0,
+        candidates: ranked.value.filter(({ backendServer }) => !failed.has(backendServer)),
+      },
+      admission,
+      timers.clock,
+    );
+    if (slot.isErr()) return err(slot.error);
+    const started = await open(request, slot.value);
+    if (started.isOk()) return ok(started.value);
+    admission.release(slot.value);
+    return err({ ...started.error, server: slot.value.backendServer });
+  }
+
+  async function start(request: ChatRequest): Promise<Result<ChatAnswer, ApplicationError>> {
+    const arrivedAt = now();
+    const failed = new Set<BackendServerId>();
+    retries.recordRequest(arrivedAt);
+    for (;;) {
+      const started = await attempt(request, failed);
+      if (started.isOk()) return ok(answerOf(request, started.value, arrivedAt));
+      const { server, ...error } = started.error;
+      if (!server) return err(error);
+      failed.add(server);
+      if (error.kind === "backend_unreachable") options.onUnreachable(server);
+      if (now() >= request.deadlineMilliseconds) return err(error);
+      const retry = retries.mayRetry(error.kind, true, now());
+      if (!retry.allowed) return err(error);
+      metrics.retries.inc({ reason: error.kind });
+      await timers.sleep(retry.delayMilliseconds, "chat retry");
+    }
+  }
+
+  function answerOf(request: ChatRequest, started: _Started, arrivedAt: number): ChatAnswer {
+    const { slot, opening } = started;
+    const { workspace, chat, body } = request;
+    return {
+      backendServer: slot.backendServer,
+      events: readEvents({
+        workspace,
+        model: body.model,
+        backendServer: slot.backendServer,
+        streamId: opening.streamId,
+        events: opening.events,
+        arrivedAt,
+        onEnd(usage) {
+          admission.release(slot);
+          if (!usage) return;
+          metrics.promptTokens.inc({ source: "cached" }, usage.cachedTokens);
+          const computed = usage.promptTokens - usage.cachedTokens;
+          metrics.promptTokens.inc({ source: "computed" }, computed);
+          if (chat === undefined) return;
+          const cachedTokens = usage.promptTokens + usage.completionTokens;
+          options.chatHome.remember(workspace, chat, slot.backendServer, cachedTokens);
+        },
+      }),
+    };
+  }
+
+  /**
+   * Reads the engine's stream to its end, also when the caller has left: the
+   * engine keeps generating, its load is counted until it is done, and the
+   * caller may resume elsewhere.
+   */
+  function readEvents(source: _StreamSource): ChatAnswer["events"] {
+    let finished = false;
+    async function* read() {
+      let usage: ChatAnswerEvent["usage"];
+      try {
+        for await (const event of source.events) {
+          if (event.isErr()) {
+            yield err(event.error);
+            return;
+          }
+          usage = event.value.usage ?? usage;
+          yield ok(toAnswerEvent(event.value));
+        }
+      } finally {
+        finished = true;
+        source.onEnd(usage);
+      }
+    }
+    let isFirst = true;
+    function toAnswerEvent(event: Omit<ChatAnswerEvent, "resumeToken">): ChatAnswerEvent {
+      if (isFirst && source.arrivedAt !== undefined) {
+        metrics.firstTokenSeconds.observe((now() - source.arrivedAt) / 1_000);
+      }
+      isFirst = false;
+      const resumeToken = createResumeToken({
+        workspace: source.workspace,
+        backendServer: source.backendServer,
+        stream: source.streamId,
+        offset: event.offset,
+        model: source.model,
+      }, options.fleetKey);
+      return { ...event, resumeToken };
+    }
+    const events = read();
+    return {
+      [Symbol.asyncIterator]: () => ({
+        next: () => events.next(),
+        async return() {
+          if (!finished) void drain(events);
+          return { done: true, value: undefined };
+        },
+      }),
+    };
+  }
+
+  async function drain(events: AsyncIterable<unknown>): Promise<void> {
+    for await (const _event of events) {
+      // Reads on so that the slot is released when the engine is done.
+    }
+  }
+
+  async function resume(
+    workspace: WorkspaceId,
+    token: string,
+  ): Promise<Result<ChatAnswer, ApplicationError>> {
+    const parsed = safeParseResumeToken(token, workspace, options.fleetKey);
+    if (parsed.isErr()) return err(parsed.error);
+    const { backendServer, stream, offset, model } = parsed.value;
+    const address = addressOf(backendServer);
+    if (!address) return err(createError("stream_gone", backendServer));
+    const opened = await backends.resumeStream({
+      address,
+      streamId: stream,
+      offset,
+      deadline: now() + RESUME_DEADLINE_MILLISECONDS,
+    });
+    if (opened.isErr()) return err(opened.error);
+    if (opened.value.kind !== "stream") {
+      return err(createError("stream_gone", `status ${opened.value.answer.status}`));
+    }
+    return ok({
+      backendServer,
+      events: readEvents({
+        workspace,
+        model,
+        backendServer,
+        streamId: stream,
+        events: opened.value.events,
+        arrivedAt: undefined,
+        onEnd: () => undefined,
+      }),
+    });
+  }
+
+  return { start, resume };
+}
--- /dev/null
+++ b/src/routing_context.ts
@@ -0,0 +1,61 @@
+/** What routing decisions of this router look at: configuration, loads and backend states. */
+import type { ConfigurationView } from "./configuration_view.ts";
+import type { BackendStates } from "./core/backend_state.ts";
+import type { RememberedServer } from "./core/chat_table.ts";
+import type { HoldOut } from "./core/hold_out.ts";
+import type { WorkspaceId } from "./core/ids.ts";
+import type { LoadView } from "./core/load_view.ts";
+import type { RandomSource } from "./core/random.ts";
+import { type Candidate, rankCandidates, type RoutingRequest } from "./core/routing.ts";
+import { createRoutingIndex, type RoutingIndex } from "./core/routing_index.ts";
+import type { Clock } from "./timer_service.ts";
+
+/** What the context is made of. */
+export interface RoutingContextOptions {
+  readonly configuration: ConfigurationView;
+  readonly load: LoadView;
+  readonly states: BackendStates;
+  readonly holdOut: HoldOut;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  /** Tokens of the workspace in flight in the whole fleet, estimated. */
+  readonly workspaceTokens: (workspace: WorkspaceId) => number;
+}
+
+/** Ranks candidates against the present state of this router. */
+export interface RoutingContext {
+  /** The index of the configuration in force; undefined before the first. */
+  index(): RoutingIndex | undefined;
+  rank(request: RoutingRequest, remembered: readonly RememberedServer[]): readonly Candidate[];
+}
+
+/** Creates the routing context of one router. */
+export function createRoutingContext(options: RoutingContextOptions): RoutingContext {
+  let index: RoutingIndex | undefined;
+  const current = options.configuration.current();
+  if (current) index = createRoutingIndex(current);
+  options.configuration.onChange((snapshot) => index = createRoutingIndex(snapshot));
+
+  return {
+    index: () => index,
+    rank(request, remembered) {
+      if (!index) return [];
+      const view = {
+        index,
+        remembered,
+        load: options.load,
+        backendStates: options.states,
+        holdOut: options.holdOut,
+        workspaceTokens: options.workspaceTokens,
+        // Routers hear of evictions through the chat's home only.
+        cacheState: () => ({ kind: "unknown" }) as const,
+      };
+      return rankCandidates(
+        request,
+        view,
+        options.clock.monotonicMilliseconds(),
+        options.random,
+      );
+    },
+  };
+}
--- /dev/null
+++ b/stand_ins/processes.ts
@@ -0,0 +1,149 @@
+/**
+ * Starts the fleet's processes for the demo and the failure runs, and ends
+ * exactly those that it started.
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import { createServer } from "node:net";
+import { createInterface } from "node:readline";
+import { fileURLToPath } from "node:url";
+
+const START_TIMEOUT_MILLISECONDS = 15_000;
+const KEPT_OUTPUT_LINES = 200;
+
+/** A started process. */
+export interface ManagedProcess {
+  readonly name: string;
+  /** The `ip:port` that the process announced. */
+  readonly address: string;
+  /** The last lines of its output. */
+  readonly output: readonly string[];
+  isRunning(): boolean;
+  /** Ends it at once. */
+  kill(): Promise<void>;
+  /** Asks it to stop and waits until it has; resolves with its exit code. */
+  terminate(): Promise<number | null>;
+  pause(): void;
+  resume(): void;
+}
+
+/** Processes that end together. */
+export interface ProcessGroup {
+  /** Starts a compiled program and waits until it announces an address. */
+  start(
+    name: string,
+    program: string,
+    parameters: readonly string[],
+  ): Promise<ManagedProcess>;
+  /** Kills everything that still runs. */
+  stop(): Promise<void>;
+}
+
+/** Returns the path of a compiled program, such as `stand_ins/engine_main.js`. */
+function _pathOf(program: string): string {
+  return fileURLToPath(new URL(`../${program}`, import.meta.url));
+}
+
+function _exitOf(child: ChildProcess): Promise<number | null> {
+  if (child.exitCode !== null || child.signalCode !== null) {
+    return Promise.resolve(child.exitCode);
+  }
+  return new Promise((resolve) => child.once("exit", (code) => resolve(code)));
+}
+
+function _announcedAddress(line: string): string | undefined {
+  const announced = /"callerAddress":"([\d.]+:\d+)"/.exec(line) ??
+    /"address":"([\d.]+:\d+)"/.exec(line) ??
+    /listening on ([\d.]+:\d+)/.exec(line);
+  return announced?.[1];
+}
+
+function _waitForAddress(
+  child: ChildProcess,
+  output: string[],
+): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const fail = (reason: string) =>
+      reject(new Error(`${reason}\n${output.join("\n")}`));
+    const timer = setTimeout(
+      () => fail("no address was announced"),
+      START_TIMEOUT_MILLISECONDS,
+    );
+    child.once("exit", () => fail("the process ended before it was ready"));
+    for (const stream of [child.stdout, child.stderr]) {
+      if (!stream) continue;
+      createInterface({ input: stream }).on("line", (line) => {
+        output.push(line);
+        if (output.length > KEPT_OUTPUT_LINES) output.shift();
+        const address = _announcedAddress(line);
+        if (address === undefined) return;
+        clearTimeout(timer);
+        resolve(address);
+      });
+    }
+  });
+}
+
+/** Creates an empty group. */
+export function createProcessGroup(): ProcessGroup {
+  const children = new Set<ChildProcess>();
+
+  async function killChild(child: ChildProcess): Promise<void> {
+    child.kill("SIGCONT");
+    child.kill("SIGKILL");
+    await _exitOf(child);
+  }
+
+  return {
+    async start(name, program, parameters) {
+      const child = spawn(process.execPath, [_pathOf(program), ...parameters], {
+        stdio: ["ignore", "pipe", "pipe"],
+      });
+      children.add(child);
+      child.once("exit", () => children.delete(child));
+      const output: string[] = [];
+      const address = await _waitForAddress(child, output);
+      return {
+        name,
+        address,
+        output,
+        isRunning: () => child.exitCode === null && child.signalCode === null,
+        kill: () => killChild(child),
+        async terminate() {
+          child.kill("SIGTERM");
+          return _exitOf(child);
+        },
+        pause: () => void child.kill("SIGSTOP"),
+        resume: () => void child.kill("SIGCONT"),
+      };
+    },
+    async stop() {
+      await Promise.all([...children].map(killChild));
+    },
+  };
+}
+
+function _reservePort(): Promise<
+  { port: number; release: () => Promise<void> }
+> {
+  return new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once("error", reject);
+    server.listen(0, "127.0.0.1", () => {
+      const address = server.address();
+      const port = typeof address === "object" && address ? address.port : 0;
+      resolve({
+        port,
+        release: () => new Promise((done) => server.close(() => done())),
+      });
+    });
+  });
+}
+
+/** Returns distinct free ports on the loopback address. */
+export async function findFreePorts(count: number): Promise<number[]> {
+  const reserved = await Promise.all(
+    Array.from({ length: count }, _reservePort),
+  );
+  await Promise.all(reserved.map((entry) => entry.release()));
+  return reserved.map((entry) => entry.port);
+}
