Add the grants and the load bound of one backend server

Cause: routers that choose on lagged reports herd onto the same engines, so one steward per backend server has to grant each request. A grant or release within 100 ms of a measurement is counted on the safe side, since the reading may or may not include it.

--- /dev/null
+++ b/src/core/admission.ts
@@ -0,0 +1,262 @@
+/**
+ * The grants of one backend server and the load bound they must respect. The
+ * steward of the server holds one of these; it never exceeds the bound by more
+ * than what another steward grants within the lag of one load report.
+ */
+import type { HostId, WorkspaceId } from "./ids.ts";
+
+/** A grant that its holder does not renew is dropped after this time. */
+export const GRANT_LIFETIME_MILLISECONDS = 15_000;
+/** A load reading older than this says nothing about the present load. */
+export const READING_LIFETIME_MILLISECONDS = 5_000;
+/**
+ * Longest time between a grant and the arrival of its request at the backend
+ * server. A grant this close to a measurement may be missing from it.
+ */
+export const ARRIVAL_MARGIN_MILLISECONDS = 100;
+
+/** The load that a backend server reports. */
+export interface LoadReading {
+  readonly tokensInFlight: number;
+  readonly requestsInFlight: number;
+  readonly capacityTokens: number;
+  /** Time since the server measured the load. */
+  readonly ageMilliseconds: number;
+}
+
+/** The load of all live servers of a pool. */
+export interface PoolLoad {
+  readonly totalTokens: number;
+  readonly totalCapacityTokens: number;
+  readonly engineCount: number;
+}
+
+/** A grant as its holder presents it. */
+export interface HeldGrant {
+  readonly grantId: string;
+  readonly workspace: WorkspaceId;
+  readonly weightTokens: number;
+  /** Time since it was granted. */
+  readonly heldMilliseconds: number;
+}
+
+/** A request for a grant. */
+export interface GrantRequest {
+  readonly grantId: string;
+  readonly holder: HostId;
+  readonly workspace: WorkspaceId;
+  readonly weightTokens: number;
+}
+
+/** Why a grant was refused. */
+export type GrantRefusal =
+  | "leaving"
+  | "load_unknown"
+  | "above_capacity"
+  | "above_bound";
+
+/** What the configuration says about the backend server. */
+export interface AdmissionSettings {
+  readonly loadBoundRatio: number;
+  /** The server's share of the pool is proportional to its capacity. */
+  readonly capacityTokens: number;
+  /** False while the server is leaving or draining. */
+  readonly accepting: boolean;
+}
+
+/** The grants of one backend server. */
+export interface Admission {
+  configure(settings: AdmissionSettings): void;
+  recordLoad(reading: LoadReading, nowMilliseconds: number): void;
+  setPool(pool: PoolLoad | undefined): void;
+  /** Grants and returns undefined, or returns why not. */
+  tryGrant(
+    request: GrantRequest,
+    nowMilliseconds: number,
+  ): GrantRefusal | undefined;
+  /** Renews the grants a holder presents; unknown ones are registered. */
+  renew(
+    holder: HostId,
+    grants: readonly HeldGrant[],
+    nowMilliseconds: number,
+  ): void;
+  /** Returns the weight that was released. */
+  release(grantId: string, nowMilliseconds: number): number;
+  /** Drops grants that were not renewed and returns how many. */
+  expire(nowMilliseconds: number): number;
+  /** Whether a usable load reading is at hand. */
+  isLoadKnown(nowMilliseconds: number): boolean;
+  /** Estimated tokens in flight at the server. */
+  loadTokens(): number;
+  /** The server's share of the pool's load. */
+  meanTokens(): number;
+  grantCount(): number;
+  /** Granted tokens of each workspace, for the state dump. */
+  tokensByWorkspace(): Map<WorkspaceId, number>;
+}
+
+interface _Grant {
+  readonly holder: HostId;
+  readonly workspace: WorkspaceId;
+  readonly weightTokens: number;
+  readonly grantedAt: number;
+  renewedAt: number;
+}
+
+interface _Release {
+  readonly weightTokens: number;
+  readonly grantedAt: number;
+  readonly releasedAt: number;
+}
+
+/** Creates the grants of one backend server; it knows no load at first. */
+export function createAdmission(initial: AdmissionSettings): Admission {
+  let settings = initial;
+  let pool: PoolLoad | undefined;
+  let reading: LoadReading | undefined;
+  let measuredAt = -Infinity;
+  const grants = new Map<string, _Grant>();
+  const recentGrants = new Map<string, _Grant>();
+  let recentReleases: _Release[] = [];
+
+  /** Whether the latest reading certainly includes a grant. */
+  function isMeasured(grant: { readonly grantedAt: number }): boolean {
+    return grant.grantedAt <= measuredAt - ARRIVAL_MARGIN_MILLISECONDS;
+  }
+
+  function recordLoad(next: LoadReading, now: number): void {
+    const nextMeasuredAt = now - next.ageMilliseconds;
+    if (nextMeasuredAt < measuredAt) return;
+    reading = next;
+    measuredAt = nextMeasuredAt;
+    for (const [grantId, grant] of recentGrants) {
+      if (isMeasured(grant)) recentGrants.delete(grantId);
+    }
+    recentReleases = recentReleases.filter((release) =>
+      release.releasedAt > measuredAt + ARRIVAL_MARGIN_MILLISECONDS
+    );
+  }
+
+  function loadTokens(): number {
+    let tokens = reading?.tokensInFlight ?? 0;
+    for (const grant of recentGrants.values()) tokens += grant.weightTokens;
+    for (const release of recentReleases) {
+      const releasedAfterReading =
+        release.releasedAt > measuredAt + ARRIVAL_MARGIN_MILLISECONDS;
+      if (isMeasured(release) && releasedAfterReading) {
+        tokens -= release.weightTokens;
+      }
+    }
+    return Math.max(0, tokens);
+  }
+
+  /** The server's share of the pool's load with `added` more tokens in it. */
+  function shareOfPool(added: number): number {
+    if (!pool || pool.totalCapacityTokens <= 0) return 0;
+    const share = settings.capacityTokens / pool.totalCapacityTokens;
+    return (pool.totalTokens + added) * Math.min(1, share);
+  }
+
+  function isLoadKnown(now: number): boolean {
+    return reading !== undefined &&
+      now - measuredAt <= READING_LIFETIME_MILLISECONDS;
+  }
+
+  function refusalFor(weight: number, now: number): GrantRefusal | undefined {
+    if (!settings.accepting) return "leaving";
+    if (!reading || !isLoadKnown(now)) return "load_unknown";
+    const load = loadTokens();
+    if (load + weight > reading.capacityTokens) return "above_capacity";
+    const mean = shareOfPool(weight);
+    const allowed = load + weight <= settings.loadBoundRatio * mean ||
+      load <= mean;
+    return allowed ? undefined : "above_bound";
+  }
+
+  function insert(grantId: string, grant: _Grant): void {
+    grants.set(grantId, grant);
+    if (!isMeasured(grant)) recentGrants.set(grantId, grant);
+  }
+
+  function tryGrant(
+    request: GrantRequest,
+    now: number,
+  ): GrantRefusal | undefined {
+    if (grants.has(request.grantId)) return undefined;
+    const refusal = refusalFor(request.weightTokens, now);
+    if (refusal) return refusal;
+    insert(request.grantId, {
+      holder: request.holder,
+      workspace: request.workspace,
+      weightTokens: request.weightTokens,
+      grantedAt: now,
+      renewedAt: now,
+    });
+    return undefined;
+  }
+
+  function renew(
+    holder: HostId,
+    held: readonly HeldGrant[],
+    now: number,
+  ): void {
+    for (const { grantId, workspace, weightTokens, heldMilliseconds } of held) {
+      const known = grants.get(grantId);
+      if (known) {
+        known.renewedAt = now;
+        continue;
+      }
+      insert(grantId, {
+        holder,
+        workspace,
+        weightTokens,
+        grantedAt: now - heldMilliseconds,
+        renewedAt: now,
+      });
+    }
+  }
+
+  function release(grantId: string, now: number): number {
+    const grant = grants.get(grantId);
+    if (!grant) return 0;
+    grants.delete(grantId);
+    recentGrants.delete(grantId);
+    const { weightTokens, grantedAt } = grant;
+    recentReleases.push({ weightTokens, grantedAt, releasedAt: now });
+    return weightTokens;
+  }
+
+  function expire(now: number): number {
+    let expired = 0;
+    for (const [grantId, grant] of grants) {
+      if (now - grant.renewedAt <= GRANT_LIFETIME_MILLISECONDS) continue;
+      grants.delete(grantId);
+      recentGrants.delete(grantId);
+      expired++;
+    }
+    return expired;
+  }
+
+  function tokensByWorkspace(): Map<WorkspaceId, number> {
+    const tokens = new Map<WorkspaceId, number>();
+    for (const { workspace, weightTokens } of grants.values()) {
+      tokens.set(workspace, (tokens.get(workspace) ?? 0) + weightTokens);
+    }
+    return tokens;
+  }
+
+  return {
+    configure: (next) => void (settings = next),
+    recordLoad,
+    setPool: (next) => void (pool = next),
+    tryGrant,
+    renew,
+    release,
+    expire,
+    isLoadKnown,
+    loadTokens,
+    meanTokens: () => shareOfPool(0),
+    grantCount: () => grants.size,
+    tokensByWorkspace,
+  };
+}
