--- /dev/null
+++ b/src/core/admission_queue_test.ts
@@ -0,0 +1,110 @@
+import test from "ava";
+import fc from "fast-check";
+import { createAdmissionQueue, type QueuedRequest } from "./admission_queue.ts";
+import { PRIORITIES, type Priority } from "./fleet_schema.ts";
+import { brandId, type WorkspaceId } from "./ids.ts";
+
+let created = 0;
+
+function waiting(
+  priority: Priority,
+  workspace: string,
+  weightTokens = 100,
+  deadlineMilliseconds = 1_000,
+): QueuedRequest {
+  return {
+    grantId: `request-${created++}`,
+    workspace: brandId<WorkspaceId>(workspace),
+    priority,
+    weightTokens,
+    deadlineMilliseconds,
+  };
+}
+
+test("guards against lost requests, a queue over its limit and shedding a higher priority", (t) => {
+  const step = fc.record({
+    take: fc.boolean(),
+    priority: fc.constantFrom(...PRIORITIES),
+    workspace: fc.constantFrom("a", "b", "c"),
+    weight: fc.integer({ min: 1, max: 5_000 }),
+    deadline: fc.integer({ min: 0, max: 200 }),
+  });
+  fc.assert(fc.property(fc.array(step, { maxLength: 150 }), (steps) => {
+    const queue = createAdmissionQueue<QueuedRequest>(6);
+    const held = new Set<QueuedRequest>();
+    for (const [now, { take, ...next }] of steps.entries()) {
+      for (const late of queue.expire(now)) t.true(held.delete(late));
+      if (take) {
+        const first = queue.peek();
+        t.is(queue.take(), first);
+        t.is(first !== undefined, held.size > 0);
+        if (first) held.delete(first);
+      } else {
+        const { priority, workspace, weight, deadline } = next;
+        const request = waiting(priority, workspace, weight, deadline);
+        const { added, shed } = queue.add(request);
+        const rank = PRIORITIES.indexOf(priority);
+        if (shed) {
+          t.true(held.delete(shed));
+          t.true(PRIORITIES.indexOf(shed.priority) >= rank);
+        }
+        if (added) held.add(request);
+        else {
+          t.is(held.size, 6);
+          for (const other of held) {
+            t.true(PRIORITIES.indexOf(other.priority) <= rank);
+          }
+        }
+      }
+      t.is(queue.length(), held.size);
+      t.true(held.size <= 6);
+    }
+    t.is(queue.removeAll().length, held.size);
+    t.is(queue.tokensAhead("low"), 0);
+  }));
+});
+
+test("guards against a busy priority starving a lower one, and against a lower one going first", (t) => {
+  const queue = createAdmissionQueue<QueuedRequest>(1_000);
+  for (let index = 0; index < 100; index++) {
+    for (const priority of PRIORITIES) queue.add(waiting(priority, "a"));
+  }
+  const served = { high: 0, normal: 0, low: 0 };
+  for (let index = 0; index < 80; index++) {
+    const { priority } = queue.take() as QueuedRequest;
+    served[priority]++;
+  }
+  t.deepEqual(served, { high: 70, normal: 5, low: 5 });
+});
+
+test("guards against one workspace taking more than its share by volume, size or rejoining", (t) => {
+  const queue = createAdmissionQueue<QueuedRequest>(1_000);
+  queue.setShare(brandId<WorkspaceId>("double"), 2);
+  const served = new Map<string, number>();
+  for (let index = 0; index < 300; index++) {
+    queue.add(waiting("normal", "flood", 400));
+    queue.add(waiting("normal", "double", 100));
+    queue.add(waiting("normal", "double", 100));
+  }
+  queue.add(waiting("normal", "single", 100));
+  for (let index = 0; index < 200; index++) {
+    const { workspace, weightTokens } = queue.take() as QueuedRequest;
+    served.set(workspace, (served.get(workspace) ?? 0) + weightTokens);
+    if (workspace === brandId<WorkspaceId>("single")) {
+      queue.add(waiting("normal", "single", 100));
+    }
+  }
+  const flood = served.get("flood") ?? 0;
+  t.true(Math.abs((served.get("single") ?? 0) - flood) <= 500, `${flood}`);
+  t.true(Math.abs((served.get("double") ?? 0) - 2 * flood) <= 900);
+});
+
+test("guards against a flooding workspace shutting others out of a full queue", (t) => {
+  const queue = createAdmissionQueue<QueuedRequest>(8);
+  for (let index = 0; index < 8; index++) queue.add(waiting("normal", "flood"));
+  t.false(queue.add(waiting("normal", "flood")).added);
+  t.false(queue.add(waiting("low", "quiet")).added);
+  const { added, shed } = queue.add(waiting("normal", "quiet"));
+  t.true(added);
+  t.is(shed?.workspace, brandId<WorkspaceId>("flood"));
+});
