--- /dev/null
+++ b/src/core/load_summary_test.ts
@@ -0,0 +1,74 @@
+import test from "ava";
+import {
+  type BackendServerId,
+  brandId,
+  type DataCentreId,
+  type HostId,
+} from "./ids.ts";
+import {
+  createLoadAggregator,
+  createLoadCatalogue,
+  type PooledServer,
+  poolsOfSummary,
+  relativeLoads,
+  type ServerLoad,
+  summaryChildren,
+} from "./load_summary.ts";
+
+const EAST = brandId<DataCentreId>("east");
+const WEST = brandId<DataCentreId>("west");
+const SELF = brandId<HostId>("host-1");
+
+function pooled(index: number): PooledServer {
+  return {
+    backendServer: brandId<BackendServerId>(`engine-${index}`),
+    pool: "models/chat",
+    capacityTokens: 100_000,
+  };
+}
+
+function load(index: number, tokens: number): ServerLoad {
+  return { ...pooled(index), tokens };
+}
+
+test("guards against loads lost between data centres and servers that are gone staying in the mean", (t) => {
+  const catalogue = createLoadCatalogue([0, 1, 2, 3].map(pooled));
+  const east = createLoadAggregator();
+  const west = createLoadAggregator();
+  east.recordReport(SELF, [load(0, 10_000), load(1, 20_000)], 0);
+  west.recordReport(SELF, [load(2, 60_000), load(3, 6_000)], 0);
+  east.recordExchange(WEST, west.exchange(10), 10);
+  const first = east.summary(SELF, catalogue, true, 20);
+  t.deepEqual(poolsOfSummary(first).get("models/chat"), {
+    totalTokens: 96_000,
+    totalCapacityTokens: 400_000,
+    engineCount: 4,
+  });
+  const relative = relativeLoads(first, catalogue);
+  t.is(first.loads?.length, 8);
+  for (const [index, expected] of [10, 20, 60, 6].entries()) {
+    const value = relative?.get(pooled(index).backendServer) ?? -1;
+    t.true(Math.abs(value - expected / 24) < 0.001, `${index} ${value}`);
+  }
+  t.is(relativeLoads(first, createLoadCatalogue([pooled(0)])), undefined);
+
+  east.recordReport(SELF, [load(0, 10_000)], 2_000);
+  const later = east.summary(SELF, catalogue, true, 4_000);
+  t.is(poolsOfSummary(later).get("models/chat")?.engineCount, 1);
+  t.deepEqual([...relativeLoads(later, catalogue)?.keys() ?? []], [
+    pooled(0).backendServer,
+  ]);
+  t.true(later.sequence > first.sequence);
+});
+
+test("guards against routers that the summary tree leaves out or reaches twice", (t) => {
+  const hosts = Array.from(
+    { length: 59 },
+    (_unused, index) => brandId<HostId>(`host-${index}`),
+  );
+  const reached = hosts.flatMap((host) =>
+    summaryChildren(EAST, hosts, host, (member) => member)
+  );
+  t.is(reached.length, 58);
+  t.is(new Set(reached).size, 58);
+});
