--- /dev/null
+++ b/src/admission_task_test.ts
@@ -0,0 +1,300 @@
+import test from "ava";
+import { err, ok } from "neverthrow";
+import { AdmissionClient, type SlotOptions } from "./admission_client.ts";
+import { AdmissionTask, stewardOf } from "./admission_task.ts";
+import { ConfigurationView } from "./configuration_view.ts";
+import type { LoadReading } from "./core/admission.ts";
+import { createError } from "./core/errors.ts";
+import {
+  type ConfigurationSnapshot,
+  fleetSchema,
+  type Priority,
+} from "./core/fleet_schema.ts";
+import {
+  type BackendServerId,
+  brandId,
+  type DataCentreId,
+  type HostId,
+  type IncarnationId,
+  type SocketAddress,
+  type WorkspaceId,
+} from "./core/ids.ts";
+import { LoadSource } from "./load_source.ts";
+import { LoadTask } from "./load_task.ts";
+import { type Member, MembershipView } from "./membership_view.ts";
+import { type PeerHandler, PeerNetwork } from "./peer_network.ts";
+import { createManualTimerService } from "./timer_service.ts";
+
+const SERVERS = [0, 1, 2, 3].map((index) =>
+  brandId<BackendServerId>(`engine-${index}`)
+);
+const [SERVER] = SERVERS as [BackendServerId, ...BackendServerId[]];
+const CAPACITY_TOKENS = 100_000;
+
+function createSnapshot(drained: string[] = []): ConfigurationSnapshot {
+  const fleet = fleetSchema.parse({
+    fleet: {},
+    dataCentres: {},
+    models: {},
+    adapters: {},
+    services: {},
+    workspaces: {},
+    operators: {},
+    placements: {
+      all: { model: "chat", backendServers: SERVERS.join(","), replicas: "4" },
+    },
+    backendServers: Object.fromEntries(SERVERS.map((server) => [server, {
+      kind: "engine",
+      address: "127.0.0.1:9000",
+      dataCentre: "east",
+      capacityTokens: `${CAPACITY_TOKENS}`,
+    }])),
+  });
+  const drains = { hosts: [], backendServers: drained };
+  return { generation: 1, digest: "", fleet, drains };
+}
+
+class _Fleet extends LoadSource {
+  readonly timers = createManualTimerService();
+  readonly handlers = new Map<string, Map<string, PeerHandler>>();
+  readonly changed: (() => void)[] = [];
+  readonly configured: ((snapshot: ConfigurationSnapshot) => void)[] = [];
+  readonly loads = new Map<BackendServerId, number>();
+  snapshot = createSnapshot();
+  members: Member[] = [];
+
+  override readLoad(server: BackendServerId) {
+    const reading: LoadReading = {
+      tokensInFlight: this.loads.get(server) ?? 0,
+      requestsInFlight: 0,
+      capacityTokens: CAPACITY_TOKENS,
+      ageMilliseconds: 0,
+    };
+    return Promise.resolve(ok(reading));
+  }
+
+  /** Moves time in small steps and lets pending promises run after each. */
+  async run(milliseconds: number): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += 50) {
+      this.timers.advance(50);
+      for (let turn = 0; turn < 20; turn++) await Promise.resolve();
+    }
+  }
+}
+
+class _View extends MembershipView {
+  readonly #fleet: _Fleet;
+  readonly #self: Member;
+
+  constructor(fleet: _Fleet, self: Member) {
+    super();
+    this.#fleet = fleet;
+    this.#self = self;
+  }
+
+  override self(): Member {
+    return this.#self;
+  }
+
+  override liveMembers(): readonly Member[] {
+    return this.#fleet.members;
+  }
+
+  override onChange(listener: () => void): void {
+    this.#fleet.changed.push(listener);
+  }
+}
+
+class _Configuration extends ConfigurationView {
+  readonly #fleet: _Fleet;
+
+  constructor(fleet: _Fleet) {
+    super();
+    this.#fleet = fleet;
+  }
+
+  override current(): ConfigurationSnapshot {
+    return this.#fleet.snapshot;
+  }
+
+  override onChange(
+    listener: (snapshot: ConfigurationSnapshot) => void,
+  ): void {
+    this.#fleet.configured.push(listener);
+  }
+}
+
+class _Network extends PeerNetwork {
+  readonly #fleet: _Fleet;
+  readonly #self: Member;
+
+  constructor(fleet: _Fleet, self: Member) {
+    super();
+    this.#fleet = fleet;
+    this.#self = self;
+    fleet.handlers.set(self.address, new Map());
+  }
+
+  override start() {
+    return Promise.resolve(this.#self.address);
+  }
+
+  override async stop() {}
+
+  override send(to: SocketAddress, kind: string, body: unknown): void {
+    void this.#fleet.handlers.get(to)?.get(kind)?.(body, this.#self);
+  }
+
+  override async request(to: SocketAddress, kind: string, body: unknown) {
+    const handler = this.#fleet.handlers.get(to)?.get(kind);
+    if (!handler) return err(createError("peer_unreachable", to));
+    return ok(await handler(structuredClone(body), this.#self));
+  }
+
+  override handle(kind: string, handler: PeerHandler): void {
+    this.#fleet.handlers.get(this.#self.address)?.set(kind, handler);
+  }
+
+  override onGeneration(): void {}
+  override setGeneration(): void {}
+
+  override counters() {
+    return {
+      bytesSent: 0,
+      bytesReceived: 0,
+      messagesSent: 0,
+      messagesReceived: 0,
+    };
+  }
+
+  override describe(): unknown {
+    return {};
+  }
+}
+
+async function startRouter(fleet: _Fleet, member: Member) {
+  const base = {
+    members: new _View(fleet, member),
+    configuration: new _Configuration(fleet),
+    network: new _Network(fleet, member),
+    timers: fleet.timers,
+  };
+  const loads = new LoadTask(base);
+  const admission = new AdmissionTask({ ...base, loads, loadSource: fleet });
+  const client = new AdmissionClient({ ...base, admission });
+  for (const task of [loads, admission, client]) await task.start();
+  return { member, loads, admission, client };
+}
+
+async function startFleet() {
+  const fleet = new _Fleet();
+  fleet.members = [0, 1, 2, 3].map((index) => ({
+    host: brandId<HostId>(`host-${index}`),
+    dataCentre: brandId<DataCentreId>(index < 2 ? "east" : "west"),
+    address: brandId<SocketAddress>(`127.0.0.1:${7_000 + index}`),
+    callerAddress: brandId<SocketAddress>(`127.0.0.1:${8_000 + index}`),
+    incarnation: brandId<IncarnationId>(`incarnation-${index}`),
+    leaving: false,
+  }));
+  for (const server of SERVERS) fleet.loads.set(server, 10_000);
+  const routers = [];
+  for (const member of fleet.members) {
+    routers.push(await startRouter(fleet, member));
+  }
+  await fleet.run(4_000);
+  const steward = stewardOf(SERVER, fleet.members)?.host;
+  const entry = routers.find(({ member }) => member.host !== steward);
+  const owner = routers.find(({ member }) => member.host === steward);
+  if (!entry || !owner) throw new Error("no steward");
+  return { fleet, routers, entry, owner };
+}
+
+function ask(
+  fleet: _Fleet,
+  weightTokens: number,
+  mayQueue = false,
+  priority: Priority = "normal",
+): SlotOptions {
+  return {
+    backendServer: SERVER,
+    workspace: brandId<WorkspaceId>("temple"),
+    priority,
+    weightTokens,
+    deadlineMilliseconds: fleet.timers.clock.monotonicMilliseconds() + 2_000,
+    mayQueue,
+  };
+}
+
+test("guards against summaries that do not reach every router", async (t) => {
+  const { routers } = await startFleet();
+  for (const { loads } of routers) {
+    t.deepEqual(loads.poolLoad("models/chat"), {
+      totalTokens: 40_000,
+      totalCapacityTokens: 4 * CAPACITY_TOKENS,
+      engineCount: 4,
+    });
+    t.is(loads.relativeLoad(SERVER), 1);
+  }
+});
+
+test("guards against a refusal without load, a lost queue entry and a queue past the deadline", async (t) => {
+  const { fleet, entry } = await startFleet();
+  fleet.loads.set(SERVER, 0);
+  await fleet.run(500);
+  const first = await entry.client.requestSlot(ask(fleet, 14_000));
+  const refused = await entry.client.requestSlot(ask(fleet, 2_000));
+  if (!first.granted || refused.granted) return t.fail();
+  t.is(refused.refusal.reason, "above_bound");
+  t.is(refused.refusal.loadTokens, 14_000);
+  const queued = entry.client.requestSlot(ask(fleet, 2_000, true));
+  await fleet.run(500);
+  entry.client.release(first.slot);
+  t.true((await queued).granted);
+  fleet.loads.set(SERVER, 20_000);
+  await fleet.run(500);
+  const late = entry.client.requestSlot(ask(fleet, 2_000, true));
+  await fleet.run(2_200);
+  const answer = await late;
+  t.is(answer.granted ? "" : answer.refusal.reason, "deadline_exceeded");
+});
+
+test("guards against grants lost with their steward and a dead steward's servers staying unserved", async (t) => {
+  const { fleet, routers, entry, owner } = await startFleet();
+  fleet.loads.set(SERVER, 0);
+  await fleet.run(500);
+  const first = await entry.client.requestSlot(ask(fleet, 14_000));
+  t.true(first.granted);
+  fleet.loads.set(SERVER, 14_000);
+  fleet.handlers.delete(owner.member.address);
+  const unreachable = await entry.client.requestSlot(ask(fleet, 1_000));
+  t.is(
+    unreachable.granted ? "" : unreachable.refusal.reason,
+    "steward_unreachable",
+  );
+  fleet.members = fleet.members.filter((member) => member !== owner.member);
+  for (const listener of fleet.changed) listener();
+  await fleet.run(1_500);
+  const next = stewardOf(SERVER, fleet.members)?.host;
+  const moved = routers.find(({ member }) => member.host === next);
+  const described = JSON.stringify(moved?.admission.describe());
+  t.true(described.includes('"temple":14000'), described);
+  const refused = await entry.client.requestSlot(ask(fleet, 2_000));
+  t.is(refused.granted ? "" : refused.refusal.reason, "above_bound");
+});
+
+test("guards against new work for a drained or leaving server", async (t) => {
+  const { fleet, entry, owner } = await startFleet();
+  fleet.loads.set(SERVER, 0);
+  await fleet.run(500);
+  owner.admission.setLeaving(SERVER, true);
+  const leaving = await entry.client.requestSlot(ask(fleet, 100, true));
+  t.is(leaving.granted ? "" : leaving.refusal.reason, "leaving");
+  owner.admission.setLeaving(SERVER, false);
+  t.true((await entry.client.requestSlot(ask(fleet, 100))).granted);
+  fleet.snapshot = createSnapshot([SERVER]);
+  for (const listener of fleet.configured) listener(fleet.snapshot);
+  const drained = await entry.client.requestSlot(ask(fleet, 100, true));
+  t.is(drained.granted ? "" : drained.refusal.reason, "leaving");
+  await fleet.run(4_000);
+  t.is(entry.loads.poolLoad("models/chat")?.engineCount, 3);
+});
--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -84,6 +84,8 @@
   release(grantId: string, nowMilliseconds: number): number;
   /** Drops grants that were not renewed and returns how many. */
   expire(nowMilliseconds: number): number;
+  /** False if the weight exceeds the capacity of the empty server. */
+  canEverFit(weightTokens: number): boolean;
   /** Whether a usable load reading is at hand. */
   isLoadKnown(nowMilliseconds: number): boolean;
   /** Estimated tokens in flight at the server. */
@@ -253,6 +255,7 @@
     renew,
     release,
     expire,
+    canEverFit: (weight) => weight <= (reading?.capacityTokens ?? Infinity),
     isLoadKnown,
     loadTokens,
     meanTokens: () => shareOfPool(0),
--- a/src/core/load_summary.ts
+++ b/src/core/load_summary.ts
@@ -5,7 +5,12 @@
  */
 import type { PoolLoad } from "./admission.ts";
 import type { Fleet } from "./fleet_schema.ts";
-import type { BackendServerId, DataCentreId, HostId } from "./ids.ts";
+import type {
+  BackendServerId,
+  DataCentreId,
+  HostId,
+  IncarnationId,
+} from "./ids.ts";
 import { hash32, hash64, rankByRendezvous } from "./rendezvous.ts";
 
 /** A server or data centre that is not reported for this long is left out. */
@@ -53,7 +58,7 @@
 
 /** What every router of a data centre receives. */
 export interface LoadSummary {
-  readonly aggregator: HostId;
+  readonly aggregator: IncarnationId;
   readonly sequence: number;
   readonly pools: readonly PoolTotals[];
   /** Absent in summaries that only refresh the totals. */
@@ -100,18 +105,27 @@
   return createLoadCatalogue(servers);
 }
 
-/** The routers that a router passes a summary on to: its children in a tree. */
-export function summaryChildren<T>(
-  dataCentre: DataCentreId,
-  members: readonly T[],
-  self: HostId,
-  idOf: (member: T) => HostId,
-): T[] {
-  const ranked = rankByRendezvous(aggregatorKey(dataCentre), members, idOf);
-  const rank = ranked.findIndex((member) => idOf(member) === self);
+/**
+ * The routers that a router passes a summary on to: its children in the tree
+ * that has the aggregator at its root. Leaving routers receive summaries but
+ * come last, since they are no aggregators.
+ */
+export function summaryChildren<
+  T extends { readonly host: HostId; readonly leaving: boolean },
+>(dataCentre: DataCentreId, members: readonly T[], self: HostId): T[] {
+  const ranked = rankByRendezvous(
+    aggregatorKey(dataCentre),
+    members,
+    (member) => member.host,
+  );
+  const order = [
+    ...ranked.filter((member) => !member.leaving),
+    ...ranked.filter((member) => member.leaving),
+  ];
+  const rank = order.findIndex((member) => member.host === self);
   if (rank < 0) return [];
   const first = rank * SUMMARY_FAN_OUT + 1;
-  return ranked.slice(first, first + SUMMARY_FAN_OUT);
+  return order.slice(first, first + SUMMARY_FAN_OUT);
 }
 
 /** The key whose rendezvous choice aggregates the loads of a data centre. */
@@ -172,7 +186,7 @@
   exchange(nowMilliseconds: number): LoadExchange;
   /** The summary of all data centres; per-server loads only if asked for. */
   summary(
-    self: HostId,
+    self: IncarnationId,
     catalogue: LoadCatalogue,
     withLoads: boolean,
     nowMilliseconds: number,
@@ -278,7 +292,7 @@
   }
 
   function summary(
-    self: HostId,
+    self: IncarnationId,
     catalogue: LoadCatalogue,
     withLoads: boolean,
     now: number,
--- a/src/core/load_summary_test.ts
+++ b/src/core/load_summary_test.ts
@@ -4,8 +4,10 @@
   brandId,
   type DataCentreId,
   type HostId,
+  type IncarnationId,
 } from "./ids.ts";
 import {
+  aggregatorKey,
   createLoadAggregator,
   createLoadCatalogue,
   type PooledServer,
@@ -14,10 +16,12 @@
   type ServerLoad,
   summaryChildren,
 } from "./load_summary.ts";
+import { pickByRendezvous } from "./rendezvous.ts";
 
 const EAST = brandId<DataCentreId>("east");
 const WEST = brandId<DataCentreId>("west");
 const SELF = brandId<HostId>("host-1");
+const AGGREGATOR = brandId<IncarnationId>("incarnation-1");
 
 function pooled(index: number): PooledServer {
   return {
@@ -38,7 +42,7 @@
   east.recordReport(SELF, [load(0, 10_000), load(1, 20_000)], 0);
   west.recordReport(SELF, [load(2, 60_000), load(3, 6_000)], 0);
   east.recordExchange(WEST, west.exchange(10), 10);
-  const first = east.summary(SELF, catalogue, true, 20);
+  const first = east.summary(AGGREGATOR, catalogue, true, 20);
   t.deepEqual(poolsOfSummary(first).get("models/chat"), {
     totalTokens: 96_000,
     totalCapacityTokens: 400_000,
@@ -53,7 +57,7 @@
   t.is(relativeLoads(first, createLoadCatalogue([pooled(0)])), undefined);
 
   east.recordReport(SELF, [load(0, 10_000)], 2_000);
-  const later = east.summary(SELF, catalogue, true, 4_000);
+  const later = east.summary(AGGREGATOR, catalogue, true, 4_000);
   t.is(poolsOfSummary(later).get("models/chat")?.engineCount, 1);
   t.deepEqual([...relativeLoads(later, catalogue)?.keys() ?? []], [
     pooled(0).backendServer,
@@ -62,13 +66,19 @@
 });
 
 test("guards against routers that the summary tree leaves out or reaches twice", (t) => {
-  const hosts = Array.from(
-    { length: 59 },
-    (_unused, index) => brandId<HostId>(`host-${index}`),
+  const members = Array.from({ length: 59 }, (_unused, index) => ({
+    host: brandId<HostId>(`host-${index}`),
+    leaving: index % 2 === 0,
+  }));
+  const root = pickByRendezvous(
+    aggregatorKey(EAST),
+    members.filter((member) => !member.leaving),
+    (member) => member.host,
   );
-  const reached = hosts.flatMap((host) =>
-    summaryChildren(EAST, hosts, host, (member) => member)
+  const reached = members.flatMap(({ host }) =>
+    summaryChildren(EAST, members, host)
   );
   t.is(reached.length, 58);
   t.is(new Set(reached).size, 58);
+  t.false(reached.includes(root as typeof members[number]));
 });
--- /dev/null
+++ b/src/core/steward.ts
@@ -0,0 +1,225 @@
+/**
+ * The decisions of one backend server's steward: grants under the load bound,
+ * and a queue of requests that wait for load to be released.
+ */
+import {
+  type AdmissionSettings,
+  createAdmission,
+  type GrantRefusal,
+  type GrantRequest,
+  type HeldGrant,
+  type LoadReading,
+  type PoolLoad,
+} from "./admission.ts";
+import { createAdmissionQueue, type QueuedRequest } from "./admission_queue.ts";
+import type { ConfigurationSnapshot, Priority } from "./fleet_schema.ts";
+import type { BackendServerId, HostId } from "./ids.ts";
+
+const RELEASE_RATE_WINDOW_MILLISECONDS = 5_000;
+const MAXIMUM_EXPECTED_WAIT_MILLISECONDS = 60_000;
+
+/** Why a slot was refused. */
+export type SlotRefusalReason =
+  | GrantRefusal
+  | "queue_busy"
+  | "queue_full"
+  | "deadline_exceeded"
+  | "cancelled"
+  | "not_steward"
+  | "steward_unreachable";
+
+/** A refusal, with what an entry router needs to choose where to wait. */
+export interface SlotRefusal {
+  readonly reason: SlotRefusalReason;
+  readonly loadTokens: number;
+  readonly meanTokens: number;
+  readonly expectedWaitMilliseconds: number;
+}
+
+/** A refusal by a router that knows no load of the server. */
+export function refusalWithoutLoad(reason: SlotRefusalReason): SlotRefusal {
+  return { reason, loadTokens: 0, meanTokens: 0, expectedWaitMilliseconds: 0 };
+}
+
+/** A request for a slot at one backend server. */
+export interface SlotRequest extends GrantRequest {
+  readonly priority: Priority;
+  /** When a queued request stops waiting, by the steward's clock. */
+  readonly deadlineMilliseconds: number;
+  readonly mayQueue: boolean;
+}
+
+/** The immediate answer to a request. */
+export type SlotDecision =
+  | { readonly kind: "granted" }
+  | { readonly kind: "queued" }
+  | { readonly kind: "refused"; readonly refusal: SlotRefusal };
+
+/** What became of a queued request; granted if there is no refusal. */
+export interface SlotOutcome {
+  readonly grantId: string;
+  readonly refusal: SlotRefusal | undefined;
+}
+
+/** Settings of one steward. */
+export interface StewardSettings extends AdmissionSettings {
+  readonly queueLength: number;
+}
+
+/** The steward of one backend server. */
+export interface Steward {
+  configure(settings: StewardSettings): void;
+  recordLoad(reading: LoadReading, nowMilliseconds: number): void;
+  setPool(pool: PoolLoad | undefined): void;
+  request(request: SlotRequest, nowMilliseconds: number): SlotDecision;
+  renew(
+    holder: HostId,
+    grants: readonly HeldGrant[],
+    nowMilliseconds: number,
+  ): void;
+  release(grantId: string, nowMilliseconds: number): void;
+  /** Withdraws a request, whether it waits or was granted. */
+  cancel(grantId: string, nowMilliseconds: number): void;
+  /** Grants what now fits and returns the outcomes of queued requests. */
+  settle(nowMilliseconds: number): SlotOutcome[];
+  /** Refuses everything that waits. */
+  close(reason: SlotRefusalReason): SlotOutcome[];
+  isLoadKnown(nowMilliseconds: number): boolean;
+  loadTokens(): number;
+  describe(): unknown;
+}
+
+/** Whether the configuration lets a backend server receive new work. */
+export function isInService(
+  backendServer: BackendServerId,
+  { fleet, drains }: ConfigurationSnapshot,
+): boolean {
+  const host = fleet.backendServers[backendServer]?.host;
+  return !drains.backendServers.includes(backendServer) &&
+    (host === undefined || !drains.hosts.includes(host));
+}
+
+interface _WaitingRequest extends SlotRequest, QueuedRequest {}
+
+/** Creates the steward of one backend server. */
+export function createSteward(initial: StewardSettings): Steward {
+  const admission = createAdmission(initial);
+  const queue = createAdmissionQueue<_WaitingRequest>(initial.queueLength);
+  let accepting = initial.accepting;
+  let outcomes: SlotOutcome[] = [];
+  let releaseTokensPerWindow = 0;
+  let releasedAt = 0;
+
+  function decayReleaseRate(now: number): void {
+    const elapsed = Math.max(0, now - releasedAt);
+    releaseTokensPerWindow *= Math.exp(
+      -elapsed / RELEASE_RATE_WINDOW_MILLISECONDS,
+    );
+    releasedAt = now;
+  }
+
+  function expectedWait(priority: Priority, weight: number): number {
+    const tokens = queue.tokensAhead(priority) + weight;
+    const wait = RELEASE_RATE_WINDOW_MILLISECONDS * tokens /
+      Math.max(1, releaseTokensPerWindow);
+    return Math.round(Math.min(MAXIMUM_EXPECTED_WAIT_MILLISECONDS, wait));
+  }
+
+  function refusalFor(
+    reason: SlotRefusalReason,
+    { priority, weightTokens }: SlotRequest,
+  ): SlotRefusal {
+    return {
+      reason,
+      loadTokens: Math.round(admission.loadTokens()),
+      meanTokens: Math.round(admission.meanTokens()),
+      expectedWaitMilliseconds: expectedWait(priority, weightTokens),
+    };
+  }
+
+  function refuse(reason: SlotRefusalReason, request: SlotRequest): void {
+    const refusal = refusalFor(reason, request);
+    outcomes.push({ grantId: request.grantId, refusal });
+  }
+
+  function enqueue(request: SlotRequest): SlotDecision {
+    const { added, shed } = queue.add(request);
+    if (shed) refuse("queue_full", shed);
+    return added
+      ? { kind: "queued" }
+      : { kind: "refused", refusal: refusalFor("queue_full", request) };
+  }
+
+  function request(slot: SlotRequest, now: number): SlotDecision {
+    const isOvertaking = queue.tokensAhead(slot.priority) > 0;
+    const reason = isOvertaking && accepting
+      ? "queue_busy"
+      : admission.tryGrant(slot, now);
+    if (!reason) return { kind: "granted" };
+    const mayWait = slot.mayQueue && accepting &&
+      admission.canEverFit(slot.weightTokens);
+    if (mayWait) return enqueue(slot);
+    return { kind: "refused", refusal: refusalFor(reason, slot) };
+  }
+
+  function release(grantId: string, now: number): void {
+    const weight = admission.release(grantId, now);
+    if (weight === 0) return;
+    decayReleaseRate(now);
+    releaseTokensPerWindow += weight;
+  }
+
+  function settle(now: number): SlotOutcome[] {
+    admission.expire(now);
+    for (const late of queue.expire(now)) refuse("deadline_exceeded", late);
+    if (!accepting) {
+      for (const waiting of queue.removeAll()) refuse("leaving", waiting);
+    }
+    for (let next = queue.peek(); next; next = queue.peek()) {
+      if (admission.tryGrant(next, now)) break;
+      queue.take();
+      outcomes.push({ grantId: next.grantId, refusal: undefined });
+    }
+    const settled = outcomes;
+    outcomes = [];
+    return settled;
+  }
+
+  function close(reason: SlotRefusalReason): SlotOutcome[] {
+    for (const waiting of queue.removeAll()) refuse(reason, waiting);
+    const settled = outcomes;
+    outcomes = [];
+    return settled;
+  }
+
+  function configure(settings: StewardSettings): void {
+    admission.configure(settings);
+    queue.setLimit(settings.queueLength);
+    accepting = settings.accepting;
+  }
+
+  return {
+    configure,
+    recordLoad: (reading, now) => admission.recordLoad(reading, now),
+    setPool: (pool) => admission.setPool(pool),
+    request,
+    renew: (holder, grants, now) => admission.renew(holder, grants, now),
+    release,
+    cancel: (grantId, now) => {
+      queue.remove(grantId);
+      release(grantId, now);
+    },
+    settle,
+    close,
+    isLoadKnown: (now) => admission.isLoadKnown(now),
+    loadTokens: () => admission.loadTokens(),
+    describe: () => ({
+      accepting,
+      loadTokens: admission.loadTokens(),
+      meanTokens: admission.meanTokens(),
+      grants: admission.grantCount(),
+      queued: queue.length(),
+      tokensByWorkspace: Object.fromEntries(admission.tokensByWorkspace()),
+    }),
+  };
+}
--- /dev/null
+++ b/src/load_source.ts
@@ -0,0 +1,12 @@
+/** Where stewards read the load of backend servers from. */
+import type { Result } from "neverthrow";
+import type { LoadReading } from "./core/admission.ts";
+import type { ApplicationError } from "./core/errors.ts";
+import type { BackendServerId } from "./core/ids.ts";
+
+/** Reads the load that a backend server reports. */
+export abstract class LoadSource {
+  abstract readLoad(
+    backendServer: BackendServerId,
+  ): Promise<Result<LoadReading, ApplicationError>>;
+}
--- /dev/null
+++ b/src/load_task.ts
@@ -0,0 +1,279 @@
+/**
+ * Disseminates loads. Reports the loads of this router's stewards to the
+ * aggregator of the data centre, aggregates when this router is the aggregator,
+ * and passes summaries on to its children in the tree of the data centre.
+ */
+import type { PoolLoad } from "./core/admission.ts";
+import type {
+  BackendServerId,
+  DataCentreId,
+  HostId,
+  IncarnationId,
+} from "./core/ids.ts";
+import {
+  aggregatorKey,
+  catalogueOfFleet,
+  createLoadAggregator,
+  createLoadCatalogue,
+  type LoadCatalogue,
+  type LoadSummary,
+  poolsOfSummary,
+  relativeLoads,
+  type ServerLoad,
+  summaryChildren,
+} from "./core/load_summary.ts";
+import { pickByRendezvous } from "./core/rendezvous.ts";
+import type { ConfigurationView } from "./configuration_view.ts";
+import {
+  type LoadReportBody,
+  loadReportSchema,
+  loadSummarySchema,
+} from "./admission_messages.ts";
+import type { Member, MembershipView } from "./membership_view.ts";
+import type { PeerIdentity, PeerNetwork } from "./peer_network.ts";
+import { Task } from "./task.ts";
+import type { Subscription, TimerService } from "./timer_service.ts";
+
+/** Period of reports, exchanges and summaries. */
+export const LOAD_PERIOD_MILLISECONDS = 500;
+/** A new aggregator waits until every steward has reported to it. */
+export const AGGREGATOR_WARM_UP_MILLISECONDS = 1_200;
+/** After this time without a summary the loads of the pools are unknown. */
+export const SUMMARY_LIFETIME_MILLISECONDS = 10_000;
+
+const SUMMARIES_PER_LOADS = 2;
+const PREFERRED_SUMMARY_MILLISECONDS = 1_500;
+const MAXIMUM_REMEMBERED_AGGREGATORS = 64;
+
+/** Options of the load task. */
+export interface LoadTaskOptions {
+  readonly members: MembershipView;
+  readonly configuration: ConfigurationView;
+  readonly network: PeerNetwork;
+  readonly timers: TimerService;
+}
+
+/** Disseminates the loads of backend servers. */
+export class LoadTask extends Task {
+  override readonly name = "load";
+  readonly #options: LoadTaskOptions;
+  readonly #aggregator = createLoadAggregator();
+  readonly #listeners: (() => void)[] = [];
+  readonly #lastSequences = new Map<IncarnationId, number>();
+  #subscriptions: Subscription[] = [];
+  #provider: () => readonly ServerLoad[] = () => [];
+  #catalogue: LoadCatalogue = createLoadCatalogue([]);
+  #pools = new Map<string, PoolLoad>();
+  #relativeLoads = new Map<BackendServerId, number>();
+  #summaryAt = -Infinity;
+  #preferredAt = -Infinity;
+  #aggregatorSince: number | undefined;
+  #round = 0;
+
+  constructor(options: LoadTaskOptions) {
+    super();
+    this.#options = options;
+  }
+
+  /** Sets where the loads of this router's stewards come from. */
+  reportFrom(provider: () => readonly ServerLoad[]): void {
+    this.#provider = provider;
+  }
+
+  /** Calls the listener after every accepted summary. */
+  onSummary(listener: () => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /** The configured servers with their pools. */
+  catalogue(): LoadCatalogue {
+    return this.#catalogue;
+  }
+
+  /** The load of a pool; undefined while it is not known. */
+  poolLoad(pool: string): PoolLoad | undefined {
+    const age = this.#now() - this.#summaryAt;
+    return age > SUMMARY_LIFETIME_MILLISECONDS
+      ? undefined
+      : this.#pools.get(pool);
+  }
+
+  /** The load of a server relative to its share; undefined if not known. */
+  relativeLoad(backendServer: BackendServerId): number | undefined {
+    return this.#relativeLoads.get(backendServer);
+  }
+
+  override async start(): Promise<void> {
+    const { configuration, network, timers } = this.#options;
+    this.#readConfiguration();
+    configuration.onChange(() => this.#readConfiguration());
+    network.handle("load.report", (body, from) => this.#receive(body, from));
+    network.handle("load.summary", (body) => this.#receiveSummary(body));
+    this.#subscriptions = [
+      timers.every(
+        LOAD_PERIOD_MILLISECONDS,
+        "load.round",
+        () => this.#runRound(),
+      ),
+    ];
+  }
+
+  override async stop(): Promise<void> {
+    for (const subscription of this.#subscriptions) subscription.cancel();
+    this.#subscriptions = [];
+  }
+
+  override describe(): unknown {
+    return {
+      isAggregator: this.#aggregatorSince !== undefined,
+      summaryAgeMilliseconds: this.#now() - this.#summaryAt,
+      pools: Object.fromEntries(this.#pools),
+      knownServers: this.#relativeLoads.size,
+    };
+  }
+
+  #now(): number {
+    return this.#options.timers.clock.monotonicMilliseconds();
+  }
+
+  #readConfiguration(): void {
+    const snapshot = this.#options.configuration.current();
+    if (snapshot) this.#catalogue = catalogueOfFleet(snapshot.fleet);
+  }
+
+  #eligible(dataCentre: DataCentreId): Member[] {
+    return this.#options.members.liveMembers().filter((member) =>
+      member.dataCentre === dataCentre && !member.leaving
+    );
+  }
+
+  #aggregatorOf(dataCentre: DataCentreId): Member | undefined {
+    return pickByRendezvous(
+      aggregatorKey(dataCentre),
+      this.#eligible(dataCentre),
+      (member) => member.host,
+    );
+  }
+
+  #runRound(): void {
+    const self = this.#options.members.self();
+    const aggregator = this.#aggregatorOf(self.dataCentre);
+    const isAggregator = aggregator?.host === self.host;
+    if (!isAggregator) this.#aggregatorSince = undefined;
+    else this.#aggregatorSince ??= this.#now();
+    this.#report(self.host, aggregator, isAggregator);
+    if (isAggregator) this.#aggregate(self);
+  }
+
+  #report(
+    self: HostId,
+    aggregator: Member | undefined,
+    isAggregator: boolean,
+  ): void {
+    const loads = this.#provider();
+    if (isAggregator) {
+      this.#aggregator.recordReport(self, loads, this.#now());
+    } else if (aggregator) {
+      const body: LoadReportBody = {
+        servers: loads.map((load) => [
+          load.backendServer,
+          load.pool,
+          Math.round(load.tokens),
+          load.capacityTokens,
+        ]),
+      };
+      this.#options.network.send(aggregator.address, "load.report", body);
+    }
+  }
+
+  #aggregate(self: Member): void {
+    const now = this.#now();
+    if (
+      now - (this.#aggregatorSince ?? now) < AGGREGATOR_WARM_UP_MILLISECONDS
+    ) return;
+    const exchange: LoadReportBody = {
+      dataCentre: self.dataCentre,
+      ...this.#aggregator.exchange(now),
+    };
+    for (const aggregator of this.#otherAggregators(self.dataCentre)) {
+      this.#options.network.send(aggregator.address, "load.report", exchange);
+    }
+    this.#round++;
+    const summary = this.#aggregator.summary(
+      self.incarnation,
+      this.#catalogue,
+      this.#round % SUMMARIES_PER_LOADS === 0,
+      now,
+    );
+    this.#accept(summary, true);
+  }
+
+  #otherAggregators(own: DataCentreId): Member[] {
+    const dataCentres = new Set(
+      this.#options.members.liveMembers().map((member) => member.dataCentre),
+    );
+    dataCentres.delete(own);
+    return [...dataCentres]
+      .map((dataCentre) => this.#aggregatorOf(dataCentre))
+      .filter((member) => member !== undefined);
+  }
+
+  #receive(body: unknown, from: PeerIdentity): void {
+    const parsed = loadReportSchema.safeParse(body);
+    if (!parsed.success) return;
+    const report = parsed.data;
+    if ("servers" in report) {
+      const loads = report.servers.map((
+        [backendServer, pool, tokens, capacityTokens],
+      ) => ({ backendServer, pool, tokens, capacityTokens }));
+      this.#aggregator.recordReport(from.host, loads, this.#now());
+    } else if (report.dataCentre === from.dataCentre) {
+      this.#aggregator.recordExchange(report.dataCentre, report, this.#now());
+    }
+  }
+
+  #receiveSummary(body: unknown): void {
+    const parsed = loadSummarySchema.safeParse(body);
+    if (!parsed.success) return;
+    const { catalogue, loads, ...totals } = parsed.data;
+    const summary: LoadSummary = catalogue === undefined || !loads
+      ? totals
+      : { ...totals, catalogue, loads };
+    const { dataCentre } = this.#options.members.self();
+    const expected = this.#aggregatorOf(dataCentre)?.incarnation;
+    this.#accept(summary, summary.aggregator === expected);
+  }
+
+  /**
+   * Takes over a summary and passes it on once. While members disagree, two
+   * aggregators may send partial summaries; the one this router expects wins.
+   */
+  #accept(summary: LoadSummary, isExpected: boolean): void {
+    const { aggregator, sequence } = summary;
+    if (sequence <= (this.#lastSequences.get(aggregator) ?? 0)) return;
+    if (this.#lastSequences.size >= MAXIMUM_REMEMBERED_AGGREGATORS) {
+      this.#lastSequences.clear();
+    }
+    this.#lastSequences.set(aggregator, sequence);
+    this.#passOn(summary);
+    const now = this.#now();
+    if (isExpected) this.#preferredAt = now;
+    else if (now - this.#preferredAt < PREFERRED_SUMMARY_MILLISECONDS) return;
+    this.#summaryAt = now;
+    this.#pools = poolsOfSummary(summary);
+    const loads = relativeLoads(summary, this.#catalogue);
+    if (loads) this.#relativeLoads = loads;
+    for (const listener of this.#listeners) listener();
+  }
+
+  #passOn(summary: LoadSummary): void {
+    const { members, network } = this.#options;
+    const { dataCentre, host } = members.self();
+    const local = members.liveMembers().filter((member) =>
+      member.dataCentre === dataCentre
+    );
+    for (const child of summaryChildren(dataCentre, local, host)) {
+      network.send(child.address, "load.summary", summary);
+    }
+  }
+}
