--- a/src/core/chat_table.ts
+++ b/src/core/chat_table.ts
@@ -152,7 +152,10 @@
         slot = this.#insert(entry, usedAt);
       }
       if (slot === NONE) continue;
-      if (usedAt > this.#usedAtOf(slot)) this.#usedAt[slot] = usedAt;
+      if (usedAt > this.#usedAtOf(slot)) {
+        this.#usedAt[slot] = usedAt;
+        this.#moveToNewest(slot);
+      }
       servers.forEach((server, index) =>
         this.#put(
           slot,
