Let stewards of plain services count grants only

Cause: a plain service reports no load, so its steward answered load_unknown. Change: for services the load is the sum of the grants and the capacity is the service's concurrency; the bound relative to the mean stays for engines. Conclusion: services can be admitted.

--- a/src/admission_task.ts
+++ b/src/admission_task.ts
@@ -11,6 +11,7 @@
 } from "./admission_messages.ts";
 import type { ConfigurationView } from "./configuration_view.ts";
 import type { HeldGrant } from "./core/admission.ts";
+import type { BackendServer, ConfigurationSnapshot } from "./core/fleet_schema.ts";
 import type { BackendServerId, HostId } from "./core/ids.ts";
 import type { ServerLoad } from "./core/load_summary.ts";
 import { pickByRendezvous } from "./core/rendezvous.ts";
@@ -84,6 +85,15 @@
   };
 }
 
+/** Each call to a plain service weighs one unit of its concurrency. */
+function _capacityOf(
+  server: BackendServer,
+  { fleet }: ConfigurationSnapshot,
+): number {
+  if (server.kind === "engine") return server.capacityTokens;
+  return fleet.services[server.service ?? ""]?.concurrencyPerBackendServer ?? 0;
+}
+
 /** Owns the stewards that this router is responsible for. */
 export class AdmissionTask extends Task {
   override readonly name = "admission";
@@ -267,7 +277,8 @@
     return {
       loadBoundRatio,
       queueLength: queueLengthPerBackendServer,
-      capacityTokens: server.capacityTokens,
+      capacityTokens: _capacityOf(server, snapshot),
+      countsGrantsOnly: server.kind === "service",
       accepting: isInService(backendServer, snapshot) &&
         !this.#leaving.has(backendServer),
     };
@@ -318,7 +329,7 @@
     };
     this.#duties.set(server, duty);
     this.#readPool(server, duty);
-    void this.#readLoad(server, duty);
+    if (!settings.countsGrantsOnly) void this.#readLoad(server, duty);
   }
 
   #drop(server: BackendServerId): void {
@@ -330,10 +341,16 @@
 
   #poll(): void {
     for (const [server, duty] of this.#duties) {
-      if (!duty.isReading) void this.#readLoad(server, duty);
+      if (!duty.isReading && !this.#countsGrantsOnly(server)) {
+        void this.#readLoad(server, duty);
+      }
     }
   }
 
+  #countsGrantsOnly(server: BackendServerId): boolean {
+    return this.#settingsOf(server)?.countsGrantsOnly ?? false;
+  }
+
   /** The age counts from before the read, as the reply may be delayed. */
   async #readLoad(server: BackendServerId, duty: _Duty): Promise<void> {
     duty.isReading = true;
--- a/src/chat_home_task_test.ts
+++ b/src/chat_home_task_test.ts
@@ -114,7 +114,7 @@
   );
   for (const task of tasks) await task.start();
   function leave(index: number): void {
-    (members[index] as Member).leaving = true;
+    members[index] = { ...(members[index] as Member), leaving: true };
     for (const listener of listeners) listener();
   }
   return { tasks: tasks as [ChatHomeTask, ChatHomeTask], cut, handlers, leave };
--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -62,6 +62,11 @@
   readonly capacityTokens: number;
   /** False while the server is leaving or draining. */
   readonly accepting: boolean;
+  /**
+   * True for plain services, which report no load: their load is what was
+   * granted, and only the capacity bounds it.
+   */
+  readonly countsGrantsOnly?: boolean;
 }
 
 /** The grants of one backend server. */
@@ -139,7 +144,14 @@
     );
   }
 
+  function grantedTokens(): number {
+    let tokens = 0;
+    for (const grant of grants.values()) tokens += grant.weightTokens;
+    return tokens;
+  }
+
   function loadTokens(): number {
+    if (settings.countsGrantsOnly) return grantedTokens();
     let tokens = reading?.tokensInFlight ?? 0;
     for (const grant of recentGrants.values()) tokens += grant.weightTokens;
     for (const release of recentReleases) {
@@ -160,12 +172,17 @@
   }
 
   function isLoadKnown(now: number): boolean {
+    if (settings.countsGrantsOnly) return true;
     return reading !== undefined &&
       now - measuredAt <= READING_LIFETIME_MILLISECONDS;
   }
 
   function refusalFor(weight: number, now: number): GrantRefusal | undefined {
     if (!settings.accepting) return "leaving";
+    if (settings.countsGrantsOnly) {
+      const fits = grantedTokens() + weight <= settings.capacityTokens;
+      return fits ? undefined : "above_capacity";
+    }
     if (!reading || !isLoadKnown(now)) return "load_unknown";
     const load = loadTokens();
     if (load + weight > reading.capacityTokens) return "above_capacity";
@@ -175,6 +192,11 @@
     return allowed ? undefined : "above_bound";
   }
 
+  function capacityTokens(): number {
+    if (settings.countsGrantsOnly) return settings.capacityTokens;
+    return reading?.capacityTokens ?? Infinity;
+  }
+
   function insert(grantId: string, grant: _Grant): void {
     grants.set(grantId, grant);
     if (!isMeasured(grant)) recentGrants.set(grantId, grant);
@@ -255,7 +277,7 @@
     renew,
     release,
     expire,
-    canEverFit: (weight) => weight <= (reading?.capacityTokens ?? Infinity),
+    canEverFit: (weight) => weight <= capacityTokens(),
     isLoadKnown,
     loadTokens,
     meanTokens: () => shareOfPool(0),
