--- a/src/core/settings_schema.ts
+++ b/src/core/settings_schema.ts
@@ -10,6 +10,14 @@
   socketAddressText,
 } from "./text_schema.ts";
 
+const _platform = z.strictObject({
+  address: socketAddressText().default("127.0.0.1:9080"),
+  timeoutMilliseconds: integerText({ minimum: 10, maximum: 60_000 }).default(
+    2_000,
+  ),
+  key: z.string().default(""),
+});
+
 /** The parsed settings file. */
 export const settingsSchema = z.strictObject({
   router: z.strictObject({
@@ -24,13 +32,7 @@
       "info",
     ),
   }),
-  platform: z.strictObject({
-    address: socketAddressText().default("127.0.0.1:9080"),
-    timeoutMilliseconds: integerText({ minimum: 10, maximum: 60_000 }).default(
-      2_000,
-    ),
-    key: z.string().default(""),
-  }).default({
+  platform: _platform.default({
     address: "127.0.0.1:9080",
     timeoutMilliseconds: 2_000,
     key: "",
@@ -45,3 +47,20 @@
 
 /** The settings of one router. */
 export type Settings = z.infer<typeof settingsSchema>;
+
+/** The parsed settings file of the operator's command line. */
+export const operatorSettingsSchema = z.strictObject({
+  platform: _platform,
+  operator: z.strictObject({
+    /** Sent to routers as the bearer key; its hash is in the fleet file. */
+    key: z.string().default(""),
+    /** Caller addresses of routers; the first that answers lists the others. */
+    routers: listText(socketAddressText()).default([]),
+    timeoutMilliseconds: integerText({ minimum: 10, maximum: 60_000 }).default(
+      2_000,
+    ),
+  }),
+});
+
+/** The settings of the operator's command line. */
+export type OperatorSettings = z.infer<typeof operatorSettingsSchema>;
--- a/src/core/text_schema.ts
+++ b/src/core/text_schema.ts
@@ -56,10 +56,22 @@
   ).pipe(z.array(item));
 }
 
+const SOCKET_ADDRESS = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(\d{1,5})$/;
+const MAXIMUM_OCTET = 255;
+const MAXIMUM_PORT = 65_535;
+
+function _isSocketAddress(text: string): boolean {
+  const match = SOCKET_ADDRESS.exec(text);
+  if (!match || Number(match[3]) > MAXIMUM_PORT) return false;
+  const host = match[1] ?? "";
+  return host.startsWith("[") ||
+    host.split(".").every((octet) => Number(octet) <= MAXIMUM_OCTET);
+}
+
 /** An IPv4 address and a port, or a bracketed IPv6 address and a port. */
 export function socketAddressText() {
-  return z.string().regex(
-    /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/,
+  return z.string().refine(
+    _isSocketAddress,
     "expected an IP address and a port, such as 127.0.0.1:7000",
   );
 }
