Decide, split and apply the configuration

Cause: an accepted configuration must reach every router whole, must never go back, and must have one winner a generation although replies get lost, reads are stale and the store may be rolled back. A recorded floor and the routers' own generation refuse an apply after the store went back.

--- /dev/null
+++ b/src/core/configuration_apply.ts
@@ -0,0 +1,282 @@
+/**
+ * Applying a configuration: chunks first, then one conditional update of the
+ * head. A lost reply is resolved by reading the head back.
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { PlatformClient } from "../platform_client.ts";
+import { joinChunks, splitFleet } from "./configuration_chunks.ts";
+import {
+  chunkKey,
+  FLOOR_KEY,
+  HEAD_KEY,
+  safeParseStoredHead,
+  type StoredHead,
+} from "./configuration_head.ts";
+import {
+  type HeadPlan,
+  judgeReadBack,
+  planHead,
+} from "./configuration_plan.ts";
+import {
+  ensureChunks,
+  removeChunks,
+  removeExpiredChunks,
+} from "./configuration_store.ts";
+import { type ApplicationError, createError } from "./errors.ts";
+import type { Drains, Fleet } from "./fleet_schema.ts";
+
+const MAXIMUM_COMMIT_ATTEMPTS = 8;
+const COMMIT_RETRY_MILLISECONDS = 100;
+const MAXIMUM_DRAIN_ATTEMPTS = 5;
+
+/** What an operator's change needs from outside. */
+export interface ApplyOptions {
+  readonly client: PlatformClient;
+  /** Unique for this change; names it to the losers of a race. */
+  readonly applyId: string;
+  readonly wallMilliseconds: () => number;
+  readonly sleep: (milliseconds: number) => Promise<void>;
+  /** Returns the highest generation that routers have seen, if any answers. */
+  readonly fleetGeneration?: () => Promise<number>;
+  /** Chosen by the operator after the store went back. */
+  readonly generation?: number;
+}
+
+/** A change that was accepted. */
+export interface ApplyOutcome {
+  readonly head: StoredHead;
+  /** False if the fleet already has this configuration. */
+  readonly changed: boolean;
+}
+
+/** The head with the version of its object. */
+export interface VersionedHead {
+  readonly head: StoredHead;
+  readonly version: number;
+}
+
+type _Answer<T> = Promise<Result<T, ApplicationError>>;
+
+/** Reads the head; undefined if nothing was ever applied. */
+export async function readHead(
+  client: PlatformClient,
+): _Answer<VersionedHead | undefined> {
+  const read = await client.read(HEAD_KEY);
+  return read.andThen((object) => {
+    if (!object) return ok(undefined);
+    return safeParseStoredHead(object.value).map((head) => ({
+      head,
+      version: object.version,
+    }));
+  });
+}
+
+/** Reads the fleet that a head describes. */
+export async function readFleet(
+  client: PlatformClient,
+  head: StoredHead,
+): _Answer<Fleet> {
+  const texts = new Map<string, string>();
+  for (const digest of new Set(head.chunks)) {
+    const read = await client.read(chunkKey(digest));
+    if (read.isErr()) return err(read.error);
+    if (read.value) texts.set(digest, read.value.value);
+  }
+  return joinChunks(head.chunks, texts);
+}
+
+async function _readFloor(client: PlatformClient): _Answer<number> {
+  const read = await client.read(FLOOR_KEY);
+  return read.map((object) => {
+    const floor = Number(object?.value ?? 0);
+    return Number.isSafeInteger(floor) ? floor : 0;
+  });
+}
+
+/** Records the generation that the fleet has, so that no apply goes below it. */
+export async function recordFloor(
+  client: PlatformClient,
+  generation: number,
+): _Answer<void> {
+  const read = await client.read(FLOOR_KEY);
+  if (read.isErr()) return err(read.error);
+  if (Number(read.value?.value ?? 0) >= generation) return ok(undefined);
+  const written = await client.write(
+    FLOOR_KEY,
+    String(generation),
+    read.value?.version ?? 0,
+  );
+  return written.map(() => undefined);
+}
+
+function _storeWentBack(generation: number): ApplicationError {
+  return createError(
+    "configuration_conflict",
+    `the platform's store went back: routers have seen generation ${generation}; give a generation above it`,
+    ["generation"],
+  );
+}
+
+function _conflict(
+  plan: HeadPlan,
+  winner: { generation: number; applyId: string },
+): ApplicationError {
+  return createError(
+    "configuration_conflict",
+    `generation ${plan.head.generation} was not applied; ${winner.applyId} won with generation ${winner.generation}`,
+    ["head", winner.applyId],
+  );
+}
+
+/** Writes the head if it is still the one that the plan is based on. */
+async function _commitHead(
+  plan: HeadPlan,
+  options: ApplyOptions,
+): _Answer<StoredHead> {
+  const { client, sleep } = options;
+  const text = JSON.stringify(plan.head);
+  let lastError = createError(
+    "platform_outcome_unknown",
+    "the head could not be read back",
+  );
+  let mayHaveWritten = false;
+  for (let attempt = 0; attempt < MAXIMUM_COMMIT_ATTEMPTS; attempt++) {
+    if (attempt > 0) await sleep(COMMIT_RETRY_MILLISECONDS * attempt);
+    const written = await client.write(HEAD_KEY, text, plan.baseVersion);
+    if (written.isOk()) return ok(plan.head);
+    const { kind } = written.error;
+    if (kind !== "platform_conflict" && kind !== "platform_outcome_unknown") {
+      if (!mayHaveWritten) return err(written.error);
+    }
+    mayHaveWritten = true;
+    const back = await readHead(client);
+    if (back.isErr()) {
+      lastError = createError("platform_outcome_unknown", back.error.detail, [
+        "head",
+      ]);
+      continue;
+    }
+    const verdict = judgeReadBack(plan, back.value);
+    if (verdict.kind === "won") return ok(plan.head);
+    if (verdict.kind === "lost") return err(_conflict(plan, verdict.winner));
+  }
+  return err(lastError);
+}
+
+/** Refuses a plan that the routers' generation or the recorded floor forbids. */
+async function _checkGeneration(
+  plan: HeadPlan,
+  options: ApplyOptions,
+): _Answer<void> {
+  const floor = await _readFloor(options.client);
+  if (floor.isErr()) return err(floor.error);
+  const seen = Math.max(floor.value, await options.fleetGeneration?.() ?? 0);
+  const { baseGeneration, head } = plan;
+  if (head.generation <= Math.max(seen, baseGeneration)) {
+    return err(_storeWentBack(Math.max(seen, baseGeneration)));
+  }
+  if (seen > baseGeneration && options.generation === undefined) {
+    return err(_storeWentBack(seen));
+  }
+  return ok(undefined);
+}
+
+async function _commit(
+  plan: HeadPlan,
+  options: ApplyOptions,
+): _Answer<StoredHead> {
+  const allowed = await _checkGeneration(plan, options);
+  if (allowed.isErr()) return err(allowed.error);
+  return _commitHead(plan, options);
+}
+
+/** Makes a fleet the configuration. Drains stay as they are. */
+export async function applyFleet(
+  fleet: Fleet,
+  options: ApplyOptions,
+): _Answer<ApplyOutcome> {
+  const { client } = options;
+  const read = await readHead(client);
+  if (read.isErr()) return err(read.error);
+  const base = read.value;
+  const count = base?.head.chunks.length;
+  const chunked = splitFleet(
+    fleet,
+    count === undefined ? {} : { currentCount: count },
+  );
+  const now = options.wallMilliseconds();
+  const removed = base
+    ? await removeExpiredChunks(client, base, chunked.digests, now)
+    : [];
+  const plan = planHead(base, {
+    applyId: options.applyId,
+    chunks: chunked.digests,
+    nowMilliseconds: now,
+    removed,
+    ...(options.generation === undefined
+      ? {}
+      : { generation: options.generation }),
+  });
+  if (base && !plan.changed && options.generation === undefined) {
+    const allowed = await _checkGeneration(plan, options);
+    return allowed.map(() => ({ head: base.head, changed: false }));
+  }
+  const present = new Set(base?.head.chunks);
+  const added = new Map(
+    [...chunked.texts].filter(([digest]) => !present.has(digest)),
+  );
+  const ensured = await ensureChunks(client, added);
+  if (ensured.isErr()) return err(ensured.error);
+  const committed = await _commit(plan, options);
+  if (committed.isErr()) {
+    if (committed.error.kind !== "platform_outcome_unknown") {
+      await removeChunks(client, ensured.value.created);
+    }
+    return err(committed.error);
+  }
+  // A chunk that existed may have been removed as superseded by another apply.
+  const reused = new Map(
+    [...added].filter(([digest]) => ensured.value.existing.has(digest)),
+  );
+  const touched = await ensureChunks(client, reused);
+  if (touched.isErr()) return err(touched.error);
+  return ok({ head: committed.value, changed: true });
+}
+
+/** Changes the drains by an update of their own; repeated if another change wins. */
+export async function changeDrains(
+  change: (drains: Drains) => Drains,
+  options: ApplyOptions,
+): _Answer<ApplyOutcome> {
+  let lastError = createError(
+    "configuration_conflict",
+    "other changes kept winning",
+    ["head"],
+  );
+  for (let attempt = 0; attempt < MAXIMUM_DRAIN_ATTEMPTS; attempt++) {
+    const read = await readHead(options.client);
+    if (read.isErr()) return err(read.error);
+    const base = read.value;
+    if (!base) {
+      return err(
+        createError("not_found", "no configuration was applied yet", ["head"]),
+      );
+    }
+    const plan = planHead(base, {
+      applyId: options.applyId,
+      chunks: base.head.chunks,
+      nowMilliseconds: options.wallMilliseconds(),
+      removed: [],
+      drains: change(base.head.drains),
+    });
+    if (!plan.changed) return ok({ head: base.head, changed: false });
+    const committed = await _commit(plan, options);
+    if (committed.isOk()) return ok({ head: committed.value, changed: true });
+    lastError = committed.error;
+    if (
+      lastError.kind !== "configuration_conflict" ||
+      lastError.path[0] !== "head"
+    ) break;
+  }
+  return err(lastError);
+}
--- /dev/null
+++ b/src/core/configuration_state.ts
@@ -0,0 +1,383 @@
+/**
+ * The decisions of a router about its configuration: which head to fetch, from
+ * whom to fetch chunks, and when to adopt. A configuration is adopted whole, and
+ * a generation below the one in force is never adopted.
+ */
+import type {
+  ConfigurationAction,
+  ConfigurationAlarm,
+  ConfigurationContext,
+  ConfigurationEvent,
+  ConfigurationSource,
+  ConfigurationState,
+  PendingConfiguration,
+} from "./configuration_events.ts";
+import { type ConfigurationHead, sha256 } from "./configuration_head.ts";
+import type { SocketAddress } from "./ids.ts";
+
+/** Largest number of chunks in one request; keeps a reply under the frame limit. */
+export const MAXIMUM_CHUNKS_PER_FETCH = 32;
+/** A fetch without a reply counts as failed after this time. */
+export const FETCH_TIMEOUT_MILLISECONDS = 3_000;
+/** A router that heard from no peer and no platform for this long is stale. */
+export const STALE_AFTER_MILLISECONDS = 15_000;
+/** An old read is repeated after this time before the store counts as gone back. */
+export const REREAD_DELAY_MILLISECONDS = 1_000;
+const INITIAL_BACKOFF_MILLISECONDS = 200;
+const MAXIMUM_BACKOFF_MILLISECONDS = 5_000;
+const MAXIMUM_CLAIMS = 64;
+const MAXIMUM_SOURCES = 8;
+
+const PLATFORM: ConfigurationSource = { kind: "platform" };
+
+/** Creates the state of a router that has just started. */
+export function createConfigurationState(
+  nowMilliseconds: number,
+): ConfigurationState {
+  return {
+    inForce: undefined,
+    pending: undefined,
+    headFetch: undefined,
+    claims: new Map(),
+    chunks: new Map(),
+    highestGeneration: 0,
+    firstLowRead: undefined,
+    rereadAt: undefined,
+    unreadableDigest: undefined,
+    alarms: new Set(),
+    lastContact: nowMilliseconds,
+  };
+}
+
+/** The generation in force; 0 if there is none. */
+export function generationOf(state: ConfigurationState): number {
+  return state.inForce?.generation ?? 0;
+}
+
+/** Whether the configuration in force is no older than any that is known of. */
+export function isReady(state: ConfigurationState): boolean {
+  if (!state.inForce) return false;
+  const known = Math.max(state.highestGeneration, ...state.claims.values());
+  return state.inForce.generation >= known;
+}
+
+/** Decides on one event. */
+export function decideConfiguration(
+  state: ConfigurationState,
+  event: ConfigurationEvent,
+  context: ConfigurationContext,
+): {
+  readonly state: ConfigurationState;
+  readonly actions: readonly ConfigurationAction[];
+} {
+  const decision = new _Decision(state, context);
+  decision.handle(event);
+  return { state: decision.state, actions: decision.actions };
+}
+
+function _isSameSource(
+  left: ConfigurationSource,
+  right: ConfigurationSource,
+): boolean {
+  return left.kind === "peer"
+    ? right.kind === "peer" && left.address === right.address
+    : right.kind === "platform";
+}
+
+class _Decision {
+  state: ConfigurationState;
+  readonly actions: ConfigurationAction[] = [];
+  readonly #context: ConfigurationContext;
+
+  constructor(state: ConfigurationState, context: ConfigurationContext) {
+    this.state = state;
+    this.#context = context;
+  }
+
+  handle(event: ConfigurationEvent): void {
+    switch (event.kind) {
+      case "head_read":
+        this.#contact();
+        return this.#headRead(event.head);
+      case "head_fetched":
+        this.#contact();
+        return this.#headFetched(event.from, event.head);
+      case "announced":
+        this.#contact();
+        return this.#announced(event.from, event.generation);
+      case "chunks_arrived":
+        this.#contact();
+        return this.#chunksArrived(event.source, event.texts);
+      case "fetch_failed":
+        return this.#fetchFailed(event.source, event.what);
+      case "tick":
+        return this.#tick();
+    }
+  }
+
+  get #now(): number {
+    return this.#context.nowMilliseconds;
+  }
+
+  #set(change: Partial<ConfigurationState>): void {
+    this.state = { ...this.state, ...change };
+  }
+
+  #contact(): void {
+    this.#set({ lastContact: this.#now });
+    this.#clear("configuration_stale");
+  }
+
+  #raise(alarm: ConfigurationAlarm, detail: string): void {
+    if (this.state.alarms.has(alarm)) return;
+    this.#set({ alarms: new Set([...this.state.alarms, alarm]) });
+    this.actions.push({ kind: "raise_alarm", alarm, detail });
+  }
+
+  #clear(alarm: ConfigurationAlarm): void {
+    if (!this.state.alarms.has(alarm)) return;
+    const alarms = new Set(this.state.alarms);
+    alarms.delete(alarm);
+    this.#set({ alarms });
+    this.actions.push({ kind: "clear_alarm", alarm });
+  }
+
+  /** Whether the store returned something older than, or other than, what was seen. */
+  #isLow(head: ConfigurationHead | undefined): boolean {
+    const { highestGeneration, inForce, pending } = this.state;
+    const generation = head?.generation ?? 0;
+    if (generation !== highestGeneration) return generation < highestGeneration;
+    const known = [inForce, pending?.head].find((one) =>
+      one?.generation === generation
+    );
+    return known !== undefined && known.digest !== head?.digest;
+  }
+
+  #headRead(head: ConfigurationHead | undefined): void {
+    if (this.#isLow(head)) return this.#lowRead(head?.generation ?? 0);
+    this.#set({ firstLowRead: undefined, rereadAt: undefined });
+    this.#clear("configuration_read_was_stale");
+    this.#clear("configuration_store_went_back");
+    if (head) this.#consider(head, PLATFORM);
+  }
+
+  #lowRead(generation: number): void {
+    const { firstLowRead, highestGeneration } = this.state;
+    const detail =
+      `the store returned generation ${generation}, generation ${highestGeneration} was seen`;
+    if (firstLowRead === undefined) {
+      this.#set({
+        firstLowRead: this.#now,
+        rereadAt: this.#now + REREAD_DELAY_MILLISECONDS,
+      });
+      return this.#raise("configuration_read_was_stale", detail);
+    }
+    if (this.#now - firstLowRead < REREAD_DELAY_MILLISECONDS) return;
+    this.#raise("configuration_store_went_back", detail);
+    this.actions.push({ kind: "record_floor", generation: highestGeneration });
+  }
+
+  #announced(from: SocketAddress, generation: number): void {
+    const { pending } = this.state;
+    if (generation <= generationOf(this.state)) return;
+    if (pending && generation === pending.head.generation) {
+      return this.#addSource({ kind: "peer", address: from });
+    }
+    if (pending && generation < pending.head.generation) return;
+    if (
+      this.state.claims.size >= MAXIMUM_CLAIMS && !this.state.claims.has(from)
+    ) return;
+    this.#set({ claims: new Map(this.state.claims).set(from, generation) });
+    this.#fetchNextHead();
+  }
+
+  #fetchNextHead(): void {
+    if (this.state.headFetch) return;
+    const known = this.state.pending?.head.generation ??
+      generationOf(this.state);
+    let best: SocketAddress | undefined;
+    let bestGeneration = known;
+    for (const [address, generation] of this.state.claims) {
+      if (generation > bestGeneration) {
+        [best, bestGeneration] = [address, generation];
+      }
+    }
+    if (best === undefined) return;
+    this.#set({
+      headFetch: {
+        from: best,
+        deadline: this.#now + FETCH_TIMEOUT_MILLISECONDS,
+      },
+    });
+    this.actions.push({
+      kind: "fetch_head",
+      source: { kind: "peer", address: best },
+    });
+  }
+
+  #dropClaim(address: SocketAddress): void {
+    const claims = new Map(this.state.claims);
+    claims.delete(address);
+    const headFetch = this.state.headFetch?.from === address
+      ? undefined
+      : this.state.headFetch;
+    this.#set({ claims, headFetch });
+  }
+
+  #headFetched(from: SocketAddress, head: ConfigurationHead): void {
+    this.#dropClaim(from);
+    this.#consider(head, { kind: "peer", address: from });
+    this.#fetchNextHead();
+  }
+
+  #consider(head: ConfigurationHead, source: ConfigurationSource): void {
+    const { pending, unreadableDigest } = this.state;
+    if (head.generation <= generationOf(this.state)) return;
+    if (head.digest === unreadableDigest) return;
+    if (pending && head.digest === pending.head.digest) {
+      return this.#addSource(source);
+    }
+    if (pending && head.generation <= pending.head.generation) return;
+    this.#set({
+      pending: {
+        head,
+        sources: [source],
+        attempt: 0,
+        asked: undefined,
+        retryAt: 0,
+      },
+      highestGeneration: Math.max(
+        this.state.highestGeneration,
+        head.generation,
+      ),
+    });
+    this.#fetchChunks();
+  }
+
+  #addSource(source: ConfigurationSource): void {
+    const { pending } = this.state;
+    if (!pending || pending.sources.length >= MAXIMUM_SOURCES) return;
+    if (pending.sources.some((known) => _isSameSource(known, source))) return;
+    this.#set({
+      pending: { ...pending, sources: [...pending.sources, source] },
+    });
+  }
+
+  #missing(head: ConfigurationHead): string[] {
+    return [...new Set(head.chunks)].filter((digest) =>
+      !this.state.chunks.has(digest)
+    );
+  }
+
+  /** Peers come first; the platform is asked when they have failed. */
+  #candidates(pending: PendingConfiguration): ConfigurationSource[] {
+    const peers = pending.sources.filter((source) => source.kind === "peer");
+    return [...peers, PLATFORM];
+  }
+
+  #fetchChunks(): void {
+    const { pending } = this.state;
+    if (!pending || pending.asked) return;
+    const digests = this.#missing(pending.head).slice(
+      0,
+      MAXIMUM_CHUNKS_PER_FETCH,
+    );
+    if (digests.length === 0) return this.#complete(pending.head);
+    const candidates = this.#candidates(pending);
+    const source = candidates[pending.attempt % candidates.length] ?? PLATFORM;
+    const deadline = this.#now + FETCH_TIMEOUT_MILLISECONDS;
+    this.#set({ pending: { ...pending, asked: { source, deadline } } });
+    this.actions.push({ kind: "fetch_chunks", source, digests });
+  }
+
+  #chunksArrived(source: ConfigurationSource, texts: readonly string[]): void {
+    const { pending } = this.state;
+    if (!pending) return;
+    const missing = new Set(this.#missing(pending.head));
+    const chunks = new Map(this.state.chunks);
+    for (const text of texts) {
+      const digest = sha256(text);
+      if (missing.has(digest)) chunks.set(digest, text);
+    }
+    if (chunks.size === this.state.chunks.size) {
+      return this.#fetchFailed(source, "chunks");
+    }
+    const asked = pending.asked && _isSameSource(pending.asked.source, source)
+      ? undefined
+      : pending.asked;
+    this.#set({ chunks, pending: { ...pending, asked } });
+    if (this.#missing(pending.head).length === 0) this.#complete(pending.head);
+    else this.#fetchChunks();
+  }
+
+  #complete(head: ConfigurationHead): void {
+    const fleet = this.#context.readFleet(head.chunks, this.state.chunks);
+    if (fleet.isErr()) {
+      this.#set({ pending: undefined, unreadableDigest: head.digest });
+      const { path, detail } = fleet.error;
+      const where = [`generation ${head.generation}`, ...path].join(", ");
+      return this.#raise("configuration_unreadable", `${where}: ${detail}`);
+    }
+    const kept = new Set([...head.chunks, ...this.state.inForce?.chunks ?? []]);
+    this.#set({
+      inForce: head,
+      pending: undefined,
+      chunks: new Map(
+        [...this.state.chunks].filter(([digest]) => kept.has(digest)),
+      ),
+      claims: new Map(
+        [...this.state.claims].filter(([, generation]) =>
+          generation > head.generation
+        ),
+      ),
+    });
+    this.#clear("configuration_unreadable");
+    this.actions.push({ kind: "adopt", head, fleet: fleet.value }, {
+      kind: "announce",
+      head,
+    });
+  }
+
+  #fetchFailed(source: ConfigurationSource, what: "head" | "chunks"): void {
+    if (what === "head") {
+      if (source.kind === "peer") this.#dropClaim(source.address);
+      return this.#fetchNextHead();
+    }
+    const { pending } = this.state;
+    if (!pending?.asked || !_isSameSource(pending.asked.source, source)) return;
+    const attempt = pending.attempt + 1;
+    const rounds = Math.floor(attempt / this.#candidates(pending).length);
+    const backoff = rounds === 0 ? 0 : Math.min(
+      MAXIMUM_BACKOFF_MILLISECONDS,
+      INITIAL_BACKOFF_MILLISECONDS * 2 ** Math.min(rounds, 10),
+    ) * (0.5 + this.#context.random / 2);
+    this.#set({
+      pending: {
+        ...pending,
+        attempt,
+        asked: undefined,
+        retryAt: this.#now + backoff,
+      },
+    });
+    if (backoff === 0) this.#fetchChunks();
+  }
+
+  #tick(): void {
+    const { headFetch, lastContact, pending, rereadAt } = this.state;
+    if (this.#now - lastContact > STALE_AFTER_MILLISECONDS) {
+      this.#raise("configuration_stale", "no peer and no platform answers");
+    }
+    if (rereadAt !== undefined && this.#now >= rereadAt) {
+      this.#set({ rereadAt: undefined });
+      this.actions.push({ kind: "fetch_head", source: PLATFORM });
+    }
+    if (headFetch && this.#now >= headFetch.deadline) {
+      this.#fetchFailed({ kind: "peer", address: headFetch.from }, "head");
+    }
+    if (pending?.asked && this.#now >= pending.asked.deadline) {
+      this.#fetchFailed(pending.asked.source, "chunks");
+    } else if (pending && !pending.asked && this.#now >= pending.retryAt) {
+      this.#fetchChunks();
+    }
+  }
+}
--- a/src/http_platform_client_test.ts
+++ b/src/http_platform_client_test.ts
@@ -125,4 +125,8 @@
     (await client.read("a"))._unsafeUnwrapErr().kind,
     "platform_unavailable",
   );
+  t.is(
+    (await client.write("a", "", 0))._unsafeUnwrapErr().kind,
+    "platform_unavailable",
+  );
 });
