Add the router assembly and the demo (not run yet)

Cause: the parts need one place that joins them, and a run that shows it. Conclusion: none before the path has run.

--- /dev/null
+++ b/demo/naive_reuse.ts
@@ -0,0 +1,71 @@
+/**
+ * The demo's baseline: the same chats sent to engines of their own in turn
+ * (round robin), without routers.
+ */
+import { answerText } from "../stand_ins/engine_text.ts";
+import { startEngine } from "../stand_ins/engine.ts";
+import { STAND_IN_MODEL, STAND_IN_MODEL_VERSION } from "../stand_ins/fleet_text.ts";
+import { askQuestion, DEMO_ANSWER_TOKENS, openChat } from "./workload.ts";
+
+/** The size of the baseline. */
+export interface NaiveReuseOptions {
+  readonly engines: number;
+  readonly workspaces: readonly string[];
+  readonly chatsPerWorkspace: number;
+  readonly turns: number;
+}
+
+async function _complete(address: string, body: unknown): Promise<void> {
+  const response = await fetch(`http://${address}/v1/chat/completions`, {
+    method: "POST",
+    headers: { "content-type": "application/json", "x-request-id": crypto.randomUUID() },
+    body: JSON.stringify(body),
+  });
+  await response.text();
+}
+
+/** Returns the share of prompt tokens that round robin reuses. */
+export async function measureNaiveReuse(options: NaiveReuseOptions): Promise<number> {
+  const engines = await Promise.all(
+    Array.from({ length: options.engines }, () =>
+      startEngine({
+        models: [`${STAND_IN_MODEL}@${STAND_IN_MODEL_VERSION}`],
+        tokenMilliseconds: 1,
+      })),
+  );
+  let next = 0;
+  const chats = options.workspaces.flatMap((workspace) =>
+    Array.from({ length: options.chatsPerWorkspace }, (_unused, index) => ({
+      name: `${workspace}/chat-${index}`,
+      label: `chat-${index}`,
+      messages: openChat(workspace),
+    }))
+  );
+  for (let turn = 0; turn < options.turns; turn++) {
+    for (const { name, label, messages } of chats) {
+      askQuestion(messages, label, turn);
+      const engine = engines[next++ % engines.length];
+      if (!engine) continue;
+      await _complete(engine.address, {
+        model: STAND_IN_MODEL,
+        messages,
+        chat: name,
+        max_tokens: DEMO_ANSWER_TOKENS,
+        stream: true,
+      });
+      const content = answerText(messages, DEMO_ANSWER_TOKENS);
+      messages.push({ role: "assistant", content });
+    }
+  }
+  let [prompt, cached] = [0, 0];
+  for (const engine of engines) {
+    const counters = await (await fetch(`http://${engine.address}/counters`)).json() as {
+      prompt_tokens: number;
+      cached_tokens: number;
+    };
+    prompt += counters.prompt_tokens;
+    cached += counters.cached_tokens;
+    await engine.stop();
+  }
+  return prompt === 0 ? 0 : cached / prompt;
+}
--- /dev/null
+++ b/demo/workload.ts
@@ -0,0 +1,173 @@
+/** The demo's callers: returning chats and non-idempotent calls, each answer checked. */
+import { type Caller, createCaller } from "../src/caller.ts";
+import { createSeededRandom, type RandomSource } from "../src/core/random.ts";
+import { answerText, type ChatMessage } from "../stand_ins/engine_text.ts";
+import { STAND_IN_MODEL, STAND_IN_SERVICE, workspaceKey } from "../stand_ins/fleet_text.ts";
+
+const SHARED_PROMPT_WORDS = 60;
+const QUESTION_WORDS = 12;
+const ANSWER_TOKENS = 24;
+const MEAN_PAUSE_MILLISECONDS = 700;
+const DEADLINE_MILLISECONDS = 20_000;
+
+/** What the callers saw. */
+export interface WorkloadCounts {
+  requests: number;
+  completed: number;
+  notRun: number;
+  unknown: number;
+  /** Answers that were short, of another request, or damaged. */
+  truncatedAnswers: number;
+  promptTokens: number;
+  cachedTokens: number;
+  /** Work that callers were told was not run. */
+  readonly notRunItems: string[];
+  readonly completedItems: string[];
+}
+
+/** How the callers behave. */
+export interface WorkloadOptions {
+  readonly routers: readonly string[];
+  readonly workspaces: readonly string[];
+  readonly chatsPerWorkspace: number;
+  readonly callsPerWorkspace: number;
+  readonly seed: number;
+}
+
+/** Running callers. */
+export interface Workload {
+  readonly counts: WorkloadCounts;
+  /** Lets each caller finish its present request and ends. */
+  stop(): Promise<void>;
+}
+
+function _words(prefix: string, count: number): string {
+  return Array.from({ length: count }, (_unused, index) => `${prefix}${index}`).join(" ");
+}
+
+/** The first messages of a chat: the workspace's shared prompt. */
+export function openChat(workspace: string): ChatMessage[] {
+  return [{ role: "system", content: _words(`${workspace}-`, SHARED_PROMPT_WORDS) }];
+}
+
+/** Adds a question to a chat. */
+export function askQuestion(messages: ChatMessage[], chat: string, turn: number): void {
+  messages.push({ role: "user", content: _words(`${chat}-${turn}-`, QUESTION_WORDS) });
+}
+
+/** Tokens generated in each turn. */
+export const DEMO_ANSWER_TOKENS = ANSWER_TOKENS;
+
+function _createCounts(): WorkloadCounts {
+  return {
+    requests: 0,
+    completed: 0,
+    notRun: 0,
+    unknown: 0,
+    truncatedAnswers: 0,
+    promptTokens: 0,
+    cachedTokens: 0,
+    notRunItems: [],
+    completedItems: [],
+  };
+}
+
+/** Starts the callers. */
+export function startWorkload(options: WorkloadOptions): Workload {
+  const counts = _createCounts();
+  const random = createSeededRandom(options.seed);
+  const callers: Caller[] = [];
+  let stopping = false;
+
+  function pause(source: RandomSource): Promise<void> {
+    const milliseconds = -Math.log(1 - source.next()) * MEAN_PAUSE_MILLISECONDS;
+    return new Promise((resolve) => setTimeout(resolve, milliseconds));
+  }
+
+  function countFailure(kind: "not_run" | "outcome_unknown"): void {
+    if (kind === "not_run") counts.notRun++;
+    else counts.unknown++;
+  }
+
+  async function runTurn(caller: Caller, chat: string, messages: ChatMessage[]): Promise<void> {
+    counts.requests++;
+    let text = "";
+    for await (
+      const event of caller.chat({
+        model: STAND_IN_MODEL,
+        messages,
+        chat,
+        maximumTokens: ANSWER_TOKENS,
+        deadlineMilliseconds: DEADLINE_MILLISECONDS,
+      })
+    ) {
+      if (event.isErr()) return countFailure(event.error.kind);
+      text += event.value.text;
+      counts.promptTokens += event.value.usage?.promptTokens ?? 0;
+      counts.cachedTokens += event.value.usage?.cachedTokens ?? 0;
+    }
+    counts.completed++;
+    if (text !== answerText(messages, ANSWER_TOKENS)) counts.truncatedAnswers++;
+    messages.push({ role: "assistant", content: text });
+  }
+
+  async function runChat(caller: Caller, workspace: string, chat: string): Promise<void> {
+    const source = createSeededRandom(random.integer(2 ** 31));
+    const messages = openChat(workspace);
+    for (let turn = 0; !stopping; turn++) {
+      await pause(source);
+      askQuestion(messages, chat, turn);
+      await runTurn(caller, chat, messages);
+    }
+  }
+
+  /** Each call changes an item of its own, so a second run of it shows. */
+  async function runCalls(caller: Caller, workspace: string, worker: number): Promise<void> {
+    const source = createSeededRandom(random.integer(2 ** 31));
+    for (let turn = 0; !stopping; turn++) {
+      await pause(source);
+      counts.requests++;
+      const item = `${workspace}-${worker}-${turn}`;
+      const result = await caller.call({
+        service: STAND_IN_SERVICE,
+        method: "POST",
+        path: `/slots/${item}/release`,
+        deadlineMilliseconds: DEADLINE_MILLISECONDS,
+      });
+      if (result.isErr()) {
+        countFailure(result.error.kind);
+        if (result.error.kind === "not_run") counts.notRunItems.push(`slots/${item}`);
+      } else {
+        counts.completed++;
+        counts.completedItems.push(`slots/${item}`);
+      }
+    }
+  }
+
+  const running = options.workspaces.flatMap((workspace) => {
+    const caller = createCaller({
+      routers: options.routers,
+      workspaceKey: workspaceKey(workspace),
+      random: createSeededRandom(random.integer(2 ** 31)),
+    });
+    callers.push(caller);
+    const chats = Array.from(
+      { length: options.chatsPerWorkspace },
+      (_unused, index) => runChat(caller, workspace, `chat-${index}`),
+    );
+    const calls = Array.from(
+      { length: options.callsPerWorkspace },
+      (_unused, index) => runCalls(caller, workspace, index),
+    );
+    return [...chats, ...calls];
+  });
+
+  return {
+    counts,
+    async stop() {
+      stopping = true;
+      await Promise.all(running);
+      await Promise.all(callers.map((caller) => caller.close()));
+    },
+  };
+}
--- a/src/admission_client.ts
+++ b/src/admission_client.ts
@@ -140,6 +140,15 @@
     return { granted: true, slot: { grantId, backendServer } };
   }
 
+  /** Tokens of a workspace in flight through this router. */
+  tokensOf(workspace: WorkspaceId): number {
+    let tokens = 0;
+    for (const held of this.#held.values()) {
+      if (held.workspace === workspace) tokens += held.weightTokens;
+    }
+    return tokens;
+  }
+
   /** Gives a slot back. */
   release(slot: Slot): void {
     if (!this.#held.delete(slot.grantId)) return;
--- a/src/admission_task.ts
+++ b/src/admission_task.ts
@@ -11,7 +11,10 @@
 } from "./admission_messages.ts";
 import type { ConfigurationView } from "./configuration_view.ts";
 import type { HeldGrant } from "./core/admission.ts";
-import type { BackendServer, ConfigurationSnapshot } from "./core/fleet_schema.ts";
+import type {
+  BackendServer,
+  ConfigurationSnapshot,
+} from "./core/fleet_schema.ts";
 import type { BackendServerId, HostId } from "./core/ids.ts";
 import type { ServerLoad } from "./core/load_summary.ts";
 import { pickByRendezvous } from "./core/rendezvous.ts";
--- a/src/backend_slots.ts
+++ b/src/backend_slots.ts
@@ -36,7 +36,8 @@
 
 /** Refusals after which waiting in the server's queue can help. */
 function _isWorthWaiting({ refusal: { reason } }: _Refused): boolean {
-  return reason === "above_bound" || reason === "above_capacity" || reason === "queue_busy";
+  return reason === "above_bound" || reason === "above_capacity" ||
+    reason === "queue_busy";
 }
 
 function _toError(refused: readonly _Refused[]): ApplicationError {
@@ -53,7 +54,12 @@
   clock: Clock,
 ): Promise<Result<Slot, ApplicationError>> {
   if (search.candidates.length === 0) {
-    return err(createError("no_backend_server", "no backend server serves this request now"));
+    return err(
+      createError(
+        "no_backend_server",
+        "no backend server serves this request now",
+      ),
+    );
   }
   const refused: _Refused[] = [];
   for (const candidate of search.candidates.slice(0, MAXIMUM_ASKED)) {
@@ -65,19 +71,27 @@
     refused.push({ candidate, refusal: answer.refusal });
   }
   const [best] = refused.filter(_isWorthWaiting).sort((left, right) =>
-    left.refusal.expectedWaitMilliseconds - right.refusal.expectedWaitMilliseconds
+    left.refusal.expectedWaitMilliseconds -
+    right.refusal.expectedWaitMilliseconds
   );
   if (!best) return err(_toError(refused));
-  const waitUntil = clock.monotonicMilliseconds() + search.queueWaitMilliseconds;
+  const waitUntil = clock.monotonicMilliseconds() +
+    search.queueWaitMilliseconds;
   const answer = await request(
     best.candidate,
     true,
     Math.min(waitUntil, search.deadlineMilliseconds),
   );
   if (answer.granted) return ok(answer.slot);
-  return err(_toError([{ candidate: best.candidate, refusal: answer.refusal }]));
+  return err(
+    _toError([{ candidate: best.candidate, refusal: answer.refusal }]),
+  );
 
-  function request(candidate: SlotCandidate, mayQueue: boolean, deadlineMilliseconds: number) {
+  function request(
+    candidate: SlotCandidate,
+    mayQueue: boolean,
+    deadlineMilliseconds: number,
+  ) {
     return admission.requestSlot({
       backendServer: candidate.backendServer,
       workspace: search.workspace,
--- a/src/backend_state_task.ts
+++ b/src/backend_state_task.ts
@@ -9,7 +9,10 @@
 import type { BackendClient } from "./backend_client.ts";
 import type { ChatHomeTask } from "./chat_home_task.ts";
 import type { ConfigurationView } from "./configuration_view.ts";
-import { type BackendStateReport, BackendStates } from "./core/backend_state.ts";
+import {
+  type BackendStateReport,
+  BackendStates,
+} from "./core/backend_state.ts";
 import type { ApplicationError } from "./core/errors.ts";
 import type { BackendServer } from "./core/fleet_schema.ts";
 import type { HoldOut } from "./core/hold_out.ts";
@@ -81,7 +84,9 @@
 function _servingVersions(state: EngineState): string[] {
   const serving = state.items.filter((item) => item.state === "serving");
   return serving
-    .map(({ model, version, adapter }) => versionName(adapter ?? model, version))
+    .map(({ model, version, adapter }) =>
+      versionName(adapter ?? model, version)
+    )
     .sort();
 }
 
@@ -125,7 +130,10 @@
   }
 
   override describe(): unknown {
-    return { observed: this.#observations.size, reports: this.states.reports() };
+    return {
+      observed: this.#observations.size,
+      reports: this.states.reports(),
+    };
   }
 
   /** Compares with a random member and takes what differs. */
@@ -146,7 +154,9 @@
   #otherMembers() {
     const { members } = this.#options;
     const self = members.self().incarnation;
-    return members.liveMembers().filter(({ incarnation }) => incarnation !== self);
+    return members.liveMembers().filter(({ incarnation }) =>
+      incarnation !== self
+    );
   }
 
   #handle(body: unknown): unknown {
@@ -161,7 +171,9 @@
   #merge(body: unknown): void {
     const message = _messageSchema.safeParse(body);
     if (!message.success) return;
-    for (const tuple of message.data.reports ?? []) this.#accept(_fromTuple(tuple));
+    for (const tuple of message.data.reports ?? []) {
+      this.#accept(_fromTuple(tuple));
+    }
   }
 
   /** Stores a report and lets flapping servers be held out; true if it is news. */
@@ -182,8 +194,9 @@
     const live = members.liveMembers().filter((member) => !member.leaving);
     for (const [name, server] of Object.entries(servers)) {
       const id = brandId<BackendServerId>(name);
-      if (stewardOf(id, live)?.incarnation === self) void this.#observe(id, server);
-      else this.#observations.delete(id);
+      if (stewardOf(id, live)?.incarnation === self) {
+        void this.#observe(id, server);
+      } else this.#observations.delete(id);
     }
   }
 
@@ -196,14 +209,18 @@
     const versions = await this.#readVersions(server);
     observation.failures = versions.isOk() ? 0 : observation.failures + 1;
     if (versions.isOk()) this.#publish(id, true, versions.value);
-    else if (observation.failures >= FAILURES_UNTIL_DOWN) this.#publish(id, false, []);
+    else if (observation.failures >= FAILURES_UNTIL_DOWN) {
+      this.#publish(id, false, []);
+    }
     if (versions.isOk() && server.kind === "engine") {
       await this.#forwardEvictions(id, server, observation);
     }
     observation.isBusy = false;
   }
 
-  async #readVersions(server: BackendServer): Promise<Result<string[], ApplicationError>> {
+  async #readVersions(
+    server: BackendServer,
+  ): Promise<Result<string[], ApplicationError>> {
     const { backends, timers } = this.#options;
     const address = brandId<SocketAddress>(server.address);
     if (server.kind === "engine") {
@@ -214,18 +231,25 @@
       method: "GET",
       path: "/healthz",
       idempotent: true,
-      deadline: timers.clock.monotonicMilliseconds() + HEALTH_DEADLINE_MILLISECONDS,
+      deadline: timers.clock.monotonicMilliseconds() +
+        HEALTH_DEADLINE_MILLISECONDS,
     });
     return answer.isOk() ? ok([]) : err(answer.error);
   }
 
-  #publish(id: BackendServerId, isUp: boolean, versions: readonly string[]): void {
+  #publish(
+    id: BackendServerId,
+    isUp: boolean,
+    versions: readonly string[],
+  ): void {
     const { network, timers } = this.#options;
     const observedAt = timers.clock.wallMilliseconds();
     const report = { backendServer: id, observedAt, isUp, versions };
     if (!this.#accept(report)) return;
     for (const member of this.#otherMembers()) {
-      network.send(member.address, "backend.state", { reports: [_toTuple(report)] });
+      network.send(member.address, "backend.state", {
+        reports: [_toTuple(report)],
+      });
     }
   }
 
@@ -241,7 +265,10 @@
   ): Promise<void> {
     const { backends, chatHome } = this.#options;
     const address = brandId<SocketAddress>(server.address);
-    const read = await backends.readCacheEvents(address, observation.cacheSequence ?? 0);
+    const read = await backends.readCacheEvents(
+      address,
+      observation.cacheSequence ?? 0,
+    );
     if (read.isErr()) return;
     const isFirstReading = observation.cacheSequence === undefined;
     observation.cacheSequence = read.value.latest;
--- a/src/chat_dispatch.ts
+++ b/src/chat_dispatch.ts
@@ -5,16 +5,28 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import type { AdmissionClient, Slot } from "./admission_client.ts";
-import type { BackendClient, ChatOpening, ChatStreamEvents } from "./backend_client.ts";
+import type {
+  BackendClient,
+  ChatOpening,
+  ChatStreamEvents,
+} from "./backend_client.ts";
 import { findSlot } from "./backend_slots.ts";
 import type { ChatAnswer, ChatAnswerEvent } from "./caller_services.ts";
 import type { ChatHomeTask } from "./chat_home_task.ts";
 import { type ChatRequest, estimatePromptTokens } from "./chat_request.ts";
 import type { ConfigurationView } from "./configuration_view.ts";
 import { type ApplicationError, createError } from "./core/errors.ts";
-import { brandId, type BackendServerId, type SocketAddress, type WorkspaceId } from "./core/ids.ts";
+import {
+  type BackendServerId,
+  brandId,
+  type SocketAddress,
+  type WorkspaceId,
+} from "./core/ids.ts";
 import type { RetryBudget } from "./core/retry_budget.ts";
-import { createResumeToken, safeParseResumeToken } from "./core/resume_token.ts";
+import {
+  createResumeToken,
+  safeParseResumeToken,
+} from "./core/resume_token.ts";
 import type { Candidate } from "./core/routing.ts";
 import type { Metrics } from "./metrics.ts";
 import type { RoutingContext } from "./routing_context.ts";
@@ -41,7 +53,10 @@
 /** Sends chats to engines. */
 export interface ChatDispatch {
   start(request: ChatRequest): Promise<Result<ChatAnswer, ApplicationError>>;
-  resume(workspace: WorkspaceId, token: string): Promise<Result<ChatAnswer, ApplicationError>>;
+  resume(
+    workspace: WorkspaceId,
+    token: string,
+  ): Promise<Result<ChatAnswer, ApplicationError>>;
 }
 
 interface _Started {
@@ -68,17 +83,26 @@
   }
 
   function addressOf(backendServer: string): SocketAddress | undefined {
-    const server = options.configuration.current()?.fleet.backendServers[backendServer];
+    const server = options.configuration.current()?.fleet
+      .backendServers[backendServer];
     return server && brandId<SocketAddress>(server.address);
   }
 
-  async function rank(request: ChatRequest): Promise<Result<readonly Candidate[], ApplicationError>> {
+  async function rank(
+    request: ChatRequest,
+  ): Promise<Result<readonly Candidate[], ApplicationError>> {
     const { workspace, chat, body } = request;
-    const target = { kind: "model", model: body.model, adapter: body.adapter } as const;
+    const target = {
+      kind: "model",
+      model: body.model,
+      adapter: body.adapter,
+    } as const;
     if (!routing.index()?.eligible(workspace, target)) {
       return err(createError("forbidden", `model ${body.model}`, ["model"]));
     }
-    const remembered = chat === undefined ? [] : await options.chatHome.lookup(workspace, chat);
+    const remembered = chat === undefined
+      ? []
+      : await options.chatHome.lookup(workspace, chat);
     return ok(routing.rank({
       workspace,
       chat,
@@ -93,7 +117,9 @@
     slot: Slot,
   ): Promise<Result<_Started, ApplicationError>> {
     const address = addressOf(slot.backendServer);
-    if (!address) return err(createError("no_backend_server", slot.backendServer));
+    if (!address) {
+      return err(createError("no_backend_server", slot.backendServer));
+    }
     const { workspace, chat, body, priority } = request;
     const opened = await backends.streamChat({
       address,
@@ -106,16 +132,22 @@
       },
     });
     if (opened.isErr()) return err(opened.error);
-    if (opened.value.kind === "stream") return ok({ slot, opening: opened.value });
+    if (opened.value.kind === "stream") {
+      return ok({ slot, opening: opened.value });
+    }
     const { status } = opened.value.answer;
-    return err(createError("backend_failed", `${slot.backendServer} answered ${status}`));
+    return err(
+      createError("backend_failed", `${slot.backendServer} answered ${status}`),
+    );
   }
 
   /** One attempt on the best server with room that has not failed this request. */
   async function attempt(
     request: ChatRequest,
     failed: ReadonlySet<BackendServerId>,
-  ): Promise<Result<_Started, ApplicationError & { server?: BackendServerId }>> {
+  ): Promise<
+    Result<_Started, ApplicationError & { server?: BackendServerId }>
+  > {
     const ranked = await rank(request);
     if (ranked.isErr()) return err(ranked.error);
     const fleet = options.configuration.current()?.fleet.fleet;
@@ -125,7 +157,9 @@
         priority: request.priority,
         deadlineMilliseconds: request.deadlineMilliseconds,
         queueWaitMilliseconds: fleet?.queueWaitMilliseconds ?? 0,
-        candidates: ranked.value.filter(({ backendServer }) => !failed.has(backendServer)),
+        candidates: ranked.value.filter(({ backendServer }) =>
+          !failed.has(backendServer)
+        ),
       },
       admission,
       timers.clock,
@@ -137,13 +171,17 @@
     return err({ ...started.error, server: slot.value.backendServer });
   }
 
-  async function start(request: ChatRequest): Promise<Result<ChatAnswer, ApplicationError>> {
+  async function start(
+    request: ChatRequest,
+  ): Promise<Result<ChatAnswer, ApplicationError>> {
     const arrivedAt = now();
     const failed = new Set<BackendServerId>();
     retries.recordRequest(arrivedAt);
     for (;;) {
       const started = await attempt(request, failed);
-      if (started.isOk()) return ok(answerOf(request, started.value, arrivedAt));
+      if (started.isOk()) {
+        return ok(answerOf(request, started.value, arrivedAt));
+      }
       const { server, ...error } = started.error;
       if (!server) return err(error);
       failed.add(server);
@@ -156,7 +194,11 @@
     }
   }
 
-  function answerOf(request: ChatRequest, started: _Started, arrivedAt: number): ChatAnswer {
+  function answerOf(
+    request: ChatRequest,
+    started: _Started,
+    arrivedAt: number,
+  ): ChatAnswer {
     const { slot, opening } = started;
     const { workspace, chat, body } = request;
     return {
@@ -176,7 +218,12 @@
           metrics.promptTokens.inc({ source: "computed" }, computed);
           if (chat === undefined) return;
           const cachedTokens = usage.promptTokens + usage.completionTokens;
-          options.chatHome.remember(workspace, chat, slot.backendServer, cachedTokens);
+          options.chatHome.remember(
+            workspace,
+            chat,
+            slot.backendServer,
+            cachedTokens,
+          );
         },
       }),
     };
@@ -206,7 +253,9 @@
       }
     }
     let isFirst = true;
-    function toAnswerEvent(event: Omit<ChatAnswerEvent, "resumeToken">): ChatAnswerEvent {
+    function toAnswerEvent(
+      event: Omit<ChatAnswerEvent, "resumeToken">,
+    ): ChatAnswerEvent {
       if (isFirst && source.arrivedAt !== undefined) {
         metrics.firstTokenSeconds.observe((now() - source.arrivedAt) / 1_000);
       }
@@ -255,7 +304,9 @@
     });
     if (opened.isErr()) return err(opened.error);
     if (opened.value.kind !== "stream") {
-      return err(createError("stream_gone", `status ${opened.value.answer.status}`));
+      return err(
+        createError("stream_gone", `status ${opened.value.answer.status}`),
+      );
     }
     return ok({
       backendServer,
--- a/src/core/execution_ledger.ts
+++ b/src/core/execution_ledger.ts
@@ -11,6 +11,8 @@
 export const EPOCH_MILLISECONDS = 30_000;
 /** Epochs for which ids are remembered: 10 minutes. */
 export const RETAINED_EPOCHS = 20;
+/** How far the clock of the router that made an id may be ahead, in epochs. */
+const MAXIMUM_LEAD_EPOCHS = 2;
 const DEFAULT_MAXIMUM_ENTRIES = 50_000;
 const DEFAULT_MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
 
@@ -51,7 +53,11 @@
   readonly maximumAnswerBytes?: number;
 }
 
-/** The at-most-once table of one incarnation. Times are monotonic milliseconds. */
+/**
+ * The at-most-once table of one incarnation. Times are wall milliseconds, as ids
+ * carry epochs between hosts. A clock that jumps can expire ids early, but never
+ * permits a second run: an id is forgotten only once its epoch is refused.
+ */
 export interface ExecutionLedger<Answer> {
   /** Returns the epoch for ids made now. */
   epochAt(nowMilliseconds: number): number;
@@ -110,14 +116,11 @@
 
   /** Ids of forgotten epochs are refused as expired, so forgetting never permits a second run. */
   function makeRoom(): void {
-    let epoch = oldestEpoch;
+    let oldest = Infinity;
     for (const entry of entries.values()) {
-      if (entry.state !== "running") {
-        epoch = Math.max(oldestEpoch, entry.epoch);
-        break;
-      }
+      if (entry.state !== "running") oldest = Math.min(oldest, entry.epoch);
     }
-    forgetBefore(epoch + 1);
+    if (oldest < Infinity) forgetBefore(oldest + 1);
   }
 
   function decisionOf(entry: _Entry<Answer>): LedgerDecision<Answer> {
@@ -145,7 +148,7 @@
     }
     const { epoch } = parts.value;
     if (entries.size >= maximumEntries) makeRoom();
-    if (epoch < oldestEpoch || epoch > epochAt(now)) {
+    if (epoch < oldestEpoch || epoch > epochAt(now) + MAXIMUM_LEAD_EPOCHS) {
       return { kind: "expired" };
     }
     entries.set(id, {
--- a/src/execution_task.ts
+++ b/src/execution_task.ts
@@ -117,12 +117,12 @@
 
   /** Returns the epoch that callers put into the ids they make. */
   epoch(): number {
-    return this.#ledger.epochAt(this.#now());
+    return this.#ledger.epochAt(this.#wall());
   }
 
   /** Makes an id for a request that came without one. */
   issueId(randomPart: string): RequestId {
-    return this.#ledger.issue(randomPart, this.#now());
+    return this.#ledger.issue(randomPart, this.#wall());
   }
 
   /** Runs a call here, or forwards it to the router that owns its id. */
@@ -158,6 +158,10 @@
       : ok(reply.value as RequestOutcome);
   }
 
+  #wall(): number {
+    return this.#options.timers.clock.wallMilliseconds();
+  }
+
   #now(): number {
     return this.#options.timers.clock.monotonicMilliseconds();
   }
@@ -169,7 +173,7 @@
   }
 
   async #executeHere(call: ServiceCall): Promise<CallResult> {
-    const decision = this.#ledger.begin(call.id, call.workspace, this.#now());
+    const decision = this.#ledger.begin(call.id, call.workspace, this.#wall());
     if (decision.kind === "run") {
       const running = this.#runOnce(call);
       this.#running.set(call.id, running);
@@ -289,7 +293,7 @@
   }
 
   #queryHere(id: RequestId, workspace: WorkspaceId): RequestOutcome {
-    const decision = this.#ledger.query(id, workspace, this.#now());
+    const decision = this.#ledger.query(id, workspace, this.#wall());
     if (decision.kind === "run") return { state: "refused" };
     if (decision.kind === "finished") {
       return { state: "finished", answer: decision.answer };
--- /dev/null
+++ b/src/router_services.ts
@@ -0,0 +1,203 @@
+/**
+ * What a router offers to its HTTP interface: the request filters in front of
+ * the dispatches, the advertised addresses, status and state dump.
+ */
+import { randomBytes } from "node:crypto";
+import { err, type Result } from "neverthrow";
+import type { AuthenticatedWorkspace } from "./access.ts";
+import { chooseEntryMembers } from "./advertised_addresses.ts";
+import {
+  type AddressAnswer,
+  CallerServices,
+  type ChatAnswer,
+} from "./caller_services.ts";
+import type { ChatDispatch } from "./chat_dispatch.ts";
+import type { ChatRequest } from "./chat_request.ts";
+import type { ConfigurationTask } from "./configuration_task.ts";
+import { type ApplicationError, createError } from "./core/errors.ts";
+import type {
+  ChatId,
+  IncarnationId,
+  RequestId,
+  WorkspaceId,
+} from "./core/ids.ts";
+import type { ExecutionTask, RequestOutcome } from "./execution_task.ts";
+import type { LimitsTask } from "./limits_task.ts";
+import type { MembershipView } from "./membership_view.ts";
+import type { PeerNetwork } from "./peer_network.ts";
+import { limitCall, limitChat } from "./request_limits.ts";
+import type { ServiceAnswer, ServiceCall } from "./service_call.ts";
+import type { ServiceDispatch } from "./service_dispatch.ts";
+import type { Task } from "./task.ts";
+import type { TimerService } from "./timer_service.ts";
+
+const RANDOM_ID_BYTES = 12;
+const DEFAULT_KEEP_MILLISECONDS = 1_000;
+
+/** The parts that the services are made of. */
+export interface RouterServicesOptions {
+  readonly members: MembershipView;
+  readonly configurationTask: ConfigurationTask;
+  readonly execution: ExecutionTask;
+  readonly chats: ChatDispatch;
+  readonly services: ServiceDispatch;
+  readonly limits: LimitsTask;
+  readonly network: PeerNetwork;
+  readonly timers: TimerService;
+  readonly tasks: readonly Task[];
+  readonly beginStop: () => void;
+}
+
+/** The services of one router. */
+export class RouterServices extends CallerServices {
+  readonly #options: RouterServicesOptions;
+  readonly #generations = new Map<IncarnationId, number>();
+  #ready = false;
+  #stopping = false;
+
+  constructor(options: RouterServicesOptions) {
+    super();
+    this.#options = options;
+    options.network.onGeneration((generation, from) =>
+      this.#generations.set(from.incarnation, generation)
+    );
+    options.members.onChange(() => this.#forgetGenerations());
+  }
+
+  setReady(): void {
+    this.#ready = true;
+  }
+
+  setStopping(): void {
+    this.#stopping = true;
+  }
+
+  override isReady(): boolean {
+    return this.#ready;
+  }
+
+  override isStopping(): boolean {
+    return this.#stopping;
+  }
+
+  override beginStop(): void {
+    this.#options.beginStop();
+  }
+
+  override newRequestId(): RequestId {
+    return this.#options.execution.issueId(
+      randomBytes(RANDOM_ID_BYTES).toString("hex"),
+    );
+  }
+
+  override monotonicMilliseconds(): number {
+    return this.#options.timers.clock.monotonicMilliseconds();
+  }
+
+  /** A stale router leaves itself out, as it may hold an old configuration. */
+  override addresses(
+    { id }: AuthenticatedWorkspace,
+    _chat: ChatId | undefined,
+  ): AddressAnswer {
+    const { members, configurationTask, execution } = this.#options;
+    const fleet = configurationTask.view.current()?.fleet.fleet;
+    const self = members.self().incarnation;
+    const usable = members.liveMembers().filter(({ incarnation }) =>
+      incarnation !== self || !configurationTask.isStale()
+    );
+    const epoch = execution.epoch();
+    return {
+      addresses: chooseEntryMembers(
+        id,
+        usable,
+        fleet?.addressesPerWorkspace ?? 1,
+      )
+        .map((member) => ({
+          address: member.callerAddress,
+          data_centre: member.dataCentre,
+          incarnation: member.incarnation,
+          epoch,
+        })),
+      keep_milliseconds: fleet?.keepMilliseconds ?? DEFAULT_KEEP_MILLISECONDS,
+    };
+  }
+
+  override chat(
+    request: ChatRequest,
+  ): Promise<Result<ChatAnswer, ApplicationError>> {
+    const { limits, chats } = this.#options;
+    return limitChat(request.workspace, limits, () => chats.start(request));
+  }
+
+  override resumeChat(
+    workspace: WorkspaceId,
+    resumeToken: string,
+  ): Promise<Result<ChatAnswer, ApplicationError>> {
+    return this.#options.chats.resume(workspace, resumeToken);
+  }
+
+  override callService(
+    call: ServiceCall,
+  ): Promise<Result<ServiceAnswer, ApplicationError>> {
+    const { services, execution, limits } = this.#options;
+    if (services.isIdempotent(call)) {
+      return limitCall(call.workspace, limits, () => services.run(call));
+    }
+    return execution.execute(call);
+  }
+
+  override async outcome(
+    id: RequestId,
+    workspace: WorkspaceId,
+  ): Promise<Result<RequestOutcome, ApplicationError>> {
+    if (!this.#ready) {
+      return err(createError("not_ready", "no configuration yet"));
+    }
+    return this.#options.execution.query(id, workspace);
+  }
+
+  override status(): unknown {
+    const { members, configurationTask } = this.#options;
+    const self = members.self();
+    const snapshot = configurationTask.view.current();
+    return {
+      host: self.host,
+      data_centre: self.dataCentre,
+      incarnation: self.incarnation,
+      generation: snapshot?.generation ?? 0,
+      digest: snapshot?.digest ?? "",
+      stale: configurationTask.isStale(),
+      stopping: this.#stopping,
+      alarms: configurationTask.alarms(),
+      members: members.liveMembers().map((member) => ({
+        host: member.host,
+        data_centre: member.dataCentre,
+        caller_address: member.callerAddress,
+        state: member.leaving ? "leaving" : "live",
+        generation: member.incarnation === self.incarnation
+          ? snapshot?.generation ?? 0
+          : this.#generations.get(member.incarnation),
+      })),
+    };
+  }
+
+  override dump(): unknown {
+    const { tasks, network } = this.#options;
+    return {
+      status: this.status(),
+      network: network.describe(),
+      tasks: Object.fromEntries(
+        tasks.map((task) => [task.name, task.describe()]),
+      ),
+    };
+  }
+
+  #forgetGenerations(): void {
+    const live = new Set(
+      this.#options.members.liveMembers().map((member) => member.incarnation),
+    );
+    for (const incarnation of this.#generations.keys()) {
+      if (!live.has(incarnation)) this.#generations.delete(incarnation);
+    }
+  }
+}
--- a/src/routing_context.ts
+++ b/src/routing_context.ts
@@ -6,7 +6,11 @@
 import type { WorkspaceId } from "./core/ids.ts";
 import type { LoadView } from "./core/load_view.ts";
 import type { RandomSource } from "./core/random.ts";
-import { type Candidate, rankCandidates, type RoutingRequest } from "./core/routing.ts";
+import {
+  type Candidate,
+  rankCandidates,
+  type RoutingRequest,
+} from "./core/routing.ts";
 import { createRoutingIndex, type RoutingIndex } from "./core/routing_index.ts";
 import type { Clock } from "./timer_service.ts";
 
@@ -26,15 +30,22 @@
 export interface RoutingContext {
   /** The index of the configuration in force; undefined before the first. */
   index(): RoutingIndex | undefined;
-  rank(request: RoutingRequest, remembered: readonly RememberedServer[]): readonly Candidate[];
+  rank(
+    request: RoutingRequest,
+    remembered: readonly RememberedServer[],
+  ): readonly Candidate[];
 }
 
 /** Creates the routing context of one router. */
-export function createRoutingContext(options: RoutingContextOptions): RoutingContext {
+export function createRoutingContext(
+  options: RoutingContextOptions,
+): RoutingContext {
   let index: RoutingIndex | undefined;
   const current = options.configuration.current();
   if (current) index = createRoutingIndex(current);
-  options.configuration.onChange((snapshot) => index = createRoutingIndex(snapshot));
+  options.configuration.onChange((snapshot) =>
+    index = createRoutingIndex(snapshot)
+  );
 
   return {
     index: () => index,
--- /dev/null
+++ b/src/service_dispatch.ts
@@ -0,0 +1,149 @@
+/**
+ * Sends calls to plain services. A call is tried on another server only if it
+ * is idempotent or provably was not run, and only within the retry budget.
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { AdmissionClient, Slot } from "./admission_client.ts";
+import type { BackendAnswer, BackendClient } from "./backend_client.ts";
+import { findSlot } from "./backend_slots.ts";
+import type { ConfigurationView } from "./configuration_view.ts";
+import { type ApplicationError, createError } from "./core/errors.ts";
+import {
+  type BackendServerId,
+  brandId,
+  type SocketAddress,
+} from "./core/ids.ts";
+import type { RetryBudget } from "./core/retry_budget.ts";
+import type { Metrics } from "./metrics.ts";
+import { readForwardedHeaders } from "./request_headers.ts";
+import type { RoutingContext } from "./routing_context.ts";
+import {
+  isIdempotentCall,
+  type ServiceAnswer,
+  type ServiceCall,
+} from "./service_call.ts";
+import type { TimerService } from "./timer_service.ts";
+
+/** A call takes one unit of a service's concurrency. */
+const CALL_WEIGHT = 1;
+
+/** What the dispatch needs. */
+export interface ServiceDispatchOptions {
+  readonly configuration: ConfigurationView;
+  readonly routing: RoutingContext;
+  readonly admission: AdmissionClient;
+  readonly backends: BackendClient;
+  readonly retries: RetryBudget;
+  readonly timers: TimerService;
+  readonly metrics: Metrics;
+  /** Reports that a backend server could not be reached. */
+  readonly onUnreachable: (backendServer: BackendServerId) => void;
+}
+
+/** Sends calls to plain services. */
+export interface ServiceDispatch {
+  isIdempotent(call: ServiceCall): boolean;
+  run(call: ServiceCall): Promise<Result<ServiceAnswer, ApplicationError>>;
+}
+
+function _toServiceAnswer(answer: BackendAnswer, slot: Slot): ServiceAnswer {
+  return {
+    status: answer.status,
+    headers: readForwardedHeaders(answer.headers),
+    body: answer.body,
+    backendServer: slot.backendServer,
+  };
+}
+
+/** Creates the service dispatch of one router. */
+export function createServiceDispatch(
+  options: ServiceDispatchOptions,
+): ServiceDispatch {
+  const { admission, backends, retries, routing, timers } = options;
+
+  function now(): number {
+    return timers.clock.monotonicMilliseconds();
+  }
+
+  function isIdempotent(call: ServiceCall): boolean {
+    const services = options.configuration.current()?.fleet.services ?? {};
+    const calls = services[call.service]?.idempotentCalls ?? [];
+    return isIdempotentCall(calls, call.method, call.path);
+  }
+
+  function candidatesOf(call: ServiceCall, failed: ReadonlySet<string>) {
+    const request = {
+      workspace: call.workspace,
+      target: { kind: "service", service: call.service } as const,
+      promptTokens: 0,
+      outputTokens: CALL_WEIGHT,
+    };
+    return routing.rank(request, [])
+      .filter(({ backendServer }) => !failed.has(backendServer))
+      .map(({ backendServer }) => ({ backendServer, loadTokens: CALL_WEIGHT }));
+  }
+
+  async function send(
+    call: ServiceCall,
+    slot: Slot,
+    idempotent: boolean,
+  ): Promise<Result<ServiceAnswer, ApplicationError>> {
+    const fleet = options.configuration.current()?.fleet;
+    const server = fleet?.backendServers[slot.backendServer];
+    if (!server) {
+      return err(createError("no_backend_server", slot.backendServer));
+    }
+    const answer = await backends.call({
+      address: brandId<SocketAddress>(server.address),
+      method: call.method,
+      path: call.path,
+      headers: { ...call.headers, "x-request-id": call.id },
+      body: call.body,
+      idempotent,
+      deadline: call.deadlineMilliseconds,
+    });
+    return answer.map((received) => _toServiceAnswer(received, slot));
+  }
+
+  async function run(
+    call: ServiceCall,
+  ): Promise<Result<ServiceAnswer, ApplicationError>> {
+    const { service, workspace } = call;
+    if (!routing.index()?.eligible(workspace, { kind: "service", service })) {
+      return err(createError("forbidden", `service ${service}`, ["service"]));
+    }
+    const idempotent = isIdempotent(call);
+    const failed = new Set<string>();
+    retries.recordRequest(now());
+    for (;;) {
+      const slot = await findSlot(
+        {
+          workspace,
+          priority: call.priority,
+          deadlineMilliseconds: call.deadlineMilliseconds,
+          queueWaitMilliseconds: options.configuration.current()?.fleet.fleet
+            .queueWaitMilliseconds ?? 0,
+          candidates: candidatesOf(call, failed),
+        },
+        admission,
+        timers.clock,
+      );
+      if (slot.isErr()) return err(slot.error);
+      const answer = await send(call, slot.value, idempotent);
+      admission.release(slot.value);
+      if (answer.isOk()) return ok(answer.value);
+      const { kind } = answer.error;
+      failed.add(slot.value.backendServer);
+      if (kind === "backend_unreachable") {
+        options.onUnreachable(slot.value.backendServer);
+      }
+      if (now() >= call.deadlineMilliseconds) return err(answer.error);
+      const retry = retries.mayRetry(kind, idempotent, now());
+      if (!retry.allowed) return err(answer.error);
+      options.metrics.retries.inc({ reason: kind });
+      await timers.sleep(retry.delayMilliseconds, "service retry");
+    }
+  }
+
+  return { isIdempotent, run };
+}
--- /dev/null
+++ b/stand_ins/fleet_processes.ts
@@ -0,0 +1,183 @@
+/**
+ * A whole fleet in separate processes on this machine: the platform, engines,
+ * plain services and routers, configured through the real command line.
+ */
+import { execFile } from "node:child_process";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import {
+  createFleetText,
+  createOperatorSettingsText,
+  createSettingsText,
+  type FleetTextOptions,
+  STAND_IN_MODEL,
+  STAND_IN_MODEL_VERSION,
+  type StandInServer,
+} from "./fleet_text.ts";
+import {
+  createProcessGroup,
+  findFreePorts,
+  type ManagedProcess,
+} from "./processes.ts";
+
+const COMMAND_TIMEOUT_MILLISECONDS = 30_000;
+
+/** How large the fleet is and how its parts behave. */
+export interface FleetProcessesOptions {
+  readonly dataCentres: readonly string[];
+  readonly routers: number;
+  readonly engines: number;
+  readonly services: number;
+  readonly workspaces: readonly string[];
+  readonly keepMilliseconds?: number;
+  readonly engineParameters?: readonly string[];
+  readonly fleetKeys?: FleetTextOptions["fleetKeys"];
+  readonly workspaceKeys?: FleetTextOptions["workspaceKeys"];
+}
+
+/** What the command line answered. */
+export interface CommandResult {
+  readonly exitCode: number;
+  readonly output: string;
+  readonly errors: string;
+}
+
+/** A running fleet. */
+export interface FleetProcesses {
+  readonly platform: ManagedProcess;
+  readonly engines: ManagedProcess[];
+  readonly services: ManagedProcess[];
+  readonly routers: ManagedProcess[];
+  readonly fleetFile: string;
+  readonly routerAddresses: readonly string[];
+  /** Runs the operator's command line. */
+  command(...parameters: string[]): Promise<CommandResult>;
+  /** Starts a router again under its old name and addresses. */
+  restartRouter(index: number): Promise<ManagedProcess>;
+  stop(): Promise<void>;
+}
+
+function _pick<T>(items: readonly T[], index: number): T {
+  return items[index % items.length] as T;
+}
+
+function _runCommand(parameters: readonly string[]): Promise<CommandResult> {
+  const program = fileURLToPath(new URL("../bin/sapphirecart.js", import.meta.url));
+  return new Promise((resolve) => {
+    execFile(
+      process.execPath,
+      [program, ...parameters],
+      { timeout: COMMAND_TIMEOUT_MILLISECONDS },
+      (error, output, errors) => {
+        const code = error?.code;
+        const exitCode = error ? (typeof code === "number" ? code : 1) : 0;
+        resolve({ exitCode, output, errors });
+      },
+    );
+  });
+}
+
+/** Starts a fleet and applies its configuration. */
+export async function startFleetProcesses(
+  options: FleetProcessesOptions,
+): Promise<FleetProcesses> {
+  const group = createProcessGroup();
+  const folder = await mkdtemp(join(tmpdir(), "sapphirecart-"));
+  const ports = await findFreePorts(2 * options.routers);
+  const callerAddresses = ports.slice(0, options.routers).map((port) => `127.0.0.1:${port}`);
+  const peerAddresses = ports.slice(options.routers).map((port) => `127.0.0.1:${port}`);
+
+  async function stop(): Promise<void> {
+    await group.stop();
+    await rm(folder, { recursive: true, force: true });
+  }
+
+  function startEngine(index: number): Promise<ManagedProcess> {
+    return group.start(`engine-${index}`, "stand_ins/engine_main.js", [
+      "--models",
+      `${STAND_IN_MODEL}@${STAND_IN_MODEL_VERSION}`,
+      "--seed",
+      String(index + 1),
+      ...options.engineParameters ?? [],
+    ]);
+  }
+
+  async function startRouter(index: number, platformAddress: string): Promise<ManagedProcess> {
+    const host = `host-${index}`;
+    const file = join(folder, `${host}.ini`);
+    await writeFile(
+      file,
+      createSettingsText({
+        host,
+        dataCentre: _pick(options.dataCentres, index),
+        callerAddress: callerAddresses[index] as string,
+        peerAddress: peerAddresses[index] as string,
+        seeds: peerAddresses.filter((_address, other) => other !== index).slice(0, 3),
+        platformAddress,
+      }),
+    );
+    return group.start(host, "bin/sapphirecart.js", ["router", file]);
+  }
+
+  async function startAll(): Promise<FleetProcesses> {
+    const [platform, engines, services] = await Promise.all([
+      group.start("platform", "stand_ins/platform_main.js", []),
+      Promise.all(Array.from({ length: options.engines }, (_unused, index) => startEngine(index))),
+      Promise.all(
+        Array.from({ length: options.services }, (_unused, index) =>
+          group.start(`service-${index}`, "stand_ins/plain_service_main.js", [])),
+      ),
+    ]);
+    const servers: StandInServer[] = [...engines, ...services].map((server, index) => ({
+      name: server.name,
+      kind: index < engines.length ? "engine" : "service",
+      address: server.address,
+      dataCentre: _pick(options.dataCentres, index),
+    }));
+    const fleetFile = join(folder, "fleet.ini");
+    const operatorFile = join(folder, "operator.ini");
+    await writeFile(
+      fleetFile,
+      createFleetText({
+        dataCentres: options.dataCentres,
+        servers,
+        workspaces: options.workspaces,
+        keepMilliseconds: options.keepMilliseconds ?? 2_000,
+        ...(options.fleetKeys ? { fleetKeys: options.fleetKeys } : {}),
+        ...(options.workspaceKeys ? { workspaceKeys: options.workspaceKeys } : {}),
+      }),
+    );
+    await writeFile(operatorFile, createOperatorSettingsText(platform.address, callerAddresses));
+    const command = (...parameters: string[]) =>
+      _runCommand([...parameters, "--settings", operatorFile]);
+    const applied = await command("apply", fleetFile, "--no-wait");
+    if (applied.exitCode !== 0) throw new Error(`apply failed: ${applied.output}${applied.errors}`);
+    const routers = await Promise.all(
+      callerAddresses.map((_address, index) => startRouter(index, platform.address)),
+    );
+    return {
+      platform,
+      engines,
+      services,
+      routers,
+      fleetFile,
+      routerAddresses: callerAddresses,
+      command,
+      async restartRouter(index) {
+        const router = await startRouter(index, platform.address);
+        routers[index] = router;
+        return router;
+      },
+      stop,
+    };
+  }
+
+  try {
+    return await startAll();
+  } catch (cause) {
+    await stop();
+    throw cause;
+  }
+}
