Move configurations between the platform and the routers

Cause: every router needs the configuration in force within seconds while only a few routers may call the platform, and must start during an outage. Figures: 5 tests over TCP; 12 routers in 2 data centres take 3 changes within 2 s each, and at most 4 of them call the platform afterwards; a silent watch costs at most one read period of 5 s. Conclusion: the task can be wired into a router.

--- /dev/null
+++ b/src/configuration_task_test.ts
@@ -0,0 +1,213 @@
+import test, { type ExecutionContext } from "ava";
+import { PlatformStore } from "../stand_ins/platform_store.ts";
+import { createStoreClient } from "../stand_ins/store_client.ts";
+import {
+  type ConfigurationTask,
+  createConfigurationTask,
+} from "./configuration_task.ts";
+import { applyFleet, changeDrains } from "./core/configuration_apply.ts";
+import { safeParseFleet } from "./core/fleet_file.ts";
+import { brandId, type SocketAddress } from "./core/ids.ts";
+import { createSeededRandom } from "./core/random.ts";
+import { type Member, MembershipView } from "./membership_view.ts";
+import type { PeerIdentity, PeerNetwork } from "./peer_network.ts";
+import type { PlatformClient } from "./platform_client.ts";
+import { createTcpPeerNetwork } from "./tcp_peer_network.ts";
+import { createSystemTimerService } from "./timer_service.ts";
+
+class FixedMembership extends MembershipView {
+  readonly #self: Member;
+  readonly #members: readonly Member[];
+
+  constructor(self: Member, members: readonly Member[]) {
+    super();
+    this.#self = self;
+    this.#members = members;
+  }
+
+  override self(): Member {
+    return this.#self;
+  }
+
+  override liveMembers(): readonly Member[] {
+    return this.#members;
+  }
+
+  override onChange(): void {}
+}
+
+interface Router {
+  readonly task: ConfigurationTask;
+  readonly client: PlatformClient;
+  readonly network: PeerNetwork;
+}
+
+class Site {
+  readonly store = new PlatformStore();
+  readonly members: Member[] = [];
+  readonly timers = createSystemTimerService();
+  #applies = 0;
+
+  async addRouter(t: ExecutionContext, dataCentre: string): Promise<Router> {
+    const host = `host-${this.members.length}`;
+    const identity: Omit<PeerIdentity, "address"> = {
+      host: brandId(host),
+      dataCentre: brandId(dataCentre),
+      incarnation: brandId(host),
+    };
+    const network = createTcpPeerNetwork({
+      host: "127.0.0.1",
+      port: 0,
+      fleetKey: "a fleet key of 16",
+      identity,
+    });
+    const address = await network.start();
+    const member: Member = {
+      ...identity,
+      address,
+      callerAddress: brandId<SocketAddress>(""),
+      leaving: false,
+    };
+    this.members.push(member);
+    const client = createStoreClient(this.store);
+    const membership = new FixedMembership(member, this.members);
+    const random = createSeededRandom(this.members.length);
+    const task = createConfigurationTask({
+      network,
+      platform: client,
+      membership,
+      timers: this.timers,
+      random,
+    });
+    t.teardown(async () => {
+      await task.stop();
+      await network.stop();
+    });
+    return { task, client, network };
+  }
+
+  async apply(name: string): Promise<void> {
+    const fleet = safeParseFleet(`[fleet]\nname = ${name}\n`)._unsafeUnwrap();
+    const applied = await applyFleet(fleet, this.options());
+    applied._unsafeUnwrap();
+  }
+
+  options() {
+    const client = createStoreClient(this.store);
+    const applyId = `apply-${++this.#applies}`;
+    return {
+      client,
+      applyId,
+      wallMilliseconds: Date.now,
+      sleep: (ms: number) => this.timers.sleep(ms, "apply"),
+    };
+  }
+
+  async until(
+    condition: () => boolean,
+    timeoutMilliseconds: number,
+  ): Promise<boolean> {
+    const deadline = Date.now() + timeoutMilliseconds;
+    while (!condition() && Date.now() < deadline) {
+      await this.timers.sleep(10, "test");
+    }
+    return condition();
+  }
+}
+
+async function startSite(
+  t: ExecutionContext,
+  perDataCentre: number,
+): Promise<{ site: Site; routers: Router[] }> {
+  const site = new Site();
+  const routers: Router[] = [];
+  for (let index = 0; index < perDataCentre * 2; index++) {
+    routers.push(await site.addRouter(t, index % 2 ? "loja-a" : "loja-b"));
+  }
+  for (const { task } of routers) await task.start();
+  return { site, routers };
+}
+
+function isInForce(routers: readonly Router[], generation: number): boolean {
+  return routers.every(({ task }) =>
+    task.view.current()?.generation === generation
+  );
+}
+
+test("guards against a change that does not reach every router, or costs every router platform calls", async (t) => {
+  const { site, routers } = await startSite(t, 6);
+  await site.apply("one");
+  await Promise.all(routers.map(({ task }) => task.whenReady()));
+  t.true(await site.until(() => isInForce(routers, 1), 2_000));
+  const before = routers.map(({ client }) => ({ ...client.counters() }));
+  await site.apply("two");
+  t.true(await site.until(() => isInForce(routers, 2), 2_000));
+  await changeDrains(
+    (drains) => ({ ...drains, hosts: ["host-1"] }),
+    site.options(),
+  );
+  t.true(await site.until(() => isInForce(routers, 3), 2_000));
+  t.deepEqual(routers[7]?.task.view.current()?.drains.hosts, ["host-1"]);
+  const calling = routers.filter(({ client }, index) =>
+    client.counters().watches > (before[index]?.watches ?? 0) ||
+    client.counters().reads > (before[index]?.reads ?? 0) + 2
+  );
+  t.true(calling.length <= 4, `${calling.length} routers called the platform`);
+});
+
+test("guards against a router that cannot start during an outage of the platform", async (t) => {
+  const { site, routers } = await startSite(t, 2);
+  await site.apply("one");
+  await Promise.all(routers.map(({ task }) => task.whenReady()));
+  site.store.faults.outage = true;
+  const late = await site.addRouter(t, "loja-a");
+  await late.task.start();
+  await late.task.whenReady();
+  t.is(late.task.view.current()?.fleet.fleet.name, "one");
+});
+
+test("guards against a router that is ready without any configuration, or before it asked", async (t) => {
+  const { site, routers } = await startSite(t, 1);
+  await site.timers.sleep(300, "test");
+  t.false(routers.some(({ task }) => task.isReady()));
+  await site.apply("one");
+  t.true(
+    await site.until(() => routers.every(({ task }) => task.isReady()), 2_000),
+  );
+});
+
+test("guards against a watch that fails silently and hides a change", async (t) => {
+  const { site, routers } = await startSite(t, 2);
+  site.store.faults.silentWatches = true;
+  await site.apply("one");
+  t.true(await site.until(() => isInForce(routers, 1), 5_000));
+  site.store.endWatches();
+  await site.timers.sleep(300, "test");
+  await site.apply("two");
+  t.true(await site.until(() => isInForce(routers, 2), 5_500));
+});
+
+test("guards against following a store that went back", async (t) => {
+  const { site, routers } = await startSite(t, 2);
+  await site.apply("one");
+  await site.apply("two");
+  t.true(await site.until(() => isInForce(routers, 2), 2_000));
+  site.store.rollBack(1);
+  function alarmed(): boolean {
+    return routers.some(({ task }) =>
+      task.alarms().includes("configuration_store_went_back")
+    );
+  }
+  t.true(await site.until(alarmed, 8_000));
+  t.true(isInForce(routers, 2));
+  t.true(
+    (await applyFleet(safeParseFleet("")._unsafeUnwrap(), site.options()))
+      .isErr(),
+  );
+  await applyFleet(safeParseFleet("")._unsafeUnwrap(), {
+    ...site.options(),
+    generation: 3,
+  });
+  t.true(await site.until(() => isInForce(routers, 3), 2_000));
+  t.true(await site.until(() => !alarmed(), 6_000));
+});
