Add the cache affinity bench

Cause: the target of 90% of an oracle's cache reuse needs a measurement under churn, flapping, lossy events and the load bound.

--- /dev/null
+++ b/bench/affinity_design.ts
@@ -0,0 +1,346 @@
+/** The project's own routing as a strategy of the affinity bench. */
+import {
+  type CacheEvent,
+  type CacheKnowledge,
+  createCacheKnowledge,
+} from "../src/core/cache_knowledge.ts";
+import { type ChatTable, createChatTable } from "../src/core/chat_table.ts";
+import { type Fleet, fleetSchema } from "../src/core/fleet_schema.ts";
+import { createHoldOut } from "../src/core/hold_out.ts";
+import type { BackendServerId } from "../src/core/ids.ts";
+import { LoadView } from "../src/core/load_view.ts";
+import type { RandomSource } from "../src/core/random.ts";
+import {
+  BackendStateView,
+  type Candidate,
+  rankCandidates,
+  type RoutingView,
+} from "../src/core/routing.ts";
+import {
+  createRoutingIndex,
+  type RoutingIndex,
+} from "../src/core/routing_index.ts";
+import {
+  chatName,
+  PREFILL_TOKENS_PER_SECOND,
+  type SimulatedEngine,
+  workspaceName,
+} from "./affinity_engine.ts";
+import {
+  AffinityStrategy,
+  type AffinityWorld,
+  LOAD_BOUND_RATIO,
+} from "./affinity_simulation.ts";
+import type {
+  EngineChange,
+  Workload,
+  WorkloadRequest,
+} from "./affinity_workload.ts";
+import { Oracle } from "./naive_affinity.ts";
+
+/** Chats remembered per engine; the design target is 12,500. */
+const CHATS_PER_ENGINE = 2_000;
+/** KV bytes of one token of a model with grouped-query attention. */
+const BYTES_PER_TOKEN = 32_768;
+/** `exportBytesPerDrain` by default. */
+const EXPORT_BYTES_PER_DRAIN = 1_000_000_000;
+const MODEL = "assistant";
+
+/** Builds a fleet of engines that all serve one model to all workspaces. */
+export function createBenchFleet(sharedTokens: readonly number[]): Fleet {
+  return fleetSchema.parse({
+    fleet: { loadBoundRatio: `${LOAD_BOUND_RATIO}` },
+    dataCentres: { bench: { region: "bench" } },
+    models: {
+      [MODEL]: {
+        version: "1",
+        prefillTokensPerSecond: `${PREFILL_TOKENS_PER_SECOND}`,
+      },
+    },
+    adapters: {},
+    backendServers: {},
+    services: {},
+    placements: {},
+    workspaces: Object.fromEntries(
+      sharedTokens.map((tokens, workspace) => [workspaceName(workspace), {
+        keyHash: "0".repeat(64),
+        models: MODEL,
+        sharedPromptTokens: `${tokens}`,
+      }]),
+    ),
+    operators: {},
+  });
+}
+
+/** Indexes a fleet whose engines are replaced by these. */
+export function indexEngines(
+  fleet: Fleet,
+  engines: readonly BackendServerId[],
+  generation: number,
+): RoutingIndex {
+  const engine: Fleet["backendServers"][string] = {
+    kind: "engine",
+    address: "127.0.0.1:9000",
+    dataCentre: "bench",
+    capacityTokens: 200_000,
+    cacheTokens: 100_000,
+    checksFencing: false,
+  };
+  const backendServers = Object.fromEntries(engines.map((id) => [id, engine]));
+  const placement: Fleet["placements"][string] = {
+    model: MODEL,
+    adapters: [],
+    backendServers: [...engines],
+    replicas: engines.length,
+    servingFloor: 1,
+  };
+  return createRoutingIndex({
+    generation,
+    digest: "",
+    fleet: { ...fleet, backendServers, placements: { all: placement } },
+    drains: { hosts: [], backendServers: [] },
+  });
+}
+
+/**
+ * Moves the most recently used chats of a leaving engine, within the byte
+ * budget, and returns the bytes moved. A shared prompt is moved at most once
+ * to an engine that lacks it.
+ */
+function exportHotChats(
+  from: SimulatedEngine,
+  chooseTarget: (request: WorkloadRequest) => SimulatedEngine | undefined,
+  sharedTokens: readonly number[],
+): number {
+  let bytes = 0;
+  for (const { chat, workspace, prefixTokens } of from.hotChats()) {
+    const shared = sharedTokens[workspace] ?? 0;
+    const target = chooseTarget({
+      atMilliseconds: 0,
+      workspace,
+      chat,
+      sharedTokens: shared,
+      promptTokens: prefixTokens,
+      outputTokens: 0,
+      streamMilliseconds: 0,
+    });
+    if (!target) continue;
+    const moved = prefixTokens - (target.hasShared(workspace) ? shared : 0);
+    if (bytes + moved * BYTES_PER_TOKEN > EXPORT_BYTES_PER_DRAIN) break;
+    bytes += moved * BYTES_PER_TOKEN;
+    target.store(workspace, chat, prefixTokens);
+  }
+  return bytes;
+}
+
+class _BenchLoad extends LoadView {
+  readonly tokensOf = new Map<BackendServerId, number>();
+  mean = 0;
+  override relativeLoad(backendServer: BackendServerId): number {
+    return this.mean > 0 ? this.tokens(backendServer) / this.mean : 0;
+  }
+  override tokens(backendServer: BackendServerId): number {
+    return this.tokensOf.get(backendServer) ?? 0;
+  }
+  override meanTokens(): number {
+    return this.mean;
+  }
+}
+
+class _BenchStates extends BackendStateView {
+  readonly engines = new Map<BackendServerId, SimulatedEngine>();
+  override isServing(backendServer: BackendServerId): boolean {
+    return this.engines.get(backendServer)?.isServing ?? false;
+  }
+}
+
+/** Routes with the modules of src/core, as an entry router does. */
+export class DesignStrategy extends AffinityStrategy {
+  override readonly name: string;
+  exportedBytes = 0;
+  drains = 0;
+  readonly #workload: Workload;
+  readonly #random: RandomSource;
+  readonly #exports: boolean;
+  readonly #fleet: Fleet;
+  readonly #table: ChatTable;
+  readonly #load = new _BenchLoad();
+  readonly #states = new _BenchStates();
+  readonly #holdOut = createHoldOut();
+  readonly #knowledge = new Map<BackendServerId, CacheKnowledge>();
+  #index: RoutingIndex | undefined;
+  #generation = 0;
+  #summary: readonly number[] | undefined;
+
+  constructor(workload: Workload, random: RandomSource, exports: boolean) {
+    super();
+    this.name = exports ? "sapphirecart, KV export" : "sapphirecart";
+    this.#workload = workload;
+    this.#random = random;
+    this.#exports = exports;
+    this.#fleet = createBenchFleet(workload.sharedTokens);
+    this.#table = createChatTable({
+      maximumChats: CHATS_PER_ENGINE * workload.engines,
+    });
+  }
+
+  override *candidates(
+    request: WorkloadRequest,
+    world: AffinityWorld,
+  ): Iterable<SimulatedEngine> {
+    for (const candidate of this.#rank(request, world)) {
+      const engine = this.#states.engines.get(candidate.backendServer);
+      if (engine) yield engine;
+    }
+  }
+
+  override isExcluded(engine: SimulatedEngine, world: AffinityWorld): boolean {
+    return this.#holdOut.isHeldOut(engine.id, world.now);
+  }
+
+  override onServed(
+    request: WorkloadRequest,
+    engine: SimulatedEngine,
+    world: AffinityWorld,
+  ): void {
+    this.#remember(
+      request.workspace,
+      request.chat,
+      engine,
+      request.promptTokens + request.outputTokens,
+      world.now,
+    );
+  }
+
+  override onChange(change: EngineChange, world: AffinityWorld): void {
+    const engine = world.engines[change.slot] as SimulatedEngine;
+    if (change.kind === "flap_down") {
+      this.#holdOut.serverDown(engine.id, world.now);
+    } else if (change.kind === "flap_up") {
+      this.#holdOut.serverUp(engine.id, world.now);
+    } else this.#configure(world);
+  }
+
+  override onLeave(engine: SimulatedEngine, world: AffinityWorld): void {
+    this.drains++;
+    if (!this.#exports) return;
+    this.exportedBytes += exportHotChats(engine, (request) => {
+      const [best] = this.#rank(request, world);
+      const target = best && this.#states.engines.get(best.backendServer);
+      if (target) {
+        const { workspace, chat, promptTokens } = request;
+        this.#remember(workspace, chat, target, promptTokens, world.now);
+      }
+      return target;
+    }, this.#workload.sharedTokens);
+  }
+
+  override onCacheEvents(
+    engine: SimulatedEngine,
+    run: number,
+    events: readonly CacheEvent[],
+    world: AffinityWorld,
+  ): void {
+    if (!this.#states.engines.has(engine.id)) return;
+    let knowledge = this.#knowledge.get(engine.id);
+    if (!knowledge) {
+      knowledge = createCacheKnowledge();
+      this.#knowledge.set(engine.id, knowledge);
+    }
+    knowledge.apply(`${run}`, events, world.now);
+  }
+
+  #rank(
+    request: WorkloadRequest,
+    world: AffinityWorld,
+  ): readonly Candidate[] {
+    if (!this.#index) this.#configure(world);
+    this.#refreshLoad(world);
+    const workspace = workspaceName(request.workspace);
+    const chat = chatName(request.chat);
+    const view: RoutingView = {
+      index: this.#index as RoutingIndex,
+      load: this.#load,
+      backendStates: this.#states,
+      holdOut: this.#holdOut,
+      remembered: this.#table.lookup({ workspace, chat }, world.now),
+      cacheState: (backendServer, prefix) =>
+        this.#knowledge.get(backendServer)?.stateOf(prefix, world.now) ??
+          { kind: "unknown" },
+      workspaceTokens: () =>
+        world.laggedWorkspaceTokens[request.workspace] ?? 0,
+    };
+    const { promptTokens, outputTokens } = request;
+    const target = { kind: "model", model: MODEL } as const;
+    return rankCandidates(
+      { workspace, chat, target, promptTokens, outputTokens },
+      view,
+      world.now,
+      this.#random,
+    );
+  }
+
+  #remember(
+    workspace: number,
+    chat: number,
+    engine: SimulatedEngine,
+    cachedTokens: number,
+    now: number,
+  ): void {
+    const key = { workspace: workspaceName(workspace), chat: chatName(chat) };
+    const server = { backendServer: engine.id, cachedTokens };
+    this.#table.remember(key, server, now);
+  }
+
+  #configure(world: AffinityWorld): void {
+    this.#states.engines.clear();
+    for (const engine of world.engines) {
+      this.#states.engines.set(engine.id, engine);
+    }
+    const ids = world.engines.map((engine) => engine.id);
+    this.#index = indexEngines(this.#fleet, ids, ++this.#generation);
+    for (const id of this.#knowledge.keys()) {
+      if (!this.#states.engines.has(id)) this.#knowledge.delete(id);
+    }
+    this.#holdOut.retain((id) => this.#states.engines.has(id));
+    this.#summary = undefined;
+  }
+
+  #refreshLoad(world: AffinityWorld): void {
+    if (this.#summary === world.laggedWorkspaceTokens) return;
+    this.#summary = world.laggedWorkspaceTokens;
+    this.#load.tokensOf.clear();
+    let [total, count] = [0, 0];
+    for (const engine of world.engines) {
+      const tokens = world.laggedTokens(engine);
+      this.#load.tokensOf.set(engine.id, tokens);
+      if (!engine.isServing || this.isExcluded(engine, world)) continue;
+      total += tokens;
+      count++;
+    }
+    this.#load.mean = count === 0 ? 0 : total / count;
+  }
+}
+
+/** The oracle, with the same export of hot chats on drain. */
+export class ExportingOracle extends Oracle {
+  override readonly name = "oracle, KV export";
+  exportedBytes = 0;
+  drains = 0;
+  readonly #sharedTokens: readonly number[];
+
+  constructor(workload: Workload) {
+    super();
+    this.#sharedTokens = workload.sharedTokens;
+  }
+
+  override onLeave(engine: SimulatedEngine, world: AffinityWorld): void {
+    this.drains++;
+    this.exportedBytes += exportHotChats(engine, (request) => {
+      for (const target of this.candidates(request, world)) {
+        if (target.isServing) return target;
+      }
+      return undefined;
+    }, this.#sharedTokens);
+  }
+}
