Add the decision bench

Cause: the cost of a routing decision must not grow with the pool. Change: bench/decision.ts times the chat lookup and the ranking at 6, 50, 200 and 880 engines with 27,000 remembered chats in 343 workspaces, in alternating rounds, and measures the bytes per remembered chat.

--- /dev/null
+++ b/bench/decision.ts
@@ -0,0 +1,195 @@
+/**
+ * The cost of one routing decision, from the lookup of the chat to the ranked
+ * candidates, at growing pools, and the memory of the remembered chats.
+ */
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { type ChatTable, createChatTable } from "../src/core/chat_table.ts";
+import { createHoldOut } from "../src/core/hold_out.ts";
+import { type BackendServerId, brandId } from "../src/core/ids.ts";
+import { LoadView } from "../src/core/load_view.ts";
+import { createSeededRandom, type RandomSource } from "../src/core/random.ts";
+import {
+  BackendStateView,
+  rankCandidates,
+  type RoutingView,
+} from "../src/core/routing.ts";
+import type { RoutingIndex } from "../src/core/routing_index.ts";
+import { createBenchFleet, indexEngines } from "./affinity_design.ts";
+import { chatName, workspaceName } from "./affinity_engine.ts";
+import type { BenchOptions, BenchReport, BenchRow } from "./bench_report.ts";
+
+const POOLS = [6, 50, 200, 880] as const;
+const REMEMBERED_CHATS = 27_000;
+/** Workspaces that one of 410 routers serves when each has 3 addresses. */
+const WORKSPACES = 343;
+const DECISIONS_PER_ROUND = 5_000;
+const ROUNDS = 9;
+const MEAN_TOKENS = 10_000;
+const SHARED_TOKENS = 800;
+/** Growth of the time of a decision from 6 to 880 engines. */
+const MAXIMUM_TIME_GROWTH = 4;
+
+setFlagsFromString("--expose-gc");
+const _collectGarbage = runInNewContext("gc") as () => void;
+
+class _EvenLoad extends LoadView {
+  override relativeLoad(backendServer: BackendServerId): number {
+    return this.tokens(backendServer) / MEAN_TOKENS;
+  }
+  override tokens(backendServer: BackendServerId): number {
+    return MEAN_TOKENS + 37 * backendServer.length;
+  }
+  override meanTokens(): number {
+    return MEAN_TOKENS;
+  }
+}
+
+class _AllServing extends BackendStateView {
+  override isServing(): boolean {
+    return true;
+  }
+}
+
+interface _Pool {
+  readonly engines: number;
+  readonly index: RoutingIndex;
+  readonly table: ChatTable;
+  readonly bytesPerChat: number;
+  readonly arrayBytesPerChat: number;
+  readonly coldMicroseconds: number;
+  readonly rounds: number[];
+}
+
+function _usedBytes(): number {
+  _collectGarbage();
+  const { heapUsed, arrayBuffers } = process.memoryUsage();
+  return heapUsed + arrayBuffers;
+}
+
+/** Chats have a UUID's length, as callers send them. */
+function _chatOf(chat: number) {
+  return brandId<ReturnType<typeof chatName>>(
+    `${chatName(chat)}-`.padEnd(36, "0123456789abcdef"),
+  );
+}
+
+function _fillTable(engines: readonly BackendServerId[], random: RandomSource) {
+  const before = _usedBytes();
+  const table = createChatTable({ maximumChats: REMEMBERED_CHATS });
+  for (let chat = 0; chat < REMEMBERED_CHATS; chat++) {
+    const workspace = workspaceName(chat % WORKSPACES);
+    for (let server = 0; server < 3; server++) {
+      table.remember({ workspace, chat: _chatOf(chat) }, {
+        backendServer: engines[random.integer(engines.length)] ??
+          brandId<BackendServerId>(""),
+        cachedTokens: 1_000 + random.integer(2_000),
+      }, chat);
+    }
+  }
+  const bytesPerChat = (_usedBytes() - before) / REMEMBERED_CHATS;
+  return { table, bytesPerChat };
+}
+
+function _decide(pool: _Pool, random: RandomSource, now: number): number {
+  const chat = random.integer(REMEMBERED_CHATS);
+  const workspace = workspaceName(chat % WORKSPACES);
+  const key = { workspace, chat: _chatOf(chat) };
+  const view: RoutingView = {
+    index: pool.index,
+    load: _LOAD,
+    backendStates: _STATES,
+    holdOut: _HOLD_OUT,
+    remembered: pool.table.lookup(key, now),
+    cacheState: () => ({ kind: "unknown" }),
+    workspaceTokens: () =>
+      (chat % WORKSPACES) % 16 === 0
+        ? pool.engines * MEAN_TOKENS / 4
+        : MEAN_TOKENS,
+  };
+  const request = {
+    ...key,
+    target: { kind: "model", model: "assistant" } as const,
+    promptTokens: 2_500,
+    outputTokens: 300,
+  };
+  return rankCandidates(request, view, now, random).length;
+}
+
+const _LOAD = new _EvenLoad();
+const _STATES = new _AllServing();
+const _HOLD_OUT = createHoldOut();
+
+function _timeDecisions(
+  pool: _Pool,
+  random: RandomSource,
+  decisions: number,
+): number {
+  const start = performance.now();
+  let candidates = 0;
+  for (let decision = 0; decision < decisions; decision++) {
+    candidates += _decide(pool, random, REMEMBERED_CHATS + decision);
+  }
+  if (candidates < decisions) throw new Error("a decision had no candidate");
+  return 1_000 * (performance.now() - start) / decisions;
+}
+
+function _createPool(engines: number, random: RandomSource): _Pool {
+  const ids = Array.from(
+    { length: engines },
+    (_unused, index) => brandId<BackendServerId>(`engine-${index}`),
+  );
+  const shared = Array.from({ length: WORKSPACES }, () => SHARED_TOKENS);
+  const index = indexEngines(createBenchFleet(shared), ids, 1);
+  const { table, bytesPerChat } = _fillTable(ids, random);
+  const arrayBytesPerChat = table.arrayBytes() / REMEMBERED_CHATS;
+  const pool = {
+    engines,
+    index,
+    table,
+    bytesPerChat,
+    arrayBytesPerChat,
+    coldMicroseconds: 0,
+    rounds: [],
+  };
+  // The first decisions of a generation compute the rendezvous orders.
+  const coldMicroseconds = _timeDecisions(pool, random, WORKSPACES);
+  return { ...pool, coldMicroseconds };
+}
+
+function _median(values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[sorted.length >> 1] ?? NaN;
+}
+
+/** Runs the bench. Rounds of all pools alternate, so they share disturbances. */
+export async function runBench(options: BenchOptions): Promise<BenchReport> {
+  const random = createSeededRandom(options.seed);
+  const pools = POOLS.map((engines) => _createPool(engines, random));
+  for (const pool of pools) _timeDecisions(pool, random, DECISIONS_PER_ROUND);
+  for (let round = 0; round < ROUNDS; round++) {
+    for (const pool of pools) {
+      pool.rounds.push(_timeDecisions(pool, random, DECISIONS_PER_ROUND));
+    }
+  }
+  const smallest = _median(pools[0]?.rounds ?? []);
+  const rows = pools.map((pool): BenchRow => ({
+    engines: pool.engines,
+    decision_microseconds: Number(_median(pool.rounds).toFixed(2)),
+    ratio_to_6_engines: Number((_median(pool.rounds) / smallest).toFixed(2)),
+    first_decisions_microseconds: Number(pool.coldMicroseconds.toFixed(1)),
+    bytes_per_chat: Number(pool.bytesPerChat.toFixed(1)),
+    array_bytes_per_chat: Number(pool.arrayBytesPerChat.toFixed(1)),
+  }));
+  const largest = rows.at(-1);
+  return {
+    name: "decision",
+    rows,
+    bounds: [{
+      name: "time of a decision at 880 engines / at 6 engines",
+      value: Number(largest?.["ratio_to_6_engines"]),
+      comparison: "at_most",
+      limit: MAXIMUM_TIME_GROWTH,
+    }],
+  };
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -10,6 +10,7 @@
 const BENCHES: Readonly<Record<string, () => Promise<{ runBench: RunBench }>>> =
   {
     affinity: () => import("./affinity.ts"),
+    decision: () => import("./decision.ts"),
   };
 
 const DEFAULT_SEED = 1;
