--- a/demo/main.ts
+++ b/demo/main.ts
@@ -6,7 +6,10 @@
 import { readFile } from "node:fs/promises";
 import { cac } from "cac";
 import { safeParseFleet } from "../src/core/fleet_file.ts";
-import { startFleetProcesses, type FleetProcesses } from "../stand_ins/fleet_processes.ts";
+import {
+  type FleetProcesses,
+  startFleetProcesses,
+} from "../stand_ins/fleet_processes.ts";
 import { OPERATOR_KEY } from "../stand_ins/fleet_text.ts";
 import { measureNaiveReuse } from "./naive_reuse.ts";
 import { countChanges, observeLoads } from "./observer.ts";
@@ -64,7 +67,9 @@
 }
 
 /** Control bytes that each router has exchanged so far. */
-async function readControlBytes(addresses: readonly string[]): Promise<number[]> {
+async function readControlBytes(
+  addresses: readonly string[],
+): Promise<number[]> {
   return Promise.all(addresses.map(async (address) => {
     const dump = await readOperator(address, "/operator/dump") as {
       network: { bytesSent: number; bytesReceived: number };
@@ -74,20 +79,32 @@
 }
 
 /** Drains a backend server and returns how long the change took to be in force everywhere. */
-async function drain(fleet: FleetProcesses, name: string, live: readonly string[]) {
-  const before = await readOperator(live[0] as string, "/operator/status") as RouterStatus;
+async function drain(
+  fleet: FleetProcesses,
+  name: string,
+  live: readonly string[],
+) {
+  const before = await readOperator(
+    live[0] as string,
+    "/operator/status",
+  ) as RouterStatus;
   const result = fleet.command("drain", name);
   let acceptedAt: number | undefined;
   for (;;) {
     const statuses = await Promise.all(
-      live.map((address) => readOperator(address, "/operator/status") as Promise<RouterStatus>),
+      live.map((address) =>
+        readOperator(address, "/operator/status") as Promise<RouterStatus>
+      ),
     );
-    const adopted = statuses.filter(({ generation }) => generation > before.generation).length;
+    const adopted = statuses.filter(({ generation }) =>
+      generation > before.generation
+    ).length;
     if (adopted > 0) acceptedAt ??= performance.now();
     if (adopted === live.length) break;
     await sleep(10);
   }
-  const spreadMilliseconds = performance.now() - (acceptedAt ?? performance.now());
+  const spreadMilliseconds = performance.now() -
+    (acceptedAt ?? performance.now());
   return { exitCode: (await result).exitCode, spreadMilliseconds };
 }
 
@@ -138,18 +155,25 @@
   await workload.stop();
   await loads.stop();
   showProgress("running the same chats round robin for comparison", counts);
-  const naiveCacheReuse = await measureNaiveReuse({ ...size, turns: NAIVE_TURNS });
+  const naiveCacheReuse = await measureNaiveReuse({
+    ...size,
+    turns: NAIVE_TURNS,
+  });
   const changes = await countChanges(fleet.services);
 
-  const controlBytes = bytesAfter.map((bytes, index) => bytes - (bytesBefore[index] ?? 0));
+  const controlBytes = bytesAfter.map((bytes, index) =>
+    bytes - (bytesBefore[index] ?? 0)
+  );
   const result = {
     requests: counts.requests,
     completed: counts.completed,
     notRun: counts.notRun,
     unknown: counts.unknown,
     duplicateRuns: [...changes.values()].filter((count) => count > 1).length,
-    notRunThatRan: counts.notRunItems.filter((item) => changes.has(item)).length,
-    completedThatDidNotRun: counts.completedItems.filter((item) => !changes.has(item)).length,
+    notRunThatRan:
+      counts.notRunItems.filter((item) => changes.has(item)).length,
+    completedThatDidNotRun:
+      counts.completedItems.filter((item) => !changes.has(item)).length,
     truncatedAnswers: counts.truncatedAnswers,
     maxOverMeanLoad: round(loads.observation.maximumOverMean),
     loadBound: LOAD_BOUND,
@@ -157,27 +181,48 @@
     loadBoundViolations: loads.observation.violations,
     cacheReuse: round(counts.cachedTokens / counts.promptTokens),
     naiveCacheReuse: round(naiveCacheReuse),
-    controlBytesPerSecondPerRouter: Math.round(Math.max(...controlBytes) / seconds),
+    controlBytesPerSecondPerRouter: Math.round(
+      Math.max(...controlBytes) / seconds,
+    ),
     configurationSpreadMilliseconds: Math.round(drained.spreadMilliseconds),
   };
   const checks: readonly (readonly [string, boolean])[] = [
-    ["every request was answered", counts.requests ===
-      counts.completed + counts.notRun + counts.unknown],
+    [
+      "every request was answered",
+      counts.requests ===
+        counts.completed + counts.notRun + counts.unknown,
+    ],
     ["requests completed", counts.completed > 0],
     ["no request ran twice", result.duplicateRuns === 0],
     ["not run is true", result.notRunThatRan === 0],
     ["completed calls ran", result.completedThatDidNotRun === 0],
     ["answers are whole and their caller's own", result.truncatedAnswers === 0],
-    ["load bound held", result.loadSamples > 0 && result.loadBoundViolations === 0],
-    ["control traffic under 24 KB/s", result.controlBytesPerSecondPerRouter < 24_000],
-    ["configuration in force within 5 s", drained.exitCode === 0 &&
-      result.configurationSpreadMilliseconds < 5_000],
-    ["cache reuse above round robin", result.cacheReuse > result.naiveCacheReuse],
+    [
+      "load bound held",
+      result.loadSamples > 0 && result.loadBoundViolations === 0,
+    ],
+    [
+      "control traffic under 24 KB/s",
+      result.controlBytesPerSecondPerRouter < 24_000,
+    ],
+    [
+      "configuration in force within 5 s",
+      drained.exitCode === 0 &&
+      result.configurationSpreadMilliseconds < 5_000,
+    ],
+    [
+      "cache reuse above round robin",
+      result.cacheReuse > result.naiveCacheReuse,
+    ],
   ];
   const held = checks.every(([, isHeld]) => isHeld);
   if (!json) {
-    console.table(Object.entries(result).map(([figure, value]) => ({ figure, value })));
-    for (const [name, isHeld] of checks) console.log(`${isHeld ? "held  " : "BROKEN"} ${name}`);
+    console.table(
+      Object.entries(result).map(([figure, value]) => ({ figure, value })),
+    );
+    for (const [name, isHeld] of checks) {
+      console.log(`${isHeld ? "held  " : "BROKEN"} ${name}`);
+    }
   }
   console.log(JSON.stringify({ ...result, held }));
   return held;
@@ -189,7 +234,10 @@
 
 async function sizeOf(example: string | undefined): Promise<DemoSize> {
   if (example === undefined) return DEFAULT_SIZE;
-  const text = await readFile(new URL(`../../examples/${example}/fleet.ini`, import.meta.url), "utf8");
+  const text = await readFile(
+    new URL(`../../examples/${example}/fleet.ini`, import.meta.url),
+    "utf8",
+  );
   const fleet = safeParseFleet(text);
   if (fleet.isErr()) throw new Error(`examples/${example} is not valid`);
   const servers = Object.values(fleet.value.backendServers);
@@ -205,10 +253,16 @@
 
 const command = cac("demo");
 command.command("", "Runs a fleet on this machine and checks its promises")
-  .option("--example <name>", "Size of an example deployment: kamikawa or carbon_andino")
+  .option(
+    "--example <name>",
+    "Size of an example deployment: kamikawa or carbon_andino",
+  )
   .option("--json", "Print only the JSON line at the end")
   .action(async (options: { example?: string; json?: boolean }) => {
-    const held = await runDemo(await sizeOf(options.example), options.json ?? false);
+    const held = await runDemo(
+      await sizeOf(options.example),
+      options.json ?? false,
+    );
     process.exitCode = held ? 0 : 1;
   });
 command.help();
--- a/demo/naive_reuse.ts
+++ b/demo/naive_reuse.ts
@@ -4,7 +4,10 @@
  */
 import { answerText } from "../stand_ins/engine_text.ts";
 import { startEngine } from "../stand_ins/engine.ts";
-import { STAND_IN_MODEL, STAND_IN_MODEL_VERSION } from "../stand_ins/fleet_text.ts";
+import {
+  STAND_IN_MODEL,
+  STAND_IN_MODEL_VERSION,
+} from "../stand_ins/fleet_text.ts";
 import { askQuestion, DEMO_ANSWER_TOKENS, openChat } from "./workload.ts";
 
 /** The size of the baseline. */
@@ -18,14 +21,19 @@
 async function _complete(address: string, body: unknown): Promise<void> {
   const response = await fetch(`http://${address}/v1/chat/completions`, {
     method: "POST",
-    headers: { "content-type": "application/json", "x-request-id": crypto.randomUUID() },
+    headers: {
+      "content-type": "application/json",
+      "x-request-id": crypto.randomUUID(),
+    },
     body: JSON.stringify(body),
   });
   await response.text();
 }
 
 /** Returns the share of prompt tokens that round robin reuses. */
-export async function measureNaiveReuse(options: NaiveReuseOptions): Promise<number> {
+export async function measureNaiveReuse(
+  options: NaiveReuseOptions,
+): Promise<number> {
   const engines = await Promise.all(
     Array.from({ length: options.engines }, () =>
       startEngine({
@@ -59,10 +67,11 @@
   }
   let [prompt, cached] = [0, 0];
   for (const engine of engines) {
-    const counters = await (await fetch(`http://${engine.address}/counters`)).json() as {
-      prompt_tokens: number;
-      cached_tokens: number;
-    };
+    const counters = await (await fetch(`http://${engine.address}/counters`))
+      .json() as {
+        prompt_tokens: number;
+        cached_tokens: number;
+      };
     prompt += counters.prompt_tokens;
     cached += counters.cached_tokens;
     await engine.stop();
--- a/demo/observer.ts
+++ b/demo/observer.ts
@@ -10,7 +10,9 @@
 }
 
 interface ServiceCounters {
-  readonly items: Readonly<Record<string, { readonly changes: readonly unknown[] }>>;
+  readonly items: Readonly<
+    Record<string, { readonly changes: readonly unknown[] }>
+  >;
 }
 
 /** What was seen of the engines' loads. */
@@ -30,7 +32,9 @@
   stop(): Promise<void>;
 }
 
-async function _readCounters<Counters>(process: ManagedProcess): Promise<Counters> {
+async function _readCounters<Counters>(
+  process: ManagedProcess,
+): Promise<Counters> {
   const response = await fetch(`http://${process.address}/counters`);
   return await response.json() as Counters;
 }
@@ -40,7 +44,11 @@
   engines: readonly ManagedProcess[],
   bound: { readonly ratio: number; readonly requestTokens: number },
 ): LoadObserver {
-  const observation: LoadObservation = { samples: 0, maximumOverMean: 0, violations: 0 };
+  const observation: LoadObservation = {
+    samples: 0,
+    maximumOverMean: 0,
+    violations: 0,
+  };
   const excluded = new Set<string>();
   let stopping = false;
 
@@ -54,7 +62,10 @@
     if (!(mean > 0)) return;
     const highest = Math.max(...loads);
     observation.samples++;
-    observation.maximumOverMean = Math.max(observation.maximumOverMean, highest / mean);
+    observation.maximumOverMean = Math.max(
+      observation.maximumOverMean,
+      highest / mean,
+    );
     if (highest > Math.max(bound.ratio * mean, mean + bound.requestTokens)) {
       observation.violations++;
     }
@@ -63,7 +74,9 @@
   async function run(): Promise<void> {
     while (!stopping) {
       await sample();
-      await new Promise((resolve) => setTimeout(resolve, SAMPLE_PERIOD_MILLISECONDS));
+      await new Promise((resolve) =>
+        setTimeout(resolve, SAMPLE_PERIOD_MILLISECONDS)
+      );
     }
   }
 
--- a/demo/workload.ts
+++ b/demo/workload.ts
@@ -2,7 +2,11 @@
 import { type Caller, createCaller } from "../src/caller.ts";
 import { createSeededRandom, type RandomSource } from "../src/core/random.ts";
 import { answerText, type ChatMessage } from "../stand_ins/engine_text.ts";
-import { STAND_IN_MODEL, STAND_IN_SERVICE, workspaceKey } from "../stand_ins/fleet_text.ts";
+import {
+  STAND_IN_MODEL,
+  STAND_IN_SERVICE,
+  workspaceKey,
+} from "../stand_ins/fleet_text.ts";
 
 const SHARED_PROMPT_WORDS = 60;
 const QUESTION_WORDS = 12;
@@ -42,17 +46,28 @@
 }
 
 function _words(prefix: string, count: number): string {
-  return Array.from({ length: count }, (_unused, index) => `${prefix}${index}`).join(" ");
+  return Array.from({ length: count }, (_unused, index) => `${prefix}${index}`)
+    .join(" ");
 }
 
 /** The first messages of a chat: the workspace's shared prompt. */
 export function openChat(workspace: string): ChatMessage[] {
-  return [{ role: "system", content: _words(`${workspace}-`, SHARED_PROMPT_WORDS) }];
+  return [{
+    role: "system",
+    content: _words(`${workspace}-`, SHARED_PROMPT_WORDS),
+  }];
 }
 
 /** Adds a question to a chat. */
-export function askQuestion(messages: ChatMessage[], chat: string, turn: number): void {
-  messages.push({ role: "user", content: _words(`${chat}-${turn}-`, QUESTION_WORDS) });
+export function askQuestion(
+  messages: ChatMessage[],
+  chat: string,
+  turn: number,
+): void {
+  messages.push({
+    role: "user",
+    content: _words(`${chat}-${turn}-`, QUESTION_WORDS),
+  });
 }
 
 /** Tokens generated in each turn. */
@@ -89,7 +104,11 @@
     else counts.unknown++;
   }
 
-  async function runTurn(caller: Caller, chat: string, messages: ChatMessage[]): Promise<void> {
+  async function runTurn(
+    caller: Caller,
+    chat: string,
+    messages: ChatMessage[],
+  ): Promise<void> {
     counts.requests++;
     let text = "";
     for await (
@@ -111,7 +130,11 @@
     messages.push({ role: "assistant", content: text });
   }
 
-  async function runChat(caller: Caller, workspace: string, chat: string): Promise<void> {
+  async function runChat(
+    caller: Caller,
+    workspace: string,
+    chat: string,
+  ): Promise<void> {
     const source = createSeededRandom(random.integer(2 ** 31));
     const messages = openChat(workspace);
     for (let turn = 0; !stopping; turn++) {
@@ -122,7 +145,11 @@
   }
 
   /** Each call changes an item of its own, so a second run of it shows. */
-  async function runCalls(caller: Caller, workspace: string, worker: number): Promise<void> {
+  async function runCalls(
+    caller: Caller,
+    workspace: string,
+    worker: number,
+  ): Promise<void> {
     const source = createSeededRandom(random.integer(2 ** 31));
     for (let turn = 0; !stopping; turn++) {
       await pause(source);
@@ -136,7 +163,9 @@
       });
       if (result.isErr()) {
         countFailure(result.error.kind);
-        if (result.error.kind === "not_run") counts.notRunItems.push(`slots/${item}`);
+        if (result.error.kind === "not_run") {
+          counts.notRunItems.push(`slots/${item}`);
+        }
       } else {
         counts.completed++;
         counts.completedItems.push(`slots/${item}`);
--- a/src/admission_task.ts
+++ b/src/admission_task.ts
@@ -11,16 +11,11 @@
 } from "./admission_messages.ts";
 import type { ConfigurationView } from "./configuration_view.ts";
 import type { HeldGrant } from "./core/admission.ts";
-import type {
-  BackendServer,
-  ConfigurationSnapshot,
-} from "./core/fleet_schema.ts";
 import type { BackendServerId, HostId } from "./core/ids.ts";
 import type { ServerLoad } from "./core/load_summary.ts";
 import { pickByRendezvous } from "./core/rendezvous.ts";
 import {
   createSteward,
-  isInService,
   refusalWithoutLoad,
   type SlotOutcome,
   type SlotRefusal,
@@ -32,6 +27,7 @@
 import type { LoadTask } from "./load_task.ts";
 import type { Member, MembershipView } from "./membership_view.ts";
 import type { PeerNetwork } from "./peer_network.ts";
+import { stewardSettingsOf } from "./steward_settings.ts";
 import { Task } from "./task.ts";
 import type { Subscription, TimerService } from "./timer_service.ts";
 
@@ -88,15 +84,6 @@
   };
 }
 
-/** Each call to a plain service weighs one unit of its concurrency. */
-function _capacityOf(
-  server: BackendServer,
-  { fleet }: ConfigurationSnapshot,
-): number {
-  if (server.kind === "engine") return server.capacityTokens;
-  return fleet.services[server.service ?? ""]?.concurrencyPerBackendServer ?? 0;
-}
-
 /** Owns the stewards that this router is responsible for. */
 export class AdmissionTask extends Task {
   override readonly name = "admission";
@@ -273,18 +260,11 @@
 
   #settingsOf(backendServer: BackendServerId): StewardSettings | undefined {
     const snapshot = this.#options.configuration.current();
-    const server = snapshot?.fleet.backendServers[backendServer];
-    if (!snapshot || !server) return undefined;
-    const { loadBoundRatio, queueLengthPerBackendServer } =
-      snapshot.fleet.fleet;
-    return {
-      loadBoundRatio,
-      queueLength: queueLengthPerBackendServer,
-      capacityTokens: _capacityOf(server, snapshot),
-      countsGrantsOnly: server.kind === "service",
-      accepting: isInService(backendServer, snapshot) &&
-        !this.#leaving.has(backendServer),
-    };
+    return snapshot && stewardSettingsOf(
+      backendServer,
+      snapshot,
+      this.#leaving.has(backendServer),
+    );
   }
 
   /** Many members may change at once; duties are assigned once after them. */
--- a/src/advertised_addresses.ts
+++ b/src/advertised_addresses.ts
@@ -20,9 +20,10 @@
   const chosen = ranked.slice(0, count);
   const first = chosen[0];
   if (!first || count < 2) return chosen;
-  const isLocal = (member: Member) => member.dataCentre === first.dataCentre;
-  const remote = ranked.find((member) => !isLocal(member));
+  const remote = ranked.find((member) =>
+    member.dataCentre !== first.dataCentre
+  );
   // One data centre may be lost as a whole, so the subset never lies in one.
-  if (remote && chosen.every(isLocal)) return [...chosen.slice(0, -1), remote];
-  return chosen;
+  if (!remote || chosen.includes(remote)) return chosen;
+  return [...chosen.slice(0, -1), remote];
 }
--- a/src/backend_state_task.ts
+++ b/src/backend_state_task.ts
@@ -14,7 +14,7 @@
   BackendStates,
 } from "./core/backend_state.ts";
 import type { ApplicationError } from "./core/errors.ts";
-import type { BackendServer } from "./core/fleet_schema.ts";
+import type { BackendServer, Fleet } from "./core/fleet_schema.ts";
 import type { HoldOut } from "./core/hold_out.ts";
 import {
   type BackendServerId,
@@ -106,11 +106,7 @@
   override async start(): Promise<void> {
     const { network, timers, configuration } = this.#options;
     network.handle("backend.state", (body) => this.#handle(body));
-    configuration.onChange(({ fleet }) => {
-      const isKept = (id: BackendServerId) => id in fleet.backendServers;
-      this.states.retain(isKept);
-      this.#options.holdOut.retain(isKept);
-    });
+    configuration.onChange(({ fleet }) => this.#retainServersOf(fleet));
     this.#subscriptions = [
       timers.every(
         OBSERVE_PERIOD_MILLISECONDS,
@@ -151,6 +147,14 @@
     if (reply.isOk()) this.#merge(reply.value);
   }
 
+  #retainServersOf(fleet: Fleet): void {
+    function isKept(id: BackendServerId): boolean {
+      return Object.hasOwn(fleet.backendServers, id);
+    }
+    this.states.retain(isKept);
+    this.#options.holdOut.retain(isKept);
+  }
+
   #otherMembers() {
     const { members } = this.#options;
     const self = members.self().incarnation;
--- a/src/caller.ts
+++ b/src/caller.ts
@@ -162,12 +162,8 @@
           error: createError("request_refused", "sealed"),
         });
       } else if (outcome.data.state === "finished" && outcome.data.answer) {
-        const { status, headers, body_base64 } = outcome.data.answer;
-        return ok({
-          status,
-          headers,
-          body: Buffer.from(body_base64, "base64"),
-        });
+        const { status, headers, body_base64: body } = outcome.data.answer;
+        return ok({ status, headers, body: Buffer.from(body, "base64") });
       } else if (outcome.data.state !== "running") {
         return err({ kind: "outcome_unknown", error: unknown });
       }
--- a/src/chat_dispatch.ts
+++ b/src/chat_dispatch.ts
@@ -281,10 +281,10 @@
     };
   }
 
-  async function drain(events: AsyncIterable<unknown>): Promise<void> {
-    for await (const _event of events) {
-      // Reads on so that the slot is released when the engine is done.
-    }
+  /** Reads on, so that the slot is released when the engine is done. */
+  async function drain(events: AsyncGenerator<unknown, void>): Promise<void> {
+    let next = await events.next();
+    while (!next.done) next = await events.next();
   }
 
   async function resume(
--- a/src/router.ts
+++ b/src/router.ts
@@ -88,6 +88,14 @@
   );
 }
 
+function _createSignal(): { promise: Promise<void>; resolve: () => void } {
+  let resolve = Function.prototype as () => void;
+  const promise = new Promise<void>((settle) => {
+    resolve = settle;
+  });
+  return { promise, resolve: () => resolve() };
+}
+
 /** Creates a router; it does nothing until started. */
 export function createRouter(options: RouterOptions): Router {
   const { settings, logger } = options;
@@ -128,7 +136,7 @@
   const members = membership.view;
   const configurationTask = new ConfigurationTask({
     network,
-    members,
+    membership: members,
     platform,
     timers,
     random,
@@ -234,8 +242,7 @@
     maximumBodyBytes: own.maximumBodyBytes,
   });
   let stopping: Promise<void> | undefined;
-  let markStopped: () => void = () => undefined;
-  const stopped = new Promise<void>((resolve) => markStopped = resolve);
+  const { promise: stopped, resolve: markStopped } = _createSignal();
 
   function updateMetrics(): void {
     const { bytesSent, bytesReceived } = network.counters();
--- a/stand_ins/fleet_processes.ts
+++ b/stand_ins/fleet_processes.ts
@@ -64,7 +64,9 @@
 }
 
 function _runCommand(parameters: readonly string[]): Promise<CommandResult> {
-  const program = fileURLToPath(new URL("../bin/sapphirecart.js", import.meta.url));
+  const program = fileURLToPath(
+    new URL("../bin/sapphirecart.js", import.meta.url),
+  );
   return new Promise((resolve) => {
     execFile(
       process.execPath,
@@ -86,8 +88,12 @@
   const group = createProcessGroup();
   const folder = await mkdtemp(join(tmpdir(), "sapphirecart-"));
   const ports = await findFreePorts(2 * options.routers);
-  const callerAddresses = ports.slice(0, options.routers).map((port) => `127.0.0.1:${port}`);
-  const peerAddresses = ports.slice(options.routers).map((port) => `127.0.0.1:${port}`);
+  const callerAddresses = ports.slice(0, options.routers).map((port) =>
+    `127.0.0.1:${port}`
+  );
+  const peerAddresses = ports.slice(options.routers).map((port) =>
+    `127.0.0.1:${port}`
+  );
 
   async function stop(): Promise<void> {
     await group.stop();
@@ -104,7 +110,10 @@
     ]);
   }
 
-  async function startRouter(index: number, platformAddress: string): Promise<ManagedProcess> {
+  async function startRouter(
+    index: number,
+    platformAddress: string,
+  ): Promise<ManagedProcess> {
     const host = `host-${index}`;
     const file = join(folder, `${host}.ini`);
     await writeFile(
@@ -114,7 +123,10 @@
         dataCentre: _pick(options.dataCentres, index),
         callerAddress: callerAddresses[index] as string,
         peerAddress: peerAddresses[index] as string,
-        seeds: peerAddresses.filter((_address, other) => other !== index).slice(0, 3),
+        seeds: peerAddresses.filter((_address, other) => other !== index).slice(
+          0,
+          3,
+        ),
         platformAddress,
       }),
     );
@@ -124,13 +136,28 @@
   async function startAll(): Promise<FleetProcesses> {
     const [platform, engines, services] = await Promise.all([
       group.start("platform", "stand_ins/platform_main.js", []),
-      Promise.all(Array.from({ length: options.engines }, (_unused, index) => startEngine(index))),
       Promise.all(
-        Array.from({ length: options.services }, (_unused, index) =>
-          group.start(`service-${index}`, "stand_ins/plain_service_main.js", [])),
+        Array.from(
+          { length: options.engines },
+          (_unused, index) => startEngine(index),
+        ),
+      ),
+      Promise.all(
+        Array.from(
+          { length: options.services },
+          (_unused, index) =>
+            group.start(
+              `service-${index}`,
+              "stand_ins/plain_service_main.js",
+              [],
+            ),
+        ),
       ),
     ]);
-    const servers: StandInServer[] = [...engines, ...services].map((server, index) => ({
+    const servers: StandInServer[] = [...engines, ...services].map((
+      server,
+      index,
+    ) => ({
       name: server.name,
       kind: index < engines.length ? "engine" : "service",
       address: server.address,
@@ -146,16 +173,26 @@
         workspaces: options.workspaces,
         keepMilliseconds: options.keepMilliseconds ?? 2_000,
         ...(options.fleetKeys ? { fleetKeys: options.fleetKeys } : {}),
-        ...(options.workspaceKeys ? { workspaceKeys: options.workspaceKeys } : {}),
+        ...(options.workspaceKeys
+          ? { workspaceKeys: options.workspaceKeys }
+          : {}),
       }),
     );
-    await writeFile(operatorFile, createOperatorSettingsText(platform.address, callerAddresses));
-    const command = (...parameters: string[]) =>
-      _runCommand([...parameters, "--settings", operatorFile]);
+    await writeFile(
+      operatorFile,
+      createOperatorSettingsText(platform.address, callerAddresses),
+    );
+    function command(...parameters: string[]): Promise<CommandResult> {
+      return _runCommand([...parameters, "--settings", operatorFile]);
+    }
     const applied = await command("apply", fleetFile, "--no-wait");
-    if (applied.exitCode !== 0) throw new Error(`apply failed: ${applied.output}${applied.errors}`);
+    if (applied.exitCode !== 0) {
+      throw new Error(`apply failed: ${applied.output}${applied.errors}`);
+    }
     const routers = await Promise.all(
-      callerAddresses.map((_address, index) => startRouter(index, platform.address)),
+      callerAddresses.map((_address, index) =>
+        startRouter(index, platform.address)
+      ),
     );
     return {
       platform,
--- a/stand_ins/fleet_text.ts
+++ b/stand_ins/fleet_text.ts
@@ -41,7 +41,10 @@
   return createHash("sha256").update(key).digest("hex");
 }
 
-function _section(title: string, keys: Readonly<Record<string, string | number>>): string {
+function _section(
+  title: string,
+  keys: Readonly<Record<string, string | number>>,
+): string {
   const lines = Object.entries(keys).map(([key, value]) => `${key} = ${value}`);
   return [`[${title}]`, ...lines, ""].join("\n");
 }
@@ -55,7 +58,9 @@
       keep_milliseconds: options.keepMilliseconds,
       ...options.fleetKeys,
     }),
-    ...options.dataCentres.map((name) => _section(`data_centre ${name}`, { region: "region-a" })),
+    ...options.dataCentres.map((name) =>
+      _section(`data_centre ${name}`, { region: "region-a" })
+    ),
     _section(`model ${STAND_IN_MODEL}`, { version: STAND_IN_MODEL_VERSION }),
     _section(`service ${STAND_IN_SERVICE}`, { idempotent_calls: "GET /*" }),
     ...options.servers.map((server) =>
--- a/stand_ins/processes.ts
+++ b/stand_ins/processes.ts
@@ -62,8 +62,9 @@
   output: string[],
 ): Promise<string> {
   return new Promise((resolve, reject) => {
-    const fail = (reason: string) =>
-      reject(new Error(`${reason}\n${output.join("\n")}`));
+    function fail(reason: string): void {
+      reject(new Error([reason, ...output].join("\n")));
+    }
     const timer = setTimeout(
       () => fail("no address was announced"),
       START_TIMEOUT_MILLISECONDS,
