Add the failure runs, first for at most once

Cause: the at-most-once promise needs a proof on real processes that was seen failing; adjacent seeds drew the same failures, since the first numbers of the generator are alike for them.

--- /dev/null
+++ b/invariants/main.ts
@@ -0,0 +1,97 @@
+/**
+ * Runs the failure runs and ends with one JSON line of what held and what broke,
+ * each with its seed. Exits 1 if anything broke.
+ */
+import { cac } from "cac";
+import { AT_MOST_ONCE_INVARIANTS } from "./at_most_once.ts";
+import type { Invariant, InvariantOutcome } from "./invariant.ts";
+
+const INVARIANTS: readonly Invariant[] = [
+  ...AT_MOST_ONCE_INVARIANTS,
+];
+
+const DEFAULT_SEED = 1;
+const SHOWN_FAULTS = 5;
+
+interface Verdict {
+  readonly name: string;
+  readonly seed: number;
+  readonly held: boolean;
+  readonly naive: boolean;
+  readonly faults: number;
+  readonly figures: InvariantOutcome["figures"];
+  readonly seconds: number;
+}
+
+interface InvariantsCommandOptions {
+  readonly seed?: number;
+  readonly rounds?: number;
+  readonly json?: boolean;
+}
+
+async function runOne(
+  invariant: Invariant,
+  options: InvariantsCommandOptions,
+): Promise<Verdict> {
+  const seed = options.seed ?? DEFAULT_SEED;
+  const startedAt = performance.now();
+  const { faults, figures } = await invariant.run({
+    seed,
+    rounds: options.rounds,
+  });
+  const held = invariant.isNaive ? faults.length > 0 : faults.length === 0;
+  if (!options.json) {
+    const expectation = invariant.isNaive
+      ? " (naive version, expected to break)"
+      : "";
+    console.log(
+      `${held ? "held  " : "BROKEN"} ${invariant.name}${expectation}`,
+    );
+    console.log(`       ${invariant.promise} ${JSON.stringify(figures)}`);
+    for (const fault of faults.slice(0, SHOWN_FAULTS)) {
+      console.log(`       ${fault}`);
+    }
+  }
+  return {
+    name: invariant.name,
+    seed,
+    held,
+    naive: invariant.isNaive,
+    faults: faults.length,
+    figures,
+    seconds: Math.round((performance.now() - startedAt) / 100) / 10,
+  };
+}
+
+async function runAll(
+  name: string | undefined,
+  options: InvariantsCommandOptions,
+): Promise<void> {
+  const chosen = INVARIANTS.filter((invariant) =>
+    name === undefined || invariant.name === name
+  );
+  if (chosen.length === 0) {
+    console.error(
+      `no such run; names: ${INVARIANTS.map((entry) => entry.name).join(", ")}`,
+    );
+    process.exitCode = 2;
+    return;
+  }
+  const verdicts: Verdict[] = [];
+  for (const invariant of chosen) {
+    verdicts.push(await runOne(invariant, options));
+  }
+  const held = verdicts.filter((verdict) => verdict.held);
+  const broken = verdicts.filter((verdict) => !verdict.held);
+  console.log(JSON.stringify({ held, broken }));
+  process.exitCode = broken.length === 0 ? 0 : 1;
+}
+
+const command = cac("invariants");
+command.command("[name]", "Runs all failure runs, or the named one")
+  .option("--seed <number>", "Seed of the random failures")
+  .option("--rounds <number>", "Rounds of random failures in each run")
+  .option("--json", "Print only the JSON line at the end")
+  .action(runAll);
+command.help();
+command.parse();
--- a/src/core/random.ts
+++ b/src/core/random.ts
@@ -33,12 +33,25 @@
   }
 }
 
+/** The first numbers of adjacent seeds are alike, so they are thrown away. */
+const DISCARDED_NUMBERS = 8;
+
+function _scramble(seed: number): number {
+  let value = seed | 0;
+  value = Math.imul(value ^ (value >>> 16), 0x7feb352d);
+  value = Math.imul(value ^ (value >>> 15), 0x846ca68b);
+  return value ^ (value >>> 16);
+}
+
 class _SeededRandom extends RandomSource {
   readonly #generator: ReturnType<typeof xoroshiro128plus>;
 
   constructor(seed: number) {
     super();
-    this.#generator = xoroshiro128plus(seed);
+    this.#generator = xoroshiro128plus(_scramble(seed));
+    for (let drawn = 0; drawn < DISCARDED_NUMBERS; drawn++) {
+      this.#generator.next();
+    }
   }
 
   override next(): number {
--- a/stand_ins/processes.ts
+++ b/stand_ins/processes.ts
@@ -87,6 +87,9 @@
 /** Creates an empty group. */
 export function createProcessGroup(): ProcessGroup {
   const children = new Set<ChildProcess>();
+  process.once("exit", () => {
+    for (const child of children) child.kill("SIGKILL");
+  });
 
   async function killChild(child: ChildProcess): Promise<void> {
     child.kill("SIGCONT");
