Keep the shared prompt of refused chats, and strengthen the oracle

The oracle also kept sending chats to flapping engines. Change: src/core/warm_servers.ts remembers the servers that recently served a workspace, three of which become candidates; a server is demoted only when its lagged load is more than 1.3 times the bound; the queued share of the load falls from 0.1 to 0.02. The oracle holds flapping engines out.

--- a/bench/affinity_design.ts
+++ b/bench/affinity_design.ts
@@ -20,6 +20,7 @@
   createRoutingIndex,
   type RoutingIndex,
 } from "../src/core/routing_index.ts";
+import { createWarmServers } from "../src/core/warm_servers.ts";
 import {
   chatName,
   PREFILL_TOKENS_PER_SECOND,
@@ -40,6 +41,8 @@
 
 /** Chats remembered per engine; the design target is 12,500. */
 const CHATS_PER_ENGINE = 2_000;
+/** Routers that serve a workspace; each remembers the servers it used itself. */
+const ROUTERS_PER_WORKSPACE = 3;
 /** KV bytes of one token of a model with grouped-query attention. */
 const BYTES_PER_TOKEN = 32_768;
 /** `exportBytesPerDrain` by default. */
@@ -167,9 +170,15 @@
   readonly #load = new _BenchLoad();
   readonly #states = new _BenchStates();
   readonly #holdOut = createHoldOut();
+  readonly #warm = Array.from(
+    { length: ROUTERS_PER_WORKSPACE },
+    () => createWarmServers(),
+  );
   readonly #knowledge = new Map<BackendServerId, CacheKnowledge>();
   #index: RoutingIndex | undefined;
   #generation = 0;
+  /** The router that accepted the current request. */
+  #router = 0;
   #summary: readonly number[] | undefined;
 
   constructor(workload: Workload, random: RandomSource, exports: boolean) {
@@ -188,6 +197,7 @@
     request: WorkloadRequest,
     world: AffinityWorld,
   ): Iterable<SimulatedEngine> {
+    this.#router = this.#random.integer(ROUTERS_PER_WORKSPACE);
     for (const candidate of this.#rank(request, world)) {
       const engine = this.#states.engines.get(candidate.backendServer);
       if (engine) yield engine;
@@ -203,6 +213,8 @@
     engine: SimulatedEngine,
     world: AffinityWorld,
   ): void {
+    const workspace = workspaceName(request.workspace);
+    this.#warm[this.#router]?.served(workspace, engine.id);
     this.#remember(
       request.workspace,
       request.chat,
@@ -216,6 +228,7 @@
     const engine = world.engines[change.slot] as SimulatedEngine;
     if (change.kind === "flap_down") {
       this.#holdOut.serverDown(engine.id, world.now);
+      for (const warm of this.#warm) warm.retain((id) => id !== engine.id);
     } else if (change.kind === "flap_up") {
       this.#holdOut.serverUp(engine.id, world.now);
     } else this.#configure(world);
@@ -263,6 +276,7 @@
       load: this.#load,
       backendStates: this.#states,
       holdOut: this.#holdOut,
+      warm: this.#warm[this.#router]?.of(workspace) ?? [],
       remembered: this.#table.lookup({ workspace, chat }, world.now),
       cacheState: (backendServer, prefix) =>
         this.#knowledge.get(backendServer)?.stateOf(prefix, world.now) ??
@@ -302,7 +316,9 @@
     for (const id of this.#knowledge.keys()) {
       if (!this.#states.engines.has(id)) this.#knowledge.delete(id);
     }
-    this.#holdOut.retain((id) => this.#states.engines.has(id));
+    const isKept = (id: BackendServerId) => this.#states.engines.has(id);
+    this.#holdOut.retain(isKept);
+    for (const warm of this.#warm) warm.retain(isKept);
     this.#summary = undefined;
   }
 
--- a/bench/decision.ts
+++ b/bench/decision.ts
@@ -15,6 +15,7 @@
   type RoutingView,
 } from "../src/core/routing.ts";
 import type { RoutingIndex } from "../src/core/routing_index.ts";
+import { WARM_SERVERS_PER_WORKSPACE } from "../src/core/warm_servers.ts";
 import { createBenchFleet, indexEngines } from "./affinity_design.ts";
 import { chatName, workspaceName } from "./affinity_engine.ts";
 import type { BenchOptions, BenchReport, BenchRow } from "./bench_report.ts";
@@ -53,6 +54,7 @@
 
 interface _Pool {
   readonly engines: number;
+  readonly ids: readonly BackendServerId[];
   readonly index: RoutingIndex;
   readonly table: ChatTable;
   readonly bytesPerChat: number;
@@ -101,6 +103,7 @@
     backendStates: _STATES,
     holdOut: _HOLD_OUT,
     remembered: pool.table.lookup(key, now),
+    warm: pool.ids.slice(0, WARM_SERVERS_PER_WORKSPACE),
     cacheState: () => ({ kind: "unknown" }),
     workspaceTokens: () =>
       (chat % WORKSPACES) % 16 === 0
@@ -145,6 +148,7 @@
   const arrayBytesPerChat = table.arrayBytes() / REMEMBERED_CHATS;
   const pool = {
     engines,
+    ids,
     index,
     table,
     bytesPerChat,
--- a/bench/naive_affinity.ts
+++ b/bench/naive_affinity.ts
@@ -1,8 +1,9 @@
 /** Baselines of the affinity bench, from no knowledge to full knowledge. */
+import { createHoldOut } from "../src/core/hold_out.ts";
 import { hash32 } from "../src/core/rendezvous.ts";
 import { chatName, type SimulatedEngine } from "./affinity_engine.ts";
 import { AffinityStrategy, type AffinityWorld } from "./affinity_simulation.ts";
-import type { WorkloadRequest } from "./affinity_workload.ts";
+import type { EngineChange, WorkloadRequest } from "./affinity_workload.ts";
 
 const POINTS_PER_ENGINE = 64;
 
@@ -81,15 +82,31 @@
   }
 }
 
-/** Knows every cache and every load: most reusable tokens, then least load. */
+/**
+ * Knows every cache and every load: most reusable tokens, then least load. It
+ * holds flapping engines out as well, since they would lose its chats' caches.
+ */
 export class Oracle extends AffinityStrategy {
   override readonly name: string = "oracle";
+  readonly #holdOut = createHoldOut();
+
+  override onChange(change: EngineChange, world: AffinityWorld): void {
+    const id = world.engines[change.slot]?.id;
+    if (id === undefined) return;
+    if (change.kind === "flap_down") this.#holdOut.serverDown(id, world.now);
+    if (change.kind === "flap_up") this.#holdOut.serverUp(id, world.now);
+  }
+
+  override isExcluded(engine: SimulatedEngine, world: AffinityWorld): boolean {
+    return this.#holdOut.isHeldOut(engine.id, world.now);
+  }
 
   override candidates(
     request: WorkloadRequest,
-    { engines }: AffinityWorld,
+    world: AffinityWorld,
   ): Iterable<SimulatedEngine> {
-    return engines
+    return world.engines
+      .filter((engine) => !this.isExcluded(engine, world))
       .map((engine) => ({ engine, reusable: engine.reusableTokens(request) }))
       .sort((left, right) =>
         right.reusable - left.reusable ||
--- a/src/core/routing.ts
+++ b/src/core/routing.ts
@@ -1,7 +1,8 @@
 /**
  * The choice of a backend server. A request has a few candidates: servers that
- * its chat is remembered on, the first servers of its workspace set, and the
- * least loaded of a random sample. They are ordered by the load bound, then by
+ * its chat is remembered on, the first servers of its workspace set, servers
+ * that hold the workspace's shared prompt, and the least loaded of a random
+ * sample. They are ordered by the load bound, then by
  * the expected time to the first token. The cost does not grow with the pool.
  */
 import type { CachedPrefix, CacheState } from "./cache_knowledge.ts";
@@ -29,8 +30,19 @@
 /** Random servers looked at, and how many of the least loaded are kept. */
 const SAMPLED_SERVERS = 6;
 const LEAST_LOADED_CANDIDATES = 3;
-/** Most load tokens belong to streams already generating, which delay no prefill. */
-const QUEUED_SHARE_OF_LOAD = 0.1;
+/** Candidates that hold the shared prompt, the least loaded ones. */
+const WARM_CANDIDATES = 3;
+/**
+ * A lagged load this far above the bound is not expected to have fallen under
+ * it by the time the steward is asked. Below this, asking costs one message,
+ * while passing over a cached prompt costs its whole prefill.
+ */
+const LAG_ALLOWANCE = 1.3;
+/**
+ * Most load tokens belong to streams already generating, which delay no
+ * prefill. Up to half-loaded prefill, the queue is within this share.
+ */
+const QUEUED_SHARE_OF_LOAD = 0.02;
 /** Without cache events the chance of still being cached falls with age. */
 const UNKNOWN_CACHE_HALF_LIFE_MILLISECONDS = 10 * 60_000;
 
@@ -61,6 +73,8 @@
   readonly holdOut: HoldOut;
   /** From the chat's home. */
   readonly remembered: readonly RememberedServer[];
+  /** Servers that recently served the workspace through this router. */
+  readonly warm: readonly BackendServerId[];
   cacheState(
     backendServer: BackendServerId,
     prefix: CachedPrefix,
@@ -77,8 +91,8 @@
   readonly cachedTokens: number;
   /** The load that the request adds: uncached prompt and output tokens. */
   readonly loadTokens: number;
-  /** Whether the lagged load leaves room; the steward decides. */
-  readonly isUnderBound: boolean;
+  /** Whether the server may have room by its lagged load; the steward decides. */
+  readonly mayHaveRoom: boolean;
 }
 
 interface _Choice {
@@ -145,37 +159,56 @@
     .slice(0, SET_CANDIDATES);
 }
 
+function _byLoad(
+  { view }: _Choice,
+  servers: Iterable<RoutedServer>,
+): RoutedServer[] {
+  return [...servers]
+    .map((server) => ({ server, tokens: view.load.tokens(server.id) }))
+    .sort((left, right) => left.tokens - right.tokens)
+    .map((entry) => entry.server);
+}
+
+function _usableServers(
+  choice: _Choice,
+  backendServers: Iterable<BackendServerId>,
+): RoutedServer[] {
+  const servers: RoutedServer[] = [];
+  for (const backendServer of backendServers) {
+    const server = choice.eligible.contains(backendServer);
+    if (server && _isUsable(choice, server)) servers.push(server);
+  }
+  return servers;
+}
+
 function _leastLoaded(choice: _Choice): RoutedServer[] {
-  const { eligible, view, random } = choice;
+  const { eligible, random } = choice;
   const sample = new Set<RoutedServer>();
   for (let draw = 0; draw < SAMPLED_SERVERS; draw++) {
     const server = eligible.servers[random.integer(eligible.servers.length)];
     if (server && _isUsable(choice, server)) sample.add(server);
   }
-  return [...sample]
-    .map((server) => ({ server, tokens: view.load.tokens(server.id) }))
-    .sort((left, right) => left.tokens - right.tokens)
-    .slice(0, LEAST_LOADED_CANDIDATES)
-    .map((entry) => entry.server);
+  return _byLoad(choice, sample).slice(0, LEAST_LOADED_CANDIDATES);
 }
 
 /** A pool as small as one section is looked at as a whole. */
 function _collectServers(choice: _Choice): Set<RoutedServer> {
   const { eligible, view } = choice;
-  const servers = new Set<RoutedServer>();
-  for (const known of view.remembered) {
-    const server = eligible.contains(known.backendServer);
-    if (server && _isUsable(choice, server)) servers.add(server);
-  }
-  for (const server of _setServers(choice)) servers.add(server);
-  if (eligible.servers.length > SECTION_SERVERS) {
-    for (const server of _leastLoaded(choice)) servers.add(server);
-    return servers;
-  }
-  for (const server of eligible.servers) {
-    if (_isUsable(choice, server)) servers.add(server);
+  const remembered = view.remembered.map((known) => known.backendServer);
+  if (eligible.servers.length <= SECTION_SERVERS) {
+    return new Set([
+      ..._usableServers(choice, remembered),
+      ..._setServers(choice),
+      ...eligible.servers.filter((server) => _isUsable(choice, server)),
+    ]);
   }
-  return servers;
+  const warm = _byLoad(choice, _usableServers(choice, view.warm));
+  return new Set([
+    ..._usableServers(choice, remembered),
+    ..._setServers(choice),
+    ...warm.slice(0, WARM_CANDIDATES),
+    ..._leastLoaded(choice),
+  ]);
 }
 
 /** Prompt tokens expected to be reused, from events where known. */
@@ -189,7 +222,9 @@
   const sharedState = view.cacheState(server.id, { workspace });
   let tokens = 0;
   if (sharedState.kind === "present") tokens = sharedState.tokens;
-  else if (sharedState.kind === "unknown" && known) tokens = shared;
+  else if (sharedState.kind === "unknown") {
+    if (known || view.warm.includes(server.id)) tokens = shared;
+  }
   if (chat !== undefined) {
     const state = view.cacheState(server.id, { workspace, chat });
     if (state.kind === "present") tokens = Math.max(tokens, state.tokens);
@@ -217,18 +252,18 @@
       server.prefillTokensPerSecond,
     cachedTokens,
     loadTokens,
-    isUnderBound: isUnderLoadBound(
+    mayHaveRoom: isUnderLoadBound(
       load,
       loadTokens,
       view.load.meanTokens(eligible.pool),
-      view.index.loadBoundRatio,
+      LAG_ALLOWANCE * view.index.loadBoundRatio,
     ),
   };
 }
 
 /**
- * Returns the candidates of a request, best first: those under the load bound
- * by expected time to the first token, then the others. Empty if no server may
+ * Returns the candidates of a request, best first: those that may have room
+ * under the load bound by expected time to the first token, then the others. Empty if no server may
  * and can serve the request.
  */
 export function rankCandidates(
@@ -243,7 +278,7 @@
   return [..._collectServers(choice)]
     .map((server) => _createCandidate(choice, server))
     .sort((left, right) =>
-      Number(right.isUnderBound) - Number(left.isUnderBound) ||
+      Number(right.mayHaveRoom) - Number(left.mayHaveRoom) ||
       left.expectedFirstTokenMilliseconds -
         right.expectedFirstTokenMilliseconds ||
       view.load.relativeLoad(left.backendServer) -
--- /dev/null
+++ b/src/core/warm_servers.ts
@@ -0,0 +1,52 @@
+/**
+ * The servers that recently served a workspace through this router. They hold
+ * the workspace's shared prompt, so a request that cannot go to its own cache
+ * still reuses that part of its prompt.
+ */
+import type { BackendServerId, WorkspaceId } from "./ids.ts";
+
+/** Servers remembered per workspace. */
+export const WARM_SERVERS_PER_WORKSPACE = 8;
+/** A router serves a few hundred workspaces at a time. */
+const DEFAULT_MAXIMUM_WORKSPACES = 2_048;
+
+/** A bounded memory of warm servers. */
+export interface WarmServers {
+  /** Records that a server served the workspace. */
+  served(workspace: WorkspaceId, backendServer: BackendServerId): void;
+  /** Returns the servers of a workspace, most recent first. */
+  of(workspace: WorkspaceId): readonly BackendServerId[];
+  /** Drops servers that are gone or lost their cache. */
+  retain(isKept: (backendServer: BackendServerId) => boolean): void;
+}
+
+/** Creates an empty memory; it forgets the least recently used workspace. */
+export function createWarmServers(
+  maximumWorkspaces = DEFAULT_MAXIMUM_WORKSPACES,
+): WarmServers {
+  const byWorkspace = new Map<WorkspaceId, readonly BackendServerId[]>();
+  return {
+    served(workspace, backendServer) {
+      const others = (byWorkspace.get(workspace) ?? [])
+        .filter((known) => known !== backendServer)
+        .slice(0, WARM_SERVERS_PER_WORKSPACE - 1);
+      byWorkspace.delete(workspace);
+      byWorkspace.set(workspace, [backendServer, ...others]);
+      if (byWorkspace.size <= maximumWorkspaces) return;
+      for (const oldest of byWorkspace.keys()) {
+        byWorkspace.delete(oldest);
+        return;
+      }
+    },
+    of(workspace) {
+      return byWorkspace.get(workspace) ?? [];
+    },
+    retain(isKept) {
+      for (const [workspace, servers] of byWorkspace) {
+        const kept = servers.filter(isKept);
+        if (kept.length > 0) byWorkspace.set(workspace, kept);
+        else byWorkspace.delete(workspace);
+      }
+    },
+  };
+}
