Plan the KV export of a leaving engine by free cache room

Change: src/core/export_plan.ts plans an export within a byte budget, most recent chats first, each to the next server in its rank that has room; the affinity bench uses it for the design and for the oracle. The design estimates the room from the time since an engine came up.

--- a/bench/affinity_design.ts
+++ b/bench/affinity_design.ts
@@ -5,9 +5,10 @@
   createCacheKnowledge,
 } from "../src/core/cache_knowledge.ts";
 import { type ChatTable, createChatTable } from "../src/core/chat_table.ts";
+import { planExport } from "../src/core/export_plan.ts";
 import { type Fleet, fleetSchema } from "../src/core/fleet_schema.ts";
 import { createHoldOut } from "../src/core/hold_out.ts";
-import type { BackendServerId } from "../src/core/ids.ts";
+import type { BackendServerId, WorkspaceId } from "../src/core/ids.ts";
 import { LoadView } from "../src/core/load_view.ts";
 import type { RandomSource } from "../src/core/random.ts";
 import {
@@ -22,10 +23,13 @@
 } from "../src/core/routing_index.ts";
 import { createWarmServers } from "../src/core/warm_servers.ts";
 import {
+  CACHE_TOKENS,
   chatName,
+  type HotChat,
   PREFILL_TOKENS_PER_SECOND,
   type SimulatedEngine,
   workspaceName,
+  workspaceNumber,
 } from "./affinity_engine.ts";
 import {
   AffinityStrategy,
@@ -45,6 +49,8 @@
 const ROUTERS_PER_WORKSPACE = 3;
 /** KV bytes of one token of a model with grouped-query attention. */
 const BYTES_PER_TOKEN = 32_768;
+/** An engine at the workload's rate fills its cache in about this time. */
+const CACHE_FILL_MILLISECONDS = 3 * 60_000;
 /** `exportBytesPerDrain` by default. */
 const EXPORT_BYTES_PER_DRAIN = 1_000_000_000;
 const MODEL = "assistant";
@@ -105,35 +111,44 @@
   });
 }
 
-/**
- * Moves the most recently used chats of a leaving engine, within the byte
- * budget, and returns the bytes moved. A shared prompt is moved at most once
- * to an engine that lacks it.
- */
+/** Exports the hot chats of a leaving engine and reports each move. */
 function exportHotChats(
   from: SimulatedEngine,
-  chooseTarget: (request: WorkloadRequest) => SimulatedEngine | undefined,
+  engines: readonly SimulatedEngine[],
+  freeTokens: (engine: SimulatedEngine) => number,
   sharedTokens: readonly number[],
-): number {
-  let bytes = 0;
-  for (const { chat, workspace, prefixTokens } of from.hotChats()) {
-    const shared = sharedTokens[workspace] ?? 0;
-    const target = chooseTarget({
-      atMilliseconds: 0,
-      workspace,
-      chat,
-      sharedTokens: shared,
-      promptTokens: prefixTokens,
-      outputTokens: 0,
-      streamMilliseconds: 0,
-    });
-    if (!target) continue;
-    const moved = prefixTokens - (target.hasShared(workspace) ? shared : 0);
-    if (bytes + moved * BYTES_PER_TOKEN > EXPORT_BYTES_PER_DRAIN) break;
-    bytes += moved * BYTES_PER_TOKEN;
-    target.store(workspace, chat, prefixTokens);
+  onMoved: (chat: HotChat, to: SimulatedEngine, bytes: number) => void,
+): void {
+  const byId = new Map(engines.map((engine) => [engine.id, engine]));
+  const hot = new Map(
+    from.hotChats().map((entry) => {
+      const { chat, workspace, prefixTokens } = entry;
+      return [{
+        workspace: workspaceName(workspace),
+        chat: chatName(chat),
+        prefixTokens,
+        sharedTokens: sharedTokens[workspace] ?? 0,
+      }, entry];
+    }),
+  );
+  const targets = engines.filter((engine) => engine.isServing)
+    .map((engine) => ({
+      backendServer: engine.id,
+      freeTokens: freeTokens(engine),
+      holdsShared: (workspace: WorkspaceId) =>
+        engine.hasShared(workspaceNumber(workspace)),
+    }));
+  const budget = {
+    bytes: EXPORT_BYTES_PER_DRAIN,
+    bytesPerToken: BYTES_PER_TOKEN,
+  };
+  for (const step of planExport([...hot.keys()], targets, budget)) {
+    const entry = hot.get(step.chat);
+    const to = byId.get(step.to);
+    if (!entry || !to) continue;
+    to.store(entry.workspace, entry.chat, entry.prefixTokens);
+    onMoved(entry, to, step.bytes);
   }
-  return bytes;
 }
 
 class _BenchLoad extends LoadView {
@@ -175,6 +190,7 @@
     () => createWarmServers(),
   );
   readonly #knowledge = new Map<BackendServerId, CacheKnowledge>();
+  readonly #upSince = new Map<BackendServerId, number>();
   #index: RoutingIndex | undefined;
   #generation = 0;
   /** The router that accepted the current request. */
@@ -231,21 +247,24 @@
       for (const warm of this.#warm) warm.retain((id) => id !== engine.id);
     } else if (change.kind === "flap_up") {
       this.#holdOut.serverUp(engine.id, world.now);
+      this.#upSince.set(engine.id, world.now);
     } else this.#configure(world);
   }
 
   override onLeave(engine: SimulatedEngine, world: AffinityWorld): void {
     this.drains++;
     if (!this.#exports) return;
-    this.exportedBytes += exportHotChats(engine, (request) => {
-      const [best] = this.#rank(request, world);
-      const target = best && this.#states.engines.get(best.backendServer);
-      if (target) {
-        const { workspace, chat, promptTokens } = request;
-        this.#remember(workspace, chat, target, promptTokens, world.now);
-      }
-      return target;
-    }, this.#workload.sharedTokens);
+    exportHotChats(
+      engine,
+      world.engines.filter((target) => !this.isExcluded(target, world)),
+      (target) => this.#estimateFreeTokens(target, world.now),
+      this.#workload.sharedTokens,
+      (chat, to, bytes) => {
+        this.exportedBytes += bytes;
+        const { workspace, prefixTokens } = chat;
+        this.#remember(workspace, chat.chat, to, prefixTokens, world.now);
+      },
+    );
   }
 
   override onCacheEvents(
@@ -294,6 +313,12 @@
     );
   }
 
+  /** A cache is taken to fill evenly from the time its engine came up. */
+  #estimateFreeTokens(engine: SimulatedEngine, now: number): number {
+    const up = now - (this.#upSince.get(engine.id) ?? 0);
+    return CACHE_TOKENS * Math.max(0, 1 - up / CACHE_FILL_MILLISECONDS);
+  }
+
   #remember(
     workspace: number,
     chat: number,
@@ -310,6 +335,12 @@
     this.#states.engines.clear();
     for (const engine of world.engines) {
       this.#states.engines.set(engine.id, engine);
+      if (!this.#upSince.has(engine.id)) {
+        this.#upSince.set(engine.id, world.now);
+      }
+    }
+    for (const id of this.#upSince.keys()) {
+      if (!this.#states.engines.has(id)) this.#upSince.delete(id);
     }
     const ids = world.engines.map((engine) => engine.id);
     this.#index = indexEngines(this.#fleet, ids, ++this.#generation);
@@ -352,11 +383,12 @@
 
   override onLeave(engine: SimulatedEngine, world: AffinityWorld): void {
     this.drains++;
-    this.exportedBytes += exportHotChats(engine, (request) => {
-      for (const target of this.candidates(request, world)) {
-        if (target.isServing) return target;
-      }
-      return undefined;
-    }, this.#sharedTokens);
+    exportHotChats(
+      engine,
+      world.engines.filter((target) => !this.isExcluded(target, world)),
+      (target) => target.freeTokens,
+      this.#sharedTokens,
+      (_chat, _to, bytes) => this.exportedBytes += bytes,
+    );
   }
 }
--- a/bench/affinity_engine.ts
+++ b/bench/affinity_engine.ts
@@ -12,7 +12,7 @@
 import type { WorkloadRequest } from "./affinity_workload.ts";
 
 /** Tokens that an engine can cache; holds a part of its returning chats. */
-const CACHE_TOKENS = 200_000;
+export const CACHE_TOKENS = 200_000;
 /** The default prefill rate of a model in the fleet file. */
 export const PREFILL_TOKENS_PER_SECOND = 8_000;
 
@@ -21,6 +21,11 @@
   return brandId<WorkspaceId>(`workspace-${workspace}`);
 }
 
+/** Returns the number in a workspace's name. */
+export function workspaceNumber(workspace: WorkspaceId): number {
+  return Number(workspace.slice("workspace-".length));
+}
+
 /** Names the chat of a number. */
 export function chatName(chat: number): ChatId {
   return brandId<ChatId>(`chat-${chat}`);
@@ -67,6 +72,11 @@
     return this.isUp && !this.isLeaving;
   }
 
+  /** Free room in the cache. */
+  get freeTokens(): number {
+    return CACHE_TOKENS - this.#cachedTokens;
+  }
+
   /** Returns the prompt tokens of a request that are cached. */
   reusableTokens(request: WorkloadRequest): number {
     if (!this.#cache.has(-1 - request.workspace)) return 0;
--- a/bench/affinity_simulation.ts
+++ b/bench/affinity_simulation.ts
@@ -217,8 +217,9 @@
     }
   }
 
-  #meanTokens(extra: number): number {
-    let total = extra;
+  /** The load of the pool and its number of engines. */
+  #poolLoad(): { total: number; count: number } {
+    let total = 0;
     let count = 0;
     for (const engine of this.engines) {
       if (!engine.isServing) continue;
@@ -226,16 +227,17 @@
       total += engine.loadTokens;
       count++;
     }
-    return count === 0 ? 0 : total / count;
+    return { total, count: Math.max(1, count) };
   }
 
   #offer(request: WorkloadRequest): void {
+    const { total, count } = this.#poolLoad();
     for (const engine of this.#strategy.candidates(request, this)) {
       this.#attempts += this.now >= WARM_UP_MILLISECONDS ? 1 : 0;
       if (!engine.isServing) continue;
       const uncached = request.promptTokens - engine.reusableTokens(request);
       const size = uncached + request.outputTokens;
-      const mean = this.#meanTokens(size);
+      const mean = (total + size) / count;
       const load = engine.loadTokens;
       if (!isUnderLoadBound(load, size, mean, LOAD_BOUND_RATIO)) continue;
       const permitted = Math.max(LOAD_BOUND_RATIO * mean, mean + size);
@@ -312,7 +314,8 @@
         ...this.engines.filter((engine) => engine.isServing)
           .map((engine) => engine.loadTokens),
       );
-      this.#skewSum += highest / this.#meanTokens(0);
+      const { total, count } = this.#poolLoad();
+      this.#skewSum += highest * count / total;
       this.#skewSamples++;
     }
     this.#at(this.now + TICK_MILLISECONDS, () => this.#tick());
