Strengthen three routing tests

Cause: trial mutations survived: a chat table that ignores the workspace when hashes collide, a chat home that keeps a leaving router, and a ranking that ignores stored events. Change: a test with two workspaces whose chats collide, an unreachable router after its planned stop, and an event newer than the remembered tokens.

--- a/src/chat_home_task_test.ts
+++ b/src/chat_home_task_test.ts
@@ -134,12 +134,13 @@
 }
 
 test("guards against entries lost on a planned stop, and against chats seen by another workspace", async (t) => {
-  const { tasks, leave } = await startFleet(5);
+  const { tasks, cut, leave } = await startFleet(5);
   for (const chat of CHATS) tasks[0].remember(WORKSPACE, chat, SERVER, 100);
   t.is(await countKnown(tasks[1]), CHATS.length);
   t.is(await countKnown(tasks[1], brandId<WorkspaceId>("other")), 0);
   leave(0);
   await tasks[0].stop();
+  cut.add("peer-0");
   t.true(tasks[0].counters().entriesHandedOver > 200);
   t.is(tasks[0].counters().entriesLost, 0);
   t.is(await countKnown(tasks[1]), CHATS.length);
--- a/src/core/chat_table_test.ts
+++ b/src/core/chat_table_test.ts
@@ -2,6 +2,7 @@
 import fc from "fast-check";
 import { type ChatKey, createChatTable } from "./chat_table.ts";
 import { type BackendServerId, brandId } from "./ids.ts";
+import { hash32 } from "./rendezvous.ts";
 
 function key(workspace: string, chat: string): ChatKey {
   return { workspace: brandId(workspace), chat: brandId(chat) };
@@ -46,6 +47,24 @@
   }));
 });
 
+test("guards against a workspace reading the chat of another whose hash collides", (t) => {
+  const byHash = new Map<number, string>();
+  let pair: [string, string] | undefined;
+  for (let index = 0; !pair; index++) {
+    const hash = hash32(`w${index}/chat`);
+    const other = byHash.get(hash);
+    if (other) pair = [other, `w${index}`];
+    byHash.set(hash, `w${index}`);
+  }
+  const table = createChatTable({ maximumChats: 10 });
+  const [own, others] = [key(pair[0], "chat"), key(pair[1], "chat")];
+  const served = { backendServer: server("s"), cachedTokens: 10 };
+  table.remember(own, served, 0);
+  t.deepEqual(table.lookup(others, 0), []);
+  table.remember(others, { ...served, cachedTokens: 99 }, 0);
+  t.is(table.lookup(own, 0)[0]?.cachedTokens, 10);
+});
+
 test("guards against a flooding workspace evicting the chats of a small one, and against growth", (t) => {
   const table = createChatTable({ maximumChats: 100 });
   const served = { backendServer: server("s"), cachedTokens: 10 };
--- a/src/core/routing_test.ts
+++ b/src/core/routing_test.ts
@@ -216,7 +216,14 @@
   t.false(first === "e90" || first === "e91");
 });
 
-test("guards against remembered tokens that an engine is known to have evicted", (t) => {
+test("guards against ignoring cache events: tokens stored after, or evicted since, the chat was remembered", (t) => {
+  const stored = createView({
+    engines: 100,
+    remembered: [remember("e7", 1_900), remember("e8", 900)],
+    cacheState: (server) =>
+      server === "e8" ? { kind: "present", tokens: 1_950 } : UNKNOWN,
+  });
+  t.is(rankedNames(createRequest({}), stored)[0], "e8");
   const view = createView({
     engines: 100,
     remembered: [remember("e7", 1_900), remember("e8", 900)],
