--- a/src/core/orders.ts
+++ b/src/core/orders.ts
@@ -1,4 +1,13 @@
-/** An order to an engine. */
+/**
+ * Decides the next orders to an engine from the placements of the fleet and the
+ * state that the engine reports. Orders are repeated until the state matches.
+ */
+import type { EngineItem, EngineState } from "../engine_protocol.ts";
+import type { Drains, Fleet } from "./fleet_schema.ts";
+import { hash32, rankByRendezvous } from "./rendezvous.ts";
+
+/** Order groups; each has one lease. */
+export const ORDER_GROUPS = 64;
 
 /** What an order asks for. */
 export type OrderKind = "load" | "unload" | "change_role";
@@ -21,3 +30,267 @@
   /** Unix time after which the engine must not obey. */
   readonly notAfterMilliseconds: number;
 }
+
+/** An order that would bring the engine closer to its plan. */
+export interface OrderCandidate {
+  readonly kind: OrderKind;
+  readonly target: OrderTarget;
+  /** Placements whose floor must allow the engine to stop serving. */
+  readonly permits: readonly string[];
+}
+
+/** A model version with its adapters that an engine should serve. */
+export interface DesiredModel {
+  readonly model: string;
+  readonly version: string;
+  readonly adapters: ReadonlyMap<string, string>;
+}
+
+/** What one engine should hold. */
+export interface EnginePlan {
+  readonly engine: string;
+  readonly desired: readonly DesiredModel[];
+  /** Placements that name the engine, by model. */
+  readonly placements: ReadonlyMap<string, readonly string[]>;
+}
+
+/** What to do about an engine, most useful order first. */
+export interface EngineDecision {
+  readonly candidates: readonly OrderCandidate[];
+  /** True if the engine matches its plan and nothing is under way. */
+  readonly isDone: boolean;
+}
+
+/** Returns the order group of an engine. */
+export function orderGroupOf(engine: string): number {
+  return hash32(engine) % ORDER_GROUPS;
+}
+
+/**
+ * Returns the engines that should serve a placement: the first in rank that
+ * are not drained. Engines that the fleet or an operator took out are skipped,
+ * unreachable ones are not: routers may disagree on what is reachable.
+ */
+export function replicasOf(
+  fleet: Fleet,
+  drains: Drains,
+  placement: string,
+): string[] {
+  const { backendServers = [], replicas = 0 } = fleet.placements[placement] ??
+    {};
+  const usable = backendServers.filter((name) => isUsable(fleet, drains, name));
+  return rankByRendezvous(`placement/${placement}`, usable, (name) => name)
+    .slice(0, replicas);
+}
+
+/** Whether an engine exists and neither it nor its host is drained. */
+export function isUsable(
+  fleet: Fleet,
+  drains: Drains,
+  engine: string,
+): boolean {
+  const server = fleet.backendServers[engine];
+  return server?.kind === "engine" &&
+    !drains.backendServers.includes(engine) &&
+    !(server.host !== undefined && drains.hosts.includes(server.host));
+}
+
+/** Plans every engine that a placement names; others receive no orders. */
+export function planEngines(
+  fleet: Fleet,
+  drains: Drains,
+): Map<string, EnginePlan> {
+  const plans = new Map<string, {
+    engine: string;
+    desired: DesiredModel[];
+    placements: Map<string, string[]>;
+  }>();
+  for (const [name, placement] of Object.entries(fleet.placements)) {
+    const replicas = new Set(replicasOf(fleet, drains, name));
+    const version = fleet.models[placement.model]?.version;
+    for (const engine of placement.backendServers) {
+      if (!isUsable(fleet, drains, engine)) continue;
+      const plan = plans.get(engine) ??
+        { engine, desired: [], placements: new Map<string, string[]>() };
+      plans.set(engine, plan);
+      const named = plan.placements.get(placement.model) ?? [];
+      plan.placements.set(placement.model, [...named, name]);
+      if (version === undefined || !replicas.has(engine)) continue;
+      _desire(
+        plan.desired,
+        fleet,
+        placement.model,
+        version,
+        placement.adapters,
+      );
+    }
+  }
+  return plans;
+}
+
+function _desire(
+  desired: DesiredModel[],
+  fleet: Fleet,
+  model: string,
+  version: string,
+  adapters: readonly string[],
+): void {
+  const index = desired.findIndex((entry) => entry.model === model);
+  const merged = new Map(desired[index]?.adapters);
+  for (const adapter of adapters) {
+    merged.set(adapter, fleet.adapters[adapter]?.version ?? "1");
+  }
+  const entry = { model, version, adapters: merged };
+  if (index < 0) desired.push(entry);
+  else desired[index] = entry;
+}
+
+/** Whether an engine serves any version of a model. */
+export function isServing(state: EngineState, model: string): boolean {
+  return state.items.some((item) =>
+    item.model === model && item.adapter === undefined &&
+    item.state === "serving"
+  );
+}
+
+/** Decides the next orders to one engine. */
+export function decideOrders(
+  plan: EnginePlan,
+  state: EngineState,
+): EngineDecision {
+  const serving: OrderCandidate[] = [];
+  const loads: OrderCandidate[] = [];
+  const removals: OrderCandidate[] = [];
+  for (const wanted of plan.desired) {
+    const item = _find(state, wanted.model, wanted.version);
+    if (!item) loads.push(..._makeRoomOrLoad(plan, state, wanted));
+    else if (item.state !== "loading") {
+      const missing = _missingAdapters(state, wanted);
+      loads.push(...missing);
+      if (item.state === "standby" && _areAdaptersReady(state, wanted)) {
+        serving.push(_changeRole(item, "serving", []));
+      }
+      if (item.state === "serving") {
+        removals.push(..._removeOld(state, wanted, item));
+      }
+    }
+  }
+  removals.push(..._removeUndesired(plan, state));
+  const candidates = [...serving, ...loads, ...removals];
+  const isLoading = state.items.some((item) => item.state === "loading");
+  return { candidates, isDone: candidates.length === 0 && !isLoading };
+}
+
+function _find(
+  state: EngineState,
+  model: string,
+  version: string,
+  adapter?: string,
+): EngineItem | undefined {
+  return state.items.find((item) =>
+    item.model === model && item.version === version &&
+    item.adapter === adapter
+  );
+}
+
+function _target(item: EngineItem): OrderTarget {
+  const { model, version, adapter } = item;
+  return { model, version, ...(adapter === undefined ? {} : { adapter }) };
+}
+
+function _unload(item: EngineItem): OrderCandidate {
+  return { kind: "unload", target: _target(item), permits: [] };
+}
+
+function _changeRole(
+  item: EngineItem,
+  role: "serving" | "standby",
+  permits: readonly string[],
+): OrderCandidate {
+  return { kind: "change_role", target: { ..._target(item), role }, permits };
+}
+
+/**
+ * Loads the wanted version beside the old one if memory allows. Otherwise the
+ * old one goes first, which takes the engine out of service.
+ */
+function _makeRoomOrLoad(
+  plan: EnginePlan,
+  state: EngineState,
+  { model, version }: DesiredModel,
+): OrderCandidate[] {
+  const models = state.items.filter((item) => item.adapter === undefined);
+  if (models.length < state.modelSlots) {
+    return [{ kind: "load", target: { model, version }, permits: [] }];
+  }
+  const undesired = models.some((item) =>
+    !plan.desired.some((wanted) => wanted.model === item.model)
+  );
+  if (undesired) return [];
+  const old = models.filter((item) => item.model === model);
+  const idle = old.find((item) => item.state === "standby");
+  if (idle) return [_unload(idle)];
+  const inUse = old.find((item) => item.state === "serving");
+  const permits = plan.placements.get(model) ?? [];
+  return inUse ? [_changeRole(inUse, "standby", permits)] : [];
+}
+
+function _missingAdapters(
+  state: EngineState,
+  { model, adapters }: DesiredModel,
+): OrderCandidate[] {
+  return [...adapters]
+    .filter(([adapter, version]) => !_find(state, model, version, adapter))
+    .map(([adapter, version]) => ({
+      kind: "load",
+      target: { model, version, adapter },
+      permits: [],
+    }));
+}
+
+function _areAdaptersReady(
+  state: EngineState,
+  { model, adapters }: DesiredModel,
+): boolean {
+  return [...adapters].every(([adapter, version]) => {
+    const item = _find(state, model, version, adapter);
+    return item !== undefined && item.state !== "loading";
+  });
+}
+
+/** Old versions and adapters go once the wanted ones are in service. */
+function _removeOld(
+  state: EngineState,
+  wanted: DesiredModel,
+  current: EngineItem,
+): OrderCandidate[] {
+  if (!_areAdaptersReady(state, wanted)) return [];
+  return state.items
+    .filter((item) => item.model === wanted.model && item !== current)
+    .filter((item) =>
+      item.adapter === undefined ||
+      wanted.adapters.get(item.adapter) !== item.version
+    )
+    .filter((item) => item.state === "standby")
+    .map(_unload);
+}
+
+function _removeUndesired(
+  plan: EnginePlan,
+  state: EngineState,
+): OrderCandidate[] {
+  return state.items
+    .filter((item) =>
+      !plan.desired.some((wanted) => wanted.model === item.model)
+    )
+    .filter((item) => item.state !== "loading")
+    .map((item) =>
+      item.state === "serving"
+        ? _changeRole(
+          item,
+          "standby",
+          plan.placements.get(item.model) ?? [],
+        )
+        : _unload(item)
+    );
+}
--- a/stand_ins/engine_models.ts
+++ b/stand_ins/engine_models.ts
@@ -25,20 +25,36 @@
   state: "loading" | "standby" | "serving";
 }
 
+/** The time by which engines live; a simulation supplies its own. */
+export interface EngineTime {
+  /** Unix time in milliseconds. */
+  now(): number;
+  after(milliseconds: number, listener: () => void): void;
+}
+
+/** The system's time. */
+export const SYSTEM_TIME: EngineTime = {
+  now: () => Date.now(),
+  after: (milliseconds, listener) =>
+    void setTimeout(listener, milliseconds).unref(),
+};
+
 /** Counts the loads of all engines that share it and delays those above its rate. */
 export class WeightStore {
   readonly loadTimes: number[] = [];
   readonly #gapMilliseconds: number;
+  readonly #time: EngineTime;
   #nextAt = 0;
 
-  constructor(loadsPerMinute: number) {
+  constructor(loadsPerMinute: number, time = SYSTEM_TIME) {
+    this.#time = time;
     this.#gapMilliseconds = 60_000 / loadsPerMinute;
   }
 
   /** Registers a load and returns how long it waits for its turn. */
   take(): number {
-    const now = performance.now();
-    this.loadTimes.push(Date.now());
+    const now = this.#time.now();
+    this.loadTimes.push(now);
     const startAt = Math.max(now, this.#nextAt);
     this.#nextAt = startAt + this.#gapMilliseconds;
     return startAt - now;
@@ -54,12 +70,14 @@
   readonly weightStore: WeightStore;
   /** True while requests of the model run, which blocks its unloading. */
   readonly isBusy: (model: string) => boolean;
+  readonly time?: EngineTime;
 }
 
 /** The state of an engine's models. */
 export class EngineModels {
   readonly items: HeldItem[] = [];
   readonly #options: EngineModelsOptions;
+  readonly #time: EngineTime;
   #fencingNumber = 0;
   #lastObeyed = 0;
   #highestObeyed = 0;
@@ -68,6 +86,7 @@
 
   constructor(options: EngineModelsOptions) {
     this.#options = options;
+    this.#time = options.time ?? SYSTEM_TIME;
   }
 
   isServing(model: string, adapter?: string): boolean {
@@ -79,7 +98,7 @@
     );
   }
 
-  describe(): unknown {
+  describe() {
     return {
       items: this.items,
       model_slots: this.#options.modelSlots,
@@ -90,7 +109,7 @@
 
   /** Obeys an order or returns why not. Repeating an order has no effect. */
   obey(order: EngineOrder): string | undefined {
-    if (Date.now() > order.not_after_milliseconds) return "order_expired";
+    if (this.#time.now() > order.not_after_milliseconds) return "order_expired";
     if (
       this.#options.checksFencing && order.fencing_number < this.#fencingNumber
     ) return "fencing_number_too_low";
@@ -135,9 +154,9 @@
       : { model, version, adapter, state: "loading" };
     this.items.push(item);
     const wait = this.#options.weightStore.take();
-    setTimeout(() => {
+    this.#time.after(wait + this.#options.loadMilliseconds, () => {
       item.state = "standby";
-    }, wait + this.#options.loadMilliseconds).unref();
+    });
     return undefined;
   }
 
