Wire order-giving and warm servers into the router

Cause: the order duty and the memory of warm servers had landed without a place in the router. Change: the router runs the order task; routing learns which servers served a workspace through this router. Conclusion: engines are kept to the fleet file by the running routers.

--- a/src/chat_dispatch.ts
+++ b/src/chat_dispatch.ts
@@ -213,6 +213,7 @@
         onEnd(usage) {
           admission.release(slot);
           if (!usage) return;
+          routing.recordServed(workspace, slot.backendServer);
           metrics.promptTokens.inc({ source: "cached" }, usage.cachedTokens);
           const computed = usage.promptTokens - usage.cachedTokens;
           metrics.promptTokens.inc({ source: "computed" }, computed);
--- a/src/router.ts
+++ b/src/router.ts
@@ -35,6 +35,7 @@
 import { LoadTask } from "./load_task.ts";
 import { MembershipTask } from "./membership_task.ts";
 import { createMetrics } from "./metrics.ts";
+import { OrderTask } from "./order_task.ts";
 import type { PeerNetwork } from "./peer_network.ts";
 import type { PlatformClient } from "./platform_client.ts";
 import { createPoolLoadView } from "./pool_load_view.ts";
@@ -212,6 +213,17 @@
     timers,
     run: (call) => limitCall(call.workspace, limits, () => services.run(call)),
   });
+  const orders = new OrderTask({
+    platform,
+    backend: {
+      readState: (address) => backends.readState(address),
+      sendOrder: (address, order) => backends.sendOrder(address, order),
+    },
+    membership: members,
+    configuration,
+    timers,
+    random,
+  });
   const tasks: readonly Task[] = [
     membership,
     configurationTask,
@@ -222,6 +234,7 @@
     limits,
     backendStates,
     execution,
+    orders,
   ];
   const facade = new RouterServices({
     members,
--- a/src/routing_context.ts
+++ b/src/routing_context.ts
@@ -3,7 +3,7 @@
 import type { BackendStates } from "./core/backend_state.ts";
 import type { RememberedServer } from "./core/chat_table.ts";
 import type { HoldOut } from "./core/hold_out.ts";
-import type { WorkspaceId } from "./core/ids.ts";
+import type { BackendServerId, WorkspaceId } from "./core/ids.ts";
 import type { LoadView } from "./core/load_view.ts";
 import type { RandomSource } from "./core/random.ts";
 import {
@@ -12,6 +12,7 @@
   type RoutingRequest,
 } from "./core/routing.ts";
 import { createRoutingIndex, type RoutingIndex } from "./core/routing_index.ts";
+import { createWarmServers } from "./core/warm_servers.ts";
 import type { Clock } from "./timer_service.ts";
 
 /** What the context is made of. */
@@ -34,12 +35,15 @@
     request: RoutingRequest,
     remembered: readonly RememberedServer[],
   ): readonly Candidate[];
+  /** Records that a server has served a workspace and holds its shared prompt. */
+  recordServed(workspace: WorkspaceId, backendServer: BackendServerId): void;
 }
 
 /** Creates the routing context of one router. */
 export function createRoutingContext(
   options: RoutingContextOptions,
 ): RoutingContext {
+  const warmServers = createWarmServers();
   let index: RoutingIndex | undefined;
   const current = options.configuration.current();
   if (current) index = createRoutingIndex(current);
@@ -49,11 +53,14 @@
 
   return {
     index: () => index,
+    recordServed: (workspace, backendServer) =>
+      warmServers.served(workspace, backendServer),
     rank(request, remembered) {
       if (!index) return [];
       const view = {
         index,
         remembered,
+        warm: warmServers.of(request.workspace),
         load: options.load,
         backendStates: options.states,
         holdOut: options.holdOut,
