--- a/src/backend_client.ts
+++ b/src/backend_client.ts
@@ -3,6 +3,7 @@
  * engines, and the engines' control interface.
  */
 import { err, ok, type Result } from "neverthrow";
+import type { Readable } from "node:stream";
 import type { z } from "zod";
 import {
   type BackendAnswer,
@@ -75,9 +76,15 @@
   }
   | { readonly kind: "answer"; readonly answer: BackendAnswer };
 
-/** Exported KV cache; its content is opaque to routers. */
+/**
+ * Exported KV cache on its way through the router, which holds only a part of
+ * it at a time. It must be imported or released.
+ */
 export interface CacheExport {
-  readonly content: Buffer;
+  readonly content: Readable;
+  /** Size of the cache entries as the engine counts them. */
+  readonly bytes: number;
+  release(): void;
 }
 
 /** Talks to backend servers. */
@@ -217,11 +224,15 @@
     address: SocketAddress,
     order: EngineOrder,
   ): Promise<Result<void, ApplicationError>> {
-    const result = await this.#post(address, "/v1/orders", {
-      kind: order.kind,
-      target: order.target,
-      fencing_number: order.fencingNumber,
-      not_after_milliseconds: order.notAfterMilliseconds,
+    const result = await this.call({
+      ...this.#postRequest(address, "/v1/orders"),
+      body: JSON.stringify({
+        kind: order.kind,
+        target: order.target,
+        fencing_number: order.fencingNumber,
+        not_after_milliseconds: order.notAfterMilliseconds,
+      }),
+      deadline: this.#now() + CONTROL_TIMEOUT_MILLISECONDS,
     });
     if (result.isErr()) return err(result.error);
     const { status, body } = result.value;
@@ -236,20 +247,32 @@
     chats: readonly string[],
     maximumBytes: number,
   ): Promise<Result<CacheExport, ApplicationError>> {
-    const body = { chats, maximum_bytes: maximumBytes };
-    // Base64 and framing enlarge the exported bytes.
-    const limit = 2 * maximumBytes + DEFAULT_MAXIMUM_ANSWER_BYTES;
-    const result = await this.#post(address, "/v1/cache/export", body, limit);
-    return result.andThen(expectSuccess)
-      .map((answer) => ({ content: answer.body }));
+    const opened = await this.#open({
+      ...this.#postRequest(address, "/v1/cache/export"),
+      body: JSON.stringify({ chats, maximum_bytes: maximumBytes }),
+      deadline: this.#now() + CACHE_TIMEOUT_MILLISECONDS,
+    });
+    if (opened.isErr()) return err(opened.error);
+    const answer = opened.value;
+    if (answer.status !== 200) {
+      answer.release();
+      return err(createError("backend_failed", `status ${answer.status}`));
+    }
+    const bytes = Number(answer.headers["x-cache-bytes"] ?? 0);
+    const release = answer.release.bind(answer);
+    return ok({ content: answer.body, bytes, release });
   }
 
   override async importCache(
     address: SocketAddress,
     exported: CacheExport,
   ): Promise<Result<void, ApplicationError>> {
-    const path = "/v1/cache/import";
-    const result = await this.#post(address, path, exported.content);
+    const result = await this.call({
+      ...this.#postRequest(address, "/v1/cache/import"),
+      body: exported.content,
+      deadline: this.#now() + CACHE_TIMEOUT_MILLISECONDS,
+    });
+    exported.release();
     return result.andThen(expectSuccess).map(() => undefined);
   }
 
@@ -319,26 +342,15 @@
     });
   }
 
-  /** Posts on a connection of its own, so that no stale connection delays it. */
-  #post(
-    address: SocketAddress,
-    path: string,
-    body: unknown,
-    maximumAnswerBytes = DEFAULT_MAXIMUM_ANSWER_BYTES,
-  ) {
-    const timeout = path.startsWith("/v1/cache/")
-      ? CACHE_TIMEOUT_MILLISECONDS
-      : CONTROL_TIMEOUT_MILLISECONDS;
-    return this.call({
+  /** Posts go out on a connection of their own, so that none is delayed. */
+  #postRequest(address: SocketAddress, path: string) {
+    return {
       address,
       method: "POST",
       path,
       headers: { "content-type": "application/json" },
-      body: body instanceof Uint8Array ? body : JSON.stringify(body),
       idempotent: false,
-      deadline: this.#now() + timeout,
-      maximumAnswerBytes,
-    });
+    };
   }
 
   async #read<Schema extends z.ZodType>(
--- a/src/backend_transport.ts
+++ b/src/backend_transport.ts
@@ -21,7 +21,7 @@
   /** Path and query. */
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
-  readonly body?: string | Uint8Array;
+  readonly body?: string | Uint8Array | Readable;
   /**
    * False: the request is sent once, on a connection of its own, because a
    * kept connection may fail after the body was written.
--- a/stand_ins/engine.ts
+++ b/stand_ins/engine.ts
@@ -7,7 +7,12 @@
 import { PRIORITIES, type Priority } from "../src/core/fleet_schema.ts";
 import { createSeededRandom } from "../src/core/random.ts";
 import { Batch, type BatchOptions, Stream } from "./engine_batch.ts";
-import { blockChain, type ExportedChat, PrefixCache } from "./engine_cache.ts";
+import {
+  blockChain,
+  bytesOf,
+  type ExportedChat,
+  PrefixCache,
+} from "./engine_cache.ts";
 import {
   EngineModels,
   type EngineOrder,
@@ -156,10 +161,11 @@
       const { after } = request.query as { after?: string };
       return this.#cache.events(Number(after ?? 0));
     });
-    app.post("/v1/cache/export", async (request) => {
+    app.post("/v1/cache/export", async (request, reply) => {
       const body = request.body as _ExportBody;
       const chats = body.chats ?? this.#cache.ownersOf(body.prefixes ?? []);
-      return { entries: this.#cache.export(chats, body.maximum_bytes) };
+      const entries = this.#cache.export(chats, body.maximum_bytes);
+      return reply.header("x-cache-bytes", bytesOf(entries)).send({ entries });
     });
     app.post("/v1/cache/import", async (request) => {
       const { entries } = request.body as { entries: ExportedChat[] };
--- a/stand_ins/engine_cache.ts
+++ b/stand_ins/engine_cache.ts
@@ -26,6 +26,12 @@
   readonly blocks: readonly string[];
 }
 
+/** The KV cache bytes of exported chats. */
+export function bytesOf(entries: readonly ExportedChat[]): number {
+  const blocks = entries.reduce((sum, entry) => sum + entry.blocks.length, 0);
+  return blocks * BLOCK_TOKENS * BYTES_PER_TOKEN;
+}
+
 /** Options of a cache. */
 export interface PrefixCacheOptions {
   readonly cacheTokens: number;
@@ -107,7 +113,7 @@
     let left = maximumBytes;
     const exported: ExportedChat[] = [];
     for (const [chat, blocks] of byChat) {
-      const bytes = blocks.length * BLOCK_TOKENS * BYTES_PER_TOKEN;
+      const bytes = bytesOf([{ chat, blocks }]);
       if (blocks.length === 0 || bytes > left) continue;
       left -= bytes;
       exported.push({ chat, blocks });
