--- /dev/null
+++ b/bench/naive_orders.ts
@@ -0,0 +1,87 @@
+/**
+ * A naive order-giver as a baseline: it takes a lease over as soon as it should
+ * hold it, waits for nobody, keeps no serving floor and no load rate, and gives
+ * orders without an end of validity.
+ */
+import { decideOrders, ORDER_GROUPS } from "../src/core/orders.ts";
+import { pickByRendezvous } from "../src/core/rendezvous.ts";
+import { brandId, type SocketAddress } from "../src/core/ids.ts";
+import { type OrderTaskOptions, planGroups } from "../src/order_task.ts";
+import { Task } from "../src/task.ts";
+
+const ROUND_MILLISECONDS = 1_000;
+
+class _NaiveOrderTask extends Task {
+  override readonly name = "naive_order";
+  readonly #options: OrderTaskOptions;
+  readonly #epochs = new Map<number, number>();
+
+  constructor(options: OrderTaskOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override async start(): Promise<void> {
+    this.#options.timers.every(ROUND_MILLISECONDS, "order round", () => {
+      for (let group = 0; group < ORDER_GROUPS; group++) {
+        void this.#serveGroup(group);
+      }
+    });
+  }
+
+  override async stop(): Promise<void> {}
+
+  override describe(): unknown {
+    return {};
+  }
+
+  async #serveGroup(group: number): Promise<void> {
+    const { membership, configuration, backend } = this.#options;
+    const snapshot = configuration.current();
+    const plan = snapshot && planGroups(snapshot).get(group);
+    const holder = pickByRendezvous(
+      `orders/${group}`,
+      membership.liveMembers(),
+      (member) => member.host,
+    );
+    if (!plan || holder?.incarnation !== membership.self().incarnation) {
+      this.#epochs.delete(group);
+      return;
+    }
+    const epoch = this.#epochs.get(group) ?? await this.#takeLease(group);
+    if (epoch === undefined) return;
+    for (const engine of plan.engines) {
+      const server = snapshot.fleet.backendServers[engine.engine];
+      const address = brandId<SocketAddress>(server?.address ?? "");
+      const state = await backend.readState(address);
+      if (state.isErr()) continue;
+      for (
+        const { kind, target } of decideOrders(engine, state.value).candidates
+      ) {
+        await backend.sendOrder(address, {
+          kind,
+          target,
+          fencingNumber: epoch,
+          notAfterMilliseconds: Number.MAX_SAFE_INTEGER,
+        });
+      }
+    }
+  }
+
+  async #takeLease(group: number): Promise<number | undefined> {
+    const { platform } = this.#options;
+    const key = `lease/orders/${group}`;
+    const read = await platform.read(key);
+    if (read.isErr()) return undefined;
+    const version = read.value?.version ?? 0;
+    const written = await platform.write(key, "held", version);
+    if (written.isErr()) return undefined;
+    this.#epochs.set(group, written.value);
+    return written.value;
+  }
+}
+
+/** Creates the baseline. */
+export function createNaiveOrderTask(options: OrderTaskOptions): Task {
+  return new _NaiveOrderTask(options);
+}
