Refuse chats on a stand-in engine whose last model was unloaded

Cause: an engine without models served every model, so one that was ordered to unload its only model answered on. Change: only an engine that started without models and never obeyed an order serves every model. Conclusion: the stand-in shows a router that sends work to an emptied engine.

--- a/stand_ins/engine.ts
+++ b/stand_ins/engine.ts
@@ -215,11 +215,12 @@
     });
   }
 
-  /** An engine without configured models serves every model. */
+  /** Without configured models and orders an engine serves every model. */
   #refuse({ model, adapter, messages, priority }: _ChatBody) {
     if (!Array.isArray(messages)) return "malformed_request";
     if (priority && !PRIORITIES.includes(priority)) return "unknown_priority";
-    if (this.#models.items.length === 0) return undefined;
+    const isOrdered = this.#models.describe().last_obeyed_fencing_number > 0;
+    if (this.#options.models.length === 0 && !isOrdered) return undefined;
     if (!this.#models.isServing(model)) return "model_not_serving";
     if (adapter === undefined || this.#models.isServing(model, adapter)) {
       return undefined;
