--- a/stand_ins/engine.ts
+++ b/stand_ins/engine.ts
@@ -7,7 +7,12 @@
 import { PRIORITIES, type Priority } from "../src/core/fleet_schema.ts";
 import { createSeededRandom } from "../src/core/random.ts";
 import { Batch, type BatchOptions, Stream } from "./engine_batch.ts";
-import { blockChain, type ExportedChat, PrefixCache } from "./engine_cache.ts";
+import {
+  blockChain,
+  bytesOf,
+  type ExportedChat,
+  PrefixCache,
+} from "./engine_cache.ts";
 import {
   EngineModels,
   type EngineOrder,
@@ -156,10 +161,11 @@
       const { after } = request.query as { after?: string };
       return this.#cache.events(Number(after ?? 0));
     });
-    app.post("/v1/cache/export", async (request) => {
+    app.post("/v1/cache/export", async (request, reply) => {
       const body = request.body as _ExportBody;
       const chats = body.chats ?? this.#cache.ownersOf(body.prefixes ?? []);
-      return { entries: this.#cache.export(chats, body.maximum_bytes) };
+      const entries = this.#cache.export(chats, body.maximum_bytes);
+      return reply.header("x-cache-bytes", bytesOf(entries)).send({ entries });
     });
     app.post("/v1/cache/import", async (request) => {
       const { entries } = request.body as { entries: ExportedChat[] };
@@ -209,11 +215,12 @@
     });
   }
 
-  /** An engine without configured models serves every model. */
+  /** Without configured models and orders an engine serves every model. */
   #refuse({ model, adapter, messages, priority }: _ChatBody) {
     if (!Array.isArray(messages)) return "malformed_request";
     if (priority && !PRIORITIES.includes(priority)) return "unknown_priority";
-    if (this.#models.items.length === 0) return undefined;
+    const isOrdered = this.#models.describe().last_obeyed_fencing_number > 0;
+    if (this.#options.models.length === 0 && !isOrdered) return undefined;
     if (!this.#models.isServing(model)) return "model_not_serving";
     if (adapter === undefined || this.#models.isServing(model, adapter)) {
       return undefined;
