Follow leaving hosts, hand over KV caches on drain, end cleanly

Cause: a stopped router did not end its process, since a watch was pending; the drain duty and the platform's host list had no place in the router.

--- a/src/core/backend_state.ts
+++ b/src/core/backend_state.ts
@@ -20,6 +20,7 @@
 /** The newest report of each backend server. */
 export class BackendStates extends BackendStateView {
   readonly #reports = new Map<BackendServerId, BackendStateReport>();
+  readonly #leaving = new Set<BackendServerId>();
 
   /** Stores the report if it is newer; returns true if it says something new. */
   merge(report: BackendStateReport): boolean {
@@ -38,12 +39,19 @@
     backendServer: BackendServerId,
     versions: readonly string[],
   ): boolean {
+    if (this.#leaving.has(backendServer)) return false;
     const report = this.#reports.get(backendServer);
     if (!report) return true;
     return report.isUp &&
       versions.every((version) => report.versions.includes(version));
   }
 
+  /** Marks a server whose host is listed as leaving. */
+  setLeaving(backendServer: BackendServerId, isLeaving: boolean): void {
+    if (isLeaving) this.#leaving.add(backendServer);
+    else this.#leaving.delete(backendServer);
+  }
+
   /** Drops servers that are no longer configured. */
   retain(isKept: (backendServer: BackendServerId) => boolean): void {
     for (const id of this.#reports.keys()) {
--- a/src/drain_task.ts
+++ b/src/drain_task.ts
@@ -41,6 +41,8 @@
   readonly timers: TimerService;
   /** Hosts that the platform lists as leaving. */
   readonly leavingHosts: () => readonly string[];
+  /** Called with each chat whose cache was moved, so that it is routed there. */
+  readonly onMoved?: (chat: string, target: string) => void;
   /** Orders engines by preference for a chat; as routing does. */
   readonly rank?: (chat: string, servers: readonly string[]) => string[];
 }
@@ -144,7 +146,10 @@
         )
         : exported;
       if (imported.isErr()) report.failures++;
-      else report.chats += chats.length;
+      else {
+        report.chats += chats.length;
+        for (const chat of chats) this.#options.onMoved?.(chat, target);
+      }
       if (exported.isOk()) report.bytesMoved += exported.value.bytes;
     }
   }
--- /dev/null
+++ b/src/host_list_task.ts
@@ -0,0 +1,146 @@
+/**
+ * Follows the platform's list of leaving hosts. The watchers of each data centre
+ * read it and tell the others, so that the calls do not grow with the fleet.
+ */
+import { z } from "zod";
+import { isWatcher } from "./core/configuration_tree.ts";
+import type { RandomSource } from "./core/random.ts";
+import type { MembershipView } from "./membership_view.ts";
+import type { PeerNetwork } from "./peer_network.ts";
+import type { PlatformClient } from "./platform_client.ts";
+import { Task } from "./task.ts";
+import type { Subscription, TimerService } from "./timer_service.ts";
+
+const READ_PERIOD_MILLISECONDS = 1_000;
+/** Routers that missed a message ask a random peer at this period. */
+const REPAIR_PERIOD_MILLISECONDS = 5_000;
+const REPAIR_TIMEOUT_MILLISECONDS = 1_000;
+
+const _listSchema = z.object({
+  /** Wall time of the reading, in milliseconds; the newest list wins. */
+  readAt: z.number(),
+  leaving: z.array(z.string()),
+});
+
+type _HostList = z.infer<typeof _listSchema>;
+
+/** What the task needs. */
+export interface HostListTaskOptions {
+  readonly network: PeerNetwork;
+  readonly members: MembershipView;
+  readonly platform: PlatformClient;
+  readonly timers: TimerService;
+  readonly random: RandomSource;
+}
+
+/** Knows which hosts are leaving. */
+export class HostListTask extends Task {
+  override readonly name = "host_list";
+  readonly #options: HostListTaskOptions;
+  readonly #listeners: (() => void)[] = [];
+  #list: _HostList = { readAt: 0, leaving: [] };
+  #subscriptions: Subscription[] = [];
+  #isReading = false;
+
+  constructor(options: HostListTaskOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override async start(): Promise<void> {
+    const { network, timers } = this.#options;
+    network.handle("hosts.listed", (body) => {
+      this.#receive(body);
+      return this.#list;
+    });
+    this.#subscriptions = [
+      timers.every(READ_PERIOD_MILLISECONDS, "host_list.read", () => {
+        if (this.#isWatching() && !this.#isReading) void this.#read();
+      }),
+      timers.every(REPAIR_PERIOD_MILLISECONDS, "host_list.repair", () => {
+        if (!this.#isWatching()) void this.#repair();
+      }),
+    ];
+  }
+
+  override async stop(): Promise<void> {
+    for (const subscription of this.#subscriptions) subscription.cancel();
+  }
+
+  override describe(): unknown {
+    return { ...this.#list, watching: this.#isWatching() };
+  }
+
+  /** Hosts that were listed as leaving when the list was last read. */
+  leavingHosts(): readonly string[] {
+    return this.#list.leaving;
+  }
+
+  /** Calls the listener after the leaving hosts have changed. */
+  onChange(listener: () => void): void {
+    this.#listeners.push(listener);
+  }
+
+  #isWatching(): boolean {
+    const { members } = this.#options;
+    const live = members.liveMembers().filter((member) => !member.leaving);
+    return isWatcher(members.self(), live);
+  }
+
+  async #read(): Promise<void> {
+    const { platform, timers } = this.#options;
+    this.#isReading = true;
+    const listed = await platform.listHosts();
+    this.#isReading = false;
+    if (listed.isErr()) return;
+    const leaving = listed.value
+      .filter(({ state }) => state === "leaving")
+      .map(({ host }) => host)
+      .sort();
+    const readAt = timers.clock.wallMilliseconds();
+    if (this.#accept({ readAt, leaving })) this.#announce();
+  }
+
+  #announce(): void {
+    const { network, members } = this.#options;
+    const self = members.self().incarnation;
+    for (const member of members.liveMembers()) {
+      if (member.incarnation !== self) {
+        network.send(member.address, "hosts.listed", this.#list);
+      }
+    }
+  }
+
+  async #repair(): Promise<void> {
+    const { network, members, random } = this.#options;
+    const self = members.self().incarnation;
+    const others = members.liveMembers().filter(({ incarnation }) =>
+      incarnation !== self
+    );
+    const peer = others[random.integer(others.length)];
+    if (!peer) return;
+    const reply = await network.request(
+      peer.address,
+      "hosts.listed",
+      this.#list,
+      REPAIR_TIMEOUT_MILLISECONDS,
+    );
+    if (reply.isOk()) this.#receive(reply.value);
+  }
+
+  #receive(body: unknown): void {
+    const list = _listSchema.safeParse(body);
+    if (list.success) this.#accept(list.data);
+  }
+
+  /** Keeps the newest list; true if the leaving hosts have changed. */
+  #accept(list: _HostList): boolean {
+    if (list.readAt <= this.#list.readAt) return false;
+    const isNews = list.leaving.join() !== this.#list.leaving.join();
+    this.#list = list;
+    if (isNews) {
+      for (const listener of this.#listeners) listener();
+    }
+    return isNews;
+  }
+}
--- /dev/null
+++ b/src/mod.ts
@@ -0,0 +1,78 @@
+/**
+ * The public face of the library. Everything the daemons do is open to a
+ * program that imports it; sockets, clock, randomness, the platform and the
+ * backend servers can be replaced through the abstract classes named here.
+ */
+export { type Access, createAccess, hashKey } from "./access.ts";
+export {
+  BackendClient,
+  createHttpBackendClient,
+  type HttpBackendClientOptions,
+} from "./backend_client.ts";
+export {
+  type CallAnswer,
+  type Caller,
+  type CallerOptions,
+  type CallFailure,
+  type CallOptions,
+  createCaller,
+  type NotRun,
+  type OutcomeUnknown,
+} from "./caller.ts";
+export {
+  type ChatEvent,
+  type ChatMessage,
+  type ChatOptions,
+} from "./caller_chat.ts";
+export {
+  type CallerInterfaceOptions,
+  createCallerInterface,
+} from "./caller_interface.ts";
+export { CallerServices } from "./caller_services.ts";
+export { ConfigurationView } from "./configuration_view.ts";
+export {
+  applyFleet,
+  type ApplyOptions,
+  type ApplyOutcome,
+} from "./core/configuration_apply.ts";
+export {
+  answerFor,
+  type ApplicationError,
+  createError,
+  ERROR_ANSWERS,
+  type ErrorAnswer,
+  type ErrorKind,
+  type RunState,
+  toErrorBody,
+} from "./core/errors.ts";
+export { safeParseFleet } from "./core/fleet_file.ts";
+export {
+  type ConfigurationSnapshot,
+  type Fleet,
+  type Priority,
+} from "./core/fleet_schema.ts";
+export * from "./core/ids.ts";
+export { createSeededRandom, RandomSource } from "./core/random.ts";
+export { safeParseSettings } from "./core/settings_file.ts";
+export { type Settings } from "./core/settings_schema.ts";
+export { createHttpPlatformClient } from "./http_platform_client.ts";
+export { type Member, MembershipView } from "./membership_view.ts";
+export {
+  type PeerIdentity,
+  type PeerMessageKind,
+  PeerNetwork,
+} from "./peer_network.ts";
+export { PlatformClient, type StoredObject } from "./platform_client.ts";
+export { createRouter, type Router, type RouterOptions } from "./router.ts";
+export { runRouter } from "./router_daemon.ts";
+export { Task } from "./task.ts";
+export {
+  createTcpPeerNetwork,
+  type TcpPeerNetworkOptions,
+} from "./tcp_peer_network.ts";
+export {
+  Clock,
+  createManualTimerService,
+  createSystemTimerService,
+  TimerService,
+} from "./timer_service.ts";
--- a/src/peer_network.ts
+++ b/src/peer_network.ts
@@ -33,6 +33,7 @@
   "execution.outcome",
   "limits.renew",
   "backend.state",
+  "hosts.listed",
 ] as const;
 
 /** One of the closed list of message kinds. */
--- a/src/router.ts
+++ b/src/router.ts
@@ -21,10 +21,12 @@
 import {
   type BackendServerId,
   brandId,
+  type ChatId,
   type DataCentreId,
   type HostId,
   type IncarnationId,
   type SocketAddress,
+  type WorkspaceId,
 } from "./core/ids.ts";
 import { createSeededRandom, type RandomSource } from "./core/random.ts";
 import { createRetryBudget } from "./core/retry_budget.ts";
@@ -35,6 +37,8 @@
 import { LoadTask } from "./load_task.ts";
 import { MembershipTask } from "./membership_task.ts";
 import { createMetrics } from "./metrics.ts";
+import { createCacheEventHotChats, createDrainTask } from "./drain_task.ts";
+import { HostListTask } from "./host_list_task.ts";
 import { OrderTask } from "./order_task.ts";
 import type { PeerNetwork } from "./peer_network.ts";
 import type { PlatformClient } from "./platform_client.ts";
@@ -52,6 +56,8 @@
 
 const INCARNATION_BYTES = 8;
 const COUNTER_PERIOD_MILLISECONDS = 1_000;
+/** Engines do not tell how long a moved prefix is; any prompt is shorter than this. */
+const MOVED_CHAT_TOKENS = 1_000_000;
 
 /** What a router is made of; everything but the settings has a default. */
 export interface RouterOptions {
@@ -115,8 +121,10 @@
     fleetKey: security.fleetKey,
     identity: { host, dataCentre, incarnation },
   });
-  const platform = options.platform ??
-    createHttpPlatformClient(settings.platform);
+  const httpPlatform = options.platform
+    ? undefined
+    : createHttpPlatformClient(settings.platform);
+  const platform = options.platform ?? httpPlatform;
   const backends = options.backends ??
     createHttpBackendClient({ timers, backendKey: security.backendKey });
 
@@ -213,6 +221,22 @@
     timers,
     run: (call) => limitCall(call.workspace, limits, () => services.run(call)),
   });
+  const hosts = new HostListTask({
+    network,
+    members,
+    platform,
+    timers,
+    random,
+  });
+  const drains = createDrainTask({
+    backend: backends,
+    hotChats: createCacheEventHotChats(backends),
+    membership: members,
+    configuration,
+    timers,
+    leavingHosts: () => hosts.leavingHosts(),
+    onMoved: rememberMovedChat,
+  });
   const orders = new OrderTask({
     platform,
     backend: {
@@ -235,7 +259,11 @@
     backendStates,
     execution,
     orders,
+    hosts,
+    drains,
   ];
+  hosts.onChange(applyLeavingHosts);
+  configuration.onChange(applyLeavingHosts);
   const facade = new RouterServices({
     members,
     configurationTask,
@@ -257,6 +285,31 @@
   let stopping: Promise<void> | undefined;
   const { promise: stopped, resolve: markStopped } = _createSignal();
 
+  /** Engines know chats as `workspace/chat`. */
+  function rememberMovedChat(name: string, target: string): void {
+    const separator = name.indexOf("/");
+    if (separator < 0) return;
+    chatHome.remember(
+      brandId<WorkspaceId>(name.slice(0, separator)),
+      brandId<ChatId>(name.slice(separator + 1)),
+      brandId<BackendServerId>(target),
+      MOVED_CHAT_TOKENS,
+    );
+  }
+
+  function applyLeavingHosts(): void {
+    const leaving = new Set(hosts.leavingHosts());
+    const servers = configuration.current()?.fleet.backendServers ?? {};
+    for (const [name, server] of Object.entries(servers)) {
+      const isLeaving = server.host !== undefined && leaving.has(server.host);
+      admission.setLeaving(brandId<BackendServerId>(name), isLeaving);
+      backendStates.states.setLeaving(
+        brandId<BackendServerId>(name),
+        isLeaving,
+      );
+    }
+  }
+
   function updateMetrics(): void {
     const { bytesSent, bytesReceived } = network.counters();
     metrics.controlBytes.reset();
@@ -305,6 +358,7 @@
     timers.stop();
     await network.stop();
     await backends.stop();
+    await httpPlatform?.close();
     logger.info("stopped");
     markStopped();
   }
