--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,7 +8,7 @@
 } from "./bench_report.ts";
 
 const BENCHES: Readonly<Record<string, () => Promise<{ runBench: RunBench }>>> =
-  {};
+  { skew: () => import("./skew.ts") };
 
 const DEFAULT_SEED = 1;
 
--- /dev/null
+++ b/bench/naive_routing.ts
@@ -0,0 +1,134 @@
+/**
+ * Naive ways to choose an engine, without a steward: the baselines that the
+ * load bound is compared with.
+ */
+import { createSeededRandom } from "../src/core/random.ts";
+import { hash32 } from "../src/core/rendezvous.ts";
+import type { SimulatedEngines } from "./skew_engines.ts";
+import {
+  type SimulatedRequest,
+  type SkewSize,
+  STEP_MILLISECONDS,
+} from "./skew_workload.ts";
+
+/** Names of the naive versions. */
+export const NAIVE_VERSIONS = [
+  "round robin",
+  "least loaded, lagged",
+  "two choices, lagged",
+  "consistent hashing",
+] as const;
+/** One of the naive versions. */
+export type NaiveVersion = typeof NAIVE_VERSIONS[number];
+
+const REPORT_PERIOD_MILLISECONDS = 1_000;
+const POINTS_PER_ENGINE = 100;
+
+/** Chooses the engine of a request. */
+export interface NaiveRouting {
+  choose(request: SimulatedRequest): number;
+  /** Lets routers receive the load reports that are due. */
+  advance(now: number): void;
+}
+
+function _roundRobin(size: SkewSize, seed: number): NaiveRouting {
+  const random = createSeededRandom(seed);
+  const next = Array.from(
+    { length: size.routers },
+    () => random.integer(size.engines),
+  );
+  return {
+    choose: ({ router }) => {
+      const engine = next[router] ?? 0;
+      next[router] = (engine + 1) % size.engines;
+      return engine;
+    },
+    advance: () => {},
+  };
+}
+
+/** Every router receives all loads once a second, each at its own moment. */
+function _onLaggedReports(
+  size: SkewSize,
+  seed: number,
+  engines: SimulatedEngines,
+  pick: (loads: Float64Array, integer: (limit: number) => number) => number,
+): NaiveRouting {
+  const random = createSeededRandom(seed);
+  const known = Array.from(
+    { length: size.routers },
+    () => new Float64Array(size.engines),
+  );
+  function advance(now: number): void {
+    for (const [router, loads] of known.entries()) {
+      const phase = router * STEP_MILLISECONDS % REPORT_PERIOD_MILLISECONDS;
+      if (now % REPORT_PERIOD_MILLISECONDS !== phase) continue;
+      for (const engine of loads.keys()) loads[engine] = engines.loadOf(engine);
+    }
+  }
+  function integer(limit: number): number {
+    return random.integer(limit);
+  }
+  return {
+    choose: ({ router }) => pick(known[router] as Float64Array, integer),
+    advance,
+  };
+}
+
+function _least(loads: Float64Array): number {
+  let least = 0;
+  for (const [engine, load] of loads.entries()) {
+    if (load < (loads[least] ?? 0)) least = engine;
+  }
+  return least;
+}
+
+function _betterOfTwo(
+  loads: Float64Array,
+  integer: (limit: number) => number,
+): number {
+  const first = integer(loads.length);
+  const second = integer(loads.length);
+  return (loads[first] ?? 0) <= (loads[second] ?? 0) ? first : second;
+}
+
+function _consistentHashing(size: SkewSize): NaiveRouting {
+  const ring: { readonly point: number; readonly engine: number }[] = [];
+  for (let engine = 0; engine < size.engines; engine++) {
+    for (let index = 0; index < POINTS_PER_ENGINE; index++) {
+      ring.push({ point: hash32(`engine-${engine}/${index}`), engine });
+    }
+  }
+  ring.sort((left, right) => left.point - right.point);
+  function choose({ chat }: SimulatedRequest): number {
+    const point = hash32(chat);
+    let low = 0;
+    let high = ring.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if ((ring[middle]?.point ?? 0) < point) low = middle + 1;
+      else high = middle;
+    }
+    return ring[low % ring.length]?.engine ?? 0;
+  }
+  return { choose, advance: () => {} };
+}
+
+/** Creates one naive version for a run. */
+export function createNaiveRouting(
+  version: NaiveVersion,
+  size: SkewSize,
+  seed: number,
+  engines: SimulatedEngines,
+): NaiveRouting {
+  switch (version) {
+    case "round robin":
+      return _roundRobin(size, seed);
+    case "least loaded, lagged":
+      return _onLaggedReports(size, seed, engines, _least);
+    case "two choices, lagged":
+      return _onLaggedReports(size, seed, engines, _betterOfTwo);
+    case "consistent hashing":
+      return _consistentHashing(size);
+  }
+}
--- /dev/null
+++ b/bench/skew.ts
@@ -0,0 +1,166 @@
+/**
+ * Load skew: runs the stewards and four naive versions on the same seeded trace
+ * and compares the load of every engine with the bound of the design.
+ */
+import {
+  type BenchBound,
+  type BenchOptions,
+  type BenchReport,
+  type BenchRow,
+} from "./bench_report.ts";
+import { createNaiveRouting, NAIVE_VERSIONS } from "./naive_routing.ts";
+import { createEngines, type SkewMeasure } from "./skew_engines.ts";
+import { createFleet, type RequestOutcomes } from "./skew_fleet.ts";
+import { createViews } from "./skew_views.ts";
+import {
+  createTrace,
+  type SimulatedRequest,
+  type SkewSize,
+  STEP_MILLISECONDS,
+} from "./skew_workload.ts";
+
+/** The first token of 95 in 100 requests must come within this time. */
+const FIRST_TOKEN_MILLISECONDS = 1_400;
+
+function _size(
+  engines: number,
+  routers: number,
+  dataCentres: number,
+  workspaces: number,
+  options: { readonly seconds?: number; readonly mixedCapacity?: boolean } = {},
+): SkewSize {
+  const { seconds = 90, mixedCapacity = false } = options;
+  return { engines, routers, dataCentres, workspaces, seconds, mixedCapacity };
+}
+
+const DEFAULT_SIZES: readonly SkewSize[] = [
+  _size(6, 13, 4, 10),
+  _size(13, 13, 3, 10),
+  _size(13, 410, 7, 10),
+  _size(100, 13, 4, 300),
+  _size(100, 410, 7, 300),
+  _size(100, 410, 7, 300, { mixedCapacity: true }),
+  _size(880, 410, 7, 2_000, { seconds: 60 }),
+];
+const LARGE_SIZES: readonly SkewSize[] = [
+  _size(880, 13, 4, 2_000, { seconds: 300 }),
+  _size(880, 410, 7, 2_000, { seconds: 300 }),
+];
+
+function _labelOf(size: SkewSize): string {
+  const capacity = size.mixedCapacity ? ", mixed capacity" : "";
+  return `${size.engines} engines, ${size.routers} routers${capacity}`;
+}
+
+function _runSteps(
+  size: SkewSize,
+  trace: readonly SimulatedRequest[],
+  step: (now: number, arrivals: readonly SimulatedRequest[]) => void,
+): void {
+  let next = 0;
+  for (let now = 0; now < size.seconds * 1_000; now += STEP_MILLISECONDS) {
+    const first = next;
+    while ((trace[next]?.arrivesAt ?? Infinity) <= now) next++;
+    step(now, trace.slice(first, next));
+  }
+}
+
+function _measureRow(
+  size: SkewSize,
+  version: string,
+  measure: SkewMeasure,
+): BenchRow {
+  return {
+    size: _labelOf(size),
+    version,
+    "max/mean": Number(measure.maximumOverMean.toFixed(3)),
+    "worst/allowed": Number(measure.worstOverAllowed.toFixed(3)),
+    "above allowed": measure.samplesAboveAllowed,
+  };
+}
+
+/** The wait that 95 in 100 requests stay within; a refused one never ends. */
+function _wait95(outcomes: RequestOutcomes): number {
+  const waits = [
+    ...outcomes.waits,
+    ...Array<number>(outcomes.refused).fill(Infinity),
+  ].sort((left, right) => left - right);
+  return waits[Math.floor(waits.length * 0.95)] ?? Infinity;
+}
+
+function _percent(part: number, whole: number): string {
+  return `${(100 * part / Math.max(1, whole)).toFixed(2)}%`;
+}
+
+function _runOurs(
+  size: SkewSize,
+  trace: readonly SimulatedRequest[],
+  seed: number,
+): { row: BenchRow; bounds: BenchBound[] } {
+  const engines = createEngines(size);
+  const fleet = createFleet(size, seed, engines, createViews(size, seed));
+  _runSteps(size, trace, (now, arrivals) => fleet.step(now, arrivals));
+  const measure = engines.measure();
+  const outcomes = fleet.outcomes();
+  const wait95 = _wait95(outcomes);
+  const waited = outcomes.waits.filter((wait) => wait > 0).length;
+  const label = _labelOf(size);
+  return {
+    row: {
+      ..._measureRow(size, "stewards", measure),
+      "worst at": `${measure.worstAt} ms, engine ${measure.worstEngine}`,
+      requests: trace.length,
+      refused: _percent(outcomes.refused, trace.length),
+      waited: _percent(waited, trace.length),
+      "wait p95 ms": wait95,
+      broken: _percent(outcomes.broken, trace.length),
+      "asks per request": Number((outcomes.asked / trace.length).toFixed(2)),
+    },
+    bounds: [{
+      name: `worst load over allowed load, ${label}`,
+      value: measure.worstOverAllowed,
+      comparison: "at_most",
+      limit: 1,
+    }, {
+      name: `wait for a slot of 95 in 100 requests in ms, ${label}`,
+      value: wait95,
+      comparison: "at_most",
+      limit: FIRST_TOKEN_MILLISECONDS,
+    }],
+  };
+}
+
+function _runNaive(
+  size: SkewSize,
+  trace: readonly SimulatedRequest[],
+  seed: number,
+): BenchRow[] {
+  return NAIVE_VERSIONS.map((version) => {
+    const engines = createEngines(size);
+    const routing = createNaiveRouting(version, size, seed, engines);
+    _runSteps(size, trace, (now, arrivals) => {
+      engines.advance(now);
+      routing.advance(now);
+      for (const request of arrivals) {
+        engines.begin(request, routing.choose(request), now);
+      }
+    });
+    return _measureRow(size, version, engines.measure());
+  });
+}
+
+/** Runs the skew bench. */
+export async function runBench(options: BenchOptions): Promise<BenchReport> {
+  const rows: BenchRow[] = [];
+  const bounds: BenchBound[] = [];
+  for (const size of options.large ? LARGE_SIZES : DEFAULT_SIZES) {
+    const trace = createTrace(size, options.seed);
+    const startedAt = performance.now();
+    const ours = _runOurs(size, trace, options.seed);
+    const seconds = (performance.now() - startedAt) / 1_000;
+    rows.push({ ...ours.row, "run s": Number(seconds.toFixed(1)) });
+    bounds.push(...ours.bounds);
+    if (!size.mixedCapacity) rows.push(..._runNaive(size, trace, options.seed));
+  }
+  return { name: "skew", rows, bounds };
+}
--- /dev/null
+++ b/bench/skew_views.ts
@@ -0,0 +1,142 @@
+/**
+ * Router members of the skew bench: crashes, restarts and planned stops, and
+ * for each router a view that learns of them seconds later than others.
+ */
+import { createSeededRandom } from "../src/core/random.ts";
+import { rankByRendezvous } from "../src/core/rendezvous.ts";
+import type { SkewSize } from "./skew_workload.ts";
+
+const SLOWEST_CRASH_NEWS_MILLISECONDS = 5_000;
+const SLOWEST_OTHER_NEWS_MILLISECONDS = 3_000;
+const RESTART_MILLISECONDS = 8_000;
+const EVENT_PERIOD_MILLISECONDS = 4_000;
+const FIRST_EVENT_MILLISECONDS = 6_000;
+
+/** A change of one router, or another router's learning of it. */
+export interface ViewEvent {
+  readonly at: number;
+  /** The router that learns; the router itself for the change. */
+  readonly observer: number;
+  readonly router: number;
+  readonly kind: "crash" | "join" | "leave";
+}
+
+/** Who believes what about whom. */
+export interface SimulatedViews {
+  /** Applies and returns the events that are due. */
+  advance(now: number): ViewEvent[];
+  isAlive(router: number): boolean;
+  /** The router that an observer takes for the steward of an engine. */
+  stewardOf(observer: number, engine: number): number | undefined;
+  /** The router that an observer takes for the steward before itself. */
+  previousOf(observer: number, engine: number): number | undefined;
+  /** The router that an observer takes for the aggregator. */
+  aggregatorOf(observer: number, dataCentre: number): number | undefined;
+  dataCentreOf(router: number): number;
+}
+
+function _createEvents(size: SkewSize, seed: number): ViewEvent[] {
+  const random = createSeededRandom(seed);
+  const events: ViewEvent[] = [];
+  function announce(at: number, router: number, kind: ViewEvent["kind"]): void {
+    events.push({ at, router, kind, observer: router });
+    const slowest = kind === "crash"
+      ? SLOWEST_CRASH_NEWS_MILLISECONDS
+      : SLOWEST_OTHER_NEWS_MILLISECONDS;
+    for (let observer = 0; observer < size.routers; observer++) {
+      if (observer === router) continue;
+      events.push({
+        at: at + random.next() * slowest,
+        router,
+        kind,
+        observer,
+      });
+    }
+  }
+  const order = random.shuffle(
+    Array.from({ length: size.routers }, (_unused, router) => router),
+  );
+  const end = size.seconds * 1_000 - RESTART_MILLISECONDS;
+  let at = FIRST_EVENT_MILLISECONDS;
+  for (let index = 0; at < end; index++, at += EVENT_PERIOD_MILLISECONDS) {
+    const router = order[index % order.length] ?? 0;
+    announce(at, router, index % 2 === 0 ? "crash" : "leave");
+    announce(at + RESTART_MILLISECONDS, router, "join");
+  }
+  return events.sort((left, right) => left.at - right.at);
+}
+
+/** Creates the members and views of a run. */
+export function createViews(size: SkewSize, seed: number): SimulatedViews {
+  const routers = Array.from(
+    { length: size.routers },
+    (_unused, router) => router,
+  );
+  const events = _createEvents(size, seed);
+  const eligible = routers.map(() => new Uint8Array(size.routers).fill(1));
+  /** Like `eligible`, but with the routers that are leaving. */
+  const known = routers.map(() => new Uint8Array(size.routers).fill(1));
+  const alive = new Uint8Array(size.routers).fill(1);
+  function hostOf(router: number): string {
+    return `host-${router}`;
+  }
+  const stewards = Array.from(
+    { length: size.engines },
+    (_unused, engine) =>
+      rankByRendezvous(`steward/engine-${engine}`, routers, hostOf),
+  );
+  const aggregators = Array.from(
+    { length: size.dataCentres },
+    (_unused, dataCentre) =>
+      rankByRendezvous(
+        `load/${dataCentre}`,
+        routers.filter((router) => router % size.dataCentres === dataCentre),
+        hostOf,
+      ),
+  );
+
+  function firstEligible(
+    observer: number,
+    ranked: readonly number[] | undefined,
+  ): number | undefined {
+    return ranked?.find((router) => eligible[observer]?.[router] === 1);
+  }
+
+  function apply({ observer, router, kind }: ViewEvent): void {
+    const view = eligible[observer] as Uint8Array;
+    view[router] = kind === "join" ? 1 : 0;
+    const members = known[observer] as Uint8Array;
+    members[router] = kind === "crash" ? 0 : 1;
+    if (observer === router && kind === "join") {
+      for (const other of routers) {
+        view[other] = alive[other] ?? 0;
+        members[other] = alive[other] ?? 0;
+      }
+      view[router] = 1;
+      members[router] = 1;
+    }
+    if (observer === router && kind !== "leave") {
+      alive[router] = kind === "join" ? 1 : 0;
+    }
+  }
+
+  let next = 0;
+  return {
+    advance: (now) => {
+      const first = next;
+      for (; (events[next]?.at ?? Infinity) <= now; next++) {
+        apply(events[next] as ViewEvent);
+      }
+      return events.slice(first, next);
+    },
+    isAlive: (router) => alive[router] === 1,
+    stewardOf: (observer, engine) => firstEligible(observer, stewards[engine]),
+    previousOf: (observer, engine) =>
+      stewards[engine]?.find((router) =>
+        router !== observer && known[observer]?.[router] === 1
+      ),
+    aggregatorOf: (observer, dataCentre) =>
+      firstEligible(observer, aggregators[dataCentre]),
+    dataCentreOf: (router) => router % size.dataCentres,
+  };
+}
--- a/src/admission_client.ts
+++ b/src/admission_client.ts
@@ -3,23 +3,21 @@
  * holds, and presents its grants to a new steward when the steward changes.
  */
 import {
+  encodeGrants,
   type GrantReferenceBody,
+  type PresentedGrant,
   type RenewBody,
   renewReplySchema,
   slotReplySchema,
   type SlotRequestBody,
 } from "./admission_messages.ts";
-import {
-  type AdmissionTask,
-  type PresentedGrant,
-  type SlotResult,
-  stewardOf,
-} from "./admission_task.ts";
+import type { AdmissionTask } from "./admission_task.ts";
 import type { Priority } from "./core/fleet_schema.ts";
 import type { BackendServerId, HostId, WorkspaceId } from "./core/ids.ts";
 import { refusalWithoutLoad } from "./core/steward.ts";
 import type { Member, MembershipView } from "./membership_view.ts";
 import type { PeerNetwork } from "./peer_network.ts";
+import { type SlotResult, stewardOf } from "./stewardship.ts";
 import { Task } from "./task.ts";
 import type { Subscription, TimerService } from "./timer_service.ts";
 
@@ -318,15 +316,7 @@
     steward: Member,
     grants: readonly PresentedGrant[],
   ): Promise<Set<BackendServerId> | undefined> {
-    const body: RenewBody = {
-      grants: grants.map((grant) => [
-        grant.backendServer,
-        grant.grantId,
-        grant.workspace,
-        grant.weightTokens,
-        grant.heldMilliseconds,
-      ]),
-    };
+    const body: RenewBody = { grants: encodeGrants(grants) };
     const reply = await this.#options.network.request(
       steward.address,
       "admission.renew",
--- a/src/admission_messages.ts
+++ b/src/admission_messages.ts
@@ -1,5 +1,6 @@
 /** Bodies of the messages between entry routers, stewards and aggregators. */
 import { z } from "zod";
+import type { HeldGrant } from "./core/admission.ts";
 import { PRIORITIES } from "./core/fleet_schema.ts";
 import type {
   BackendServerId,
@@ -7,7 +8,7 @@
   IncarnationId,
   WorkspaceId,
 } from "./core/ids.ts";
-import type { SlotRefusalReason } from "./core/steward.ts";
+import type { SlotRefusal, SlotRefusalReason } from "./core/steward.ts";
 
 const REFUSAL_REASONS = [
   "leaving",
@@ -50,6 +51,17 @@
 });
 export type SlotReplyBody = z.infer<typeof slotReplySchema>;
 
+/** The reply to a request that was granted or refused. */
+export function slotReplyOf(refusal: SlotRefusal | undefined): SlotReplyBody {
+  if (!refusal) return {};
+  return {
+    reason: refusal.reason,
+    load: refusal.loadTokens,
+    mean: refusal.meanTokens,
+    wait: refusal.expectedWaitMilliseconds,
+  };
+}
+
 /** Body of `admission.release` and `admission.cancel`. */
 export const grantReferenceSchema = z.object({
   server: idText<BackendServerId>(),
@@ -57,41 +69,78 @@
 });
 export type GrantReferenceBody = z.input<typeof grantReferenceSchema>;
 
-/** Body of `admission.renew`: server, grant, workspace, weight, time held. */
-export const renewSchema = z.object({
-  grants: z.array(z.tuple([
-    idText<BackendServerId>(),
-    z.string().min(1).max(256),
-    idText<WorkspaceId>(),
-    _positive,
-    _amount,
-  ])),
-});
+const _grants = z.array(z.tuple([
+  idText<BackendServerId>(),
+  z.string().min(1).max(256),
+  idText<WorkspaceId>(),
+  _positive,
+  _amount,
+]));
+
+/**
+ * Body of `admission.renew`: the grants that a router holds, as server, grant,
+ * workspace, weight and time held; or the servers that a new steward takes over.
+ */
+export const renewSchema = z.union([
+  z.object({ grants: _grants }),
+  z.object({ takeOver: z.array(idText<BackendServerId>()) }),
+]);
 export type RenewBody = z.input<typeof renewSchema>;
 
-/** Reply to `admission.renew`: servers that the receiver is no steward of. */
+/** Reply to a renewal: servers that the receiver is no steward of. */
 export const renewReplySchema = z.object({
   rejected: z.array(idText<BackendServerId>()),
 });
 export type RenewReplyBody = z.input<typeof renewReplySchema>;
 
+/** Reply to a takeover: the grants of the servers. */
+export const takeOverReplySchema = z.object({ grants: _grants });
+export type TakeOverReplyBody = z.input<typeof takeOverReplySchema>;
+
+/** A grant as a message presents it, with its backend server. */
+export interface PresentedGrant extends HeldGrant {
+  readonly backendServer: BackendServerId;
+}
+
+/** Encodes grants for a message. */
+export function encodeGrants(
+  grants: readonly PresentedGrant[],
+): z.input<typeof _grants> {
+  return grants.map((grant) => [
+    grant.backendServer,
+    grant.grantId,
+    grant.workspace,
+    grant.weightTokens,
+    Math.max(0, grant.heldMilliseconds),
+  ]);
+}
+
+/** Decodes the grants of a message. */
+export function decodeGrants(
+  grants: z.output<typeof _grants>,
+): PresentedGrant[] {
+  return grants.map((
+    [backendServer, grantId, workspace, weightTokens, heldMilliseconds],
+  ) => ({ backendServer, grantId, workspace, weightTokens, heldMilliseconds }));
+}
+
 const _poolTotals = z.tuple([z.string(), _amount, _amount, _amount]).readonly();
 const _bytes = z.custom<Uint8Array>((value) => value instanceof Uint8Array);
 
-/** Body of `load.report`: from a steward, or from another aggregator. */
+/**
+ * Body of `load.report`: from a steward, with null for servers that are not
+ * live, or from another aggregator.
+ */
 export const loadReportSchema = z.union([
   z.object({
-    servers: z.array(z.tuple([
-      idText<BackendServerId>(),
-      z.string(),
-      _amount,
-      _positive,
-    ])),
+    servers: z.array(
+      z.tuple([idText<BackendServerId>(), _amount.nullable()]),
+    ),
   }),
   z.object({
     dataCentre: idText<DataCentreId>(),
     pools: z.array(_poolTotals).readonly(),
-    loads: _bytes,
+    loads: _bytes.optional(),
   }),
 ]);
 export type LoadReportBody = z.input<typeof loadReportSchema>;
--- a/src/admission_task_test.ts
+++ b/src/admission_task_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { err, ok } from "neverthrow";
 import { AdmissionClient, type SlotOptions } from "./admission_client.ts";
-import { AdmissionTask, stewardOf } from "./admission_task.ts";
+import { AdmissionTask } from "./admission_task.ts";
 import { ConfigurationView } from "./configuration_view.ts";
 import type { LoadReading } from "./core/admission.ts";
 import { createError } from "./core/errors.ts";
@@ -23,6 +23,8 @@
 import { LoadTask } from "./load_task.ts";
 import { type Member, MembershipView } from "./membership_view.ts";
 import { type PeerHandler, PeerNetwork } from "./peer_network.ts";
+import { findSlot } from "./slot_search.ts";
+import { stewardOf } from "./stewardship.ts";
 import { createManualTimerService } from "./timer_service.ts";
 
 const SERVERS = [0, 1, 2, 3].map((index) =>
@@ -298,3 +300,50 @@
   await fleet.run(4_000);
   t.is(entry.loads.poolLoad("models/chat")?.engineCount, 3);
 });
+
+test("guards against two routers granting after a handover and against a lost forward", async (t) => {
+  const { fleet, routers, entry, owner } = await startFleet();
+  fleet.loads.set(SERVER, 0);
+  await fleet.run(500);
+  t.true((await entry.client.requestSlot(ask(fleet, 14_000))).granted);
+  owner.member.leaving = true;
+  for (const listener of fleet.changed) listener();
+  await fleet.run(100);
+  t.false(owner.admission.isSteward(SERVER), "it still grants");
+  const eligible = fleet.members.filter((member) => !member.leaving);
+  const next = stewardOf(SERVER, eligible)?.host;
+  const successor = routers.find(({ member }) => member.host === next);
+  const described = JSON.stringify(successor?.admission.describe());
+  t.true(described.includes('"temple":14000'), described);
+  const old = fleet.handlers.get(owner.member.address);
+  const reply = await old?.get("admission.request")?.({
+    server: SERVER,
+    grant: "late-view",
+    workspace: "temple",
+    priority: "normal",
+    weight: 2_000,
+    remaining: 1_000,
+    queue: false,
+  }, entry.member);
+  t.like(reply, { reason: "above_bound", load: 14_000 });
+});
+
+test("guards against a search that stops at the first refusal or waits at one server only", async (t) => {
+  const { fleet, entry } = await startFleet();
+  fleet.loads.set(SERVER, 20_000);
+  fleet.loads.set(SERVERS[1] as BackendServerId, 0);
+  await fleet.run(500);
+  const found = await findSlot(entry.client, fleet.timers, {
+    ...ask(fleet, 1_000, true),
+    candidates: () => SERVERS.slice(0, 2),
+  });
+  t.is(found.granted ? found.slot.backendServer : undefined, SERVERS[1]);
+  let attempts = 0;
+  const waiting = findSlot(entry.client, fleet.timers, {
+    ...ask(fleet, 1_000, true),
+    candidates: () => SERVERS.slice(0, ++attempts),
+  });
+  await fleet.run(800);
+  t.true((await waiting).granted);
+  t.is(attempts, 2);
+});
--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -15,6 +15,22 @@
  */
 export const ARRIVAL_MARGIN_MILLISECONDS = 100;
 
+/**
+ * Time in which a pool may lose most of its load when no more requests arrive.
+ * Once a mean has fallen it is taken to fall on at this rate, so that an old
+ * mean does not let a server exceed the bound while the pool drains.
+ */
+export const POOL_DRAIN_MILLISECONDS = 10_000;
+
+/** Typical age of the loads in a summary when it is received. */
+export const POOL_LAG_MILLISECONDS = 400;
+
+/**
+ * Part of the mean that grants leave unused. When an entry router crashes, its
+ * requests end at once and the mean falls while other servers keep their load.
+ */
+export const MEAN_HEADROOM = 0.1;
+
 /** The load that a backend server reports. */
 export interface LoadReading {
   readonly tokensInFlight: number;
@@ -68,7 +84,7 @@
 export interface Admission {
   configure(settings: AdmissionSettings): void;
   recordLoad(reading: LoadReading, nowMilliseconds: number): void;
-  setPool(pool: PoolLoad | undefined): void;
+  setPool(pool: PoolLoad | undefined, nowMilliseconds: number): void;
   /** Grants and returns undefined, or returns why not. */
   tryGrant(
     request: GrantRequest,
@@ -88,11 +104,15 @@
   canEverFit(weightTokens: number): boolean;
   /** Whether a usable load reading is at hand. */
   isLoadKnown(nowMilliseconds: number): boolean;
-  /** Estimated tokens in flight at the server. */
+  /** The most tokens that may be in flight at the server. */
   loadTokens(): number;
-  /** The server's share of the pool's load. */
-  meanTokens(): number;
+  /** The least tokens in flight; means are made of these. */
+  leastLoadTokens(): number;
+  /** The least that the server's share of the pool's load can be now. */
+  meanTokens(nowMilliseconds: number): number;
   grantCount(): number;
+  /** The grants as their holders would present them. */
+  exportGrants(nowMilliseconds: number): HeldGrant[];
   /** Granted tokens of each workspace, for the state dump. */
   tokensByWorkspace(): Map<WorkspaceId, number>;
 }
@@ -111,10 +131,16 @@
   readonly releasedAt: number;
 }
 
+function _ratio({ totalTokens, totalCapacityTokens }: PoolLoad): number {
+  return totalTokens / Math.max(1, totalCapacityTokens);
+}
+
 /** Creates the grants of one backend server; it knows no load at first. */
 export function createAdmission(initial: AdmissionSettings): Admission {
   let settings = initial;
   let pool: PoolLoad | undefined;
+  let poolAt = 0;
+  let isPoolFalling = true;
   let reading: LoadReading | undefined;
   let measuredAt = -Infinity;
   const grants = new Map<string, _Grant>();
@@ -135,7 +161,7 @@
       if (isMeasured(grant)) recentGrants.delete(grantId);
     }
     recentReleases = recentReleases.filter((release) =>
-      release.releasedAt > measuredAt + ARRIVAL_MARGIN_MILLISECONDS
+      release.releasedAt >= measuredAt
     );
   }
 
@@ -152,11 +178,46 @@
     return Math.max(0, tokens);
   }
 
+  function setPool(next: PoolLoad | undefined, at: number): void {
+    if (at > poolAt) {
+      isPoolFalling = !next || !pool || _ratio(next) < _ratio(pool);
+    }
+    pool = next;
+    poolAt = at;
+  }
+
+  function leastLoadTokens(): number {
+    let tokens = reading?.tokensInFlight ?? 0;
+    for (const grant of recentGrants.values()) {
+      if (grant.grantedAt > measuredAt) tokens += grant.weightTokens;
+    }
+    for (const release of recentReleases) {
+      if (release.grantedAt <= measuredAt) tokens -= release.weightTokens;
+    }
+    return Math.max(0, tokens);
+  }
+
   /** The server's share of the pool's load with `added` more tokens in it. */
-  function shareOfPool(added: number): number {
+  function shareOfPool(added: number, drainedMilliseconds: number): number {
     if (!pool || pool.totalCapacityTokens <= 0) return 0;
     const share = settings.capacityTokens / pool.totalCapacityTokens;
-    return (pool.totalTokens + added) * Math.min(1, share);
+    const drained = isPoolFalling
+      ? drainedMilliseconds + POOL_LAG_MILLISECONDS
+      : 0;
+    const rest = Math.exp(-drained / POOL_DRAIN_MILLISECONDS);
+    return (pool.totalTokens * rest + added) * Math.min(1, share);
+  }
+
+  /** Whether the bound still holds after the mean falls by the headroom. */
+  function isWithinBound(load: number, weight: number, now: number): boolean {
+    const safeMean = (1 - MEAN_HEADROOM) * shareOfPool(weight, now - poolAt);
+    if (load + weight <= settings.loadBoundRatio * safeMean) return true;
+    if (load > shareOfPool(weight, 0)) return false;
+    let largest = weight;
+    for (const grant of grants.values()) {
+      largest = Math.max(largest, grant.weightTokens);
+    }
+    return load === 0 || load + weight <= safeMean + largest;
   }
 
   function isLoadKnown(now: number): boolean {
@@ -169,10 +230,7 @@
     if (!reading || !isLoadKnown(now)) return "load_unknown";
     const load = loadTokens();
     if (load + weight > reading.capacityTokens) return "above_capacity";
-    const mean = shareOfPool(weight);
-    const allowed = load + weight <= settings.loadBoundRatio * mean ||
-      load <= mean;
-    return allowed ? undefined : "above_bound";
+    return isWithinBound(load, weight, now) ? undefined : "above_bound";
   }
 
   function insert(grantId: string, grant: _Grant): void {
@@ -250,7 +308,7 @@
   return {
     configure: (next) => void (settings = next),
     recordLoad,
-    setPool: (next) => void (pool = next),
+    setPool,
     tryGrant,
     renew,
     release,
@@ -258,8 +316,16 @@
     canEverFit: (weight) => weight <= (reading?.capacityTokens ?? Infinity),
     isLoadKnown,
     loadTokens,
-    meanTokens: () => shareOfPool(0),
+    leastLoadTokens,
+    meanTokens: (now) => shareOfPool(0, now - poolAt),
     grantCount: () => grants.size,
+    exportGrants: (now) =>
+      [...grants].map(([grantId, { workspace, weightTokens, grantedAt }]) => ({
+        grantId,
+        workspace,
+        weightTokens,
+        heldMilliseconds: now - grantedAt,
+      })),
     tokensByWorkspace,
   };
 }
--- a/src/core/admission_test.ts
+++ b/src/core/admission_test.ts
@@ -44,7 +44,7 @@
   });
   fc.assert(fc.property(fc.array(operation, { maxLength: 120 }), (steps) => {
     const admission = createAdmission(SETTINGS);
-    admission.setPool(POOL);
+    admission.setPool(POOL, 0);
     admission.recordLoad(reading(0), 0);
     const history: { at: number; tokens: number }[] = [{ at: 0, tokens: 0 }];
     const held: { id: string; weight: number }[] = [];
@@ -75,13 +75,14 @@
       }
       history.push({ at: now, tokens });
       t.true(admission.loadTokens() >= tokens, "the estimate is too low");
+      t.true(admission.leastLoadTokens() <= tokens, "the least is too high");
     }
   }));
 });
 
 test("guards against a new steward granting on top of load it has no grants for", (t) => {
   const admission = createAdmission(SETTINGS);
-  admission.setPool(POOL);
+  admission.setPool(POOL, 0);
   t.is(ask(admission, "a", 1, 0), "load_unknown");
   admission.recordLoad(reading(12_400), 0);
   t.is(ask(admission, "a", 500, 0), "above_bound");
@@ -102,7 +103,7 @@
   let tokens = 0;
   for (let now = 0; now < 5_000; now += 10) {
     for (const [index, steward] of stewards.entries()) {
-      steward.setPool(POOL);
+      steward.setPool(POOL, now);
       if (now % 250 === 0) steward.recordLoad(reading(tokens), now);
       if (ask(steward, `${now}/${index}`, 500, now) === undefined) {
         tokens += 500;
@@ -116,15 +117,16 @@
 
 test("guards against equal shares for servers of different capacity", (t) => {
   const admission = createAdmission(SETTINGS);
-  admission.setPool({ ...POOL, totalCapacityTokens: 1_000_000 });
+  const pool = { ...POOL, totalCapacityTokens: 1_000_000 };
+  for (const at of [0, 1]) admission.setPool(pool, at);
   admission.recordLoad(reading(5_000), 0);
-  t.is(admission.meanTokens(), 4_000);
+  t.is(admission.meanTokens(1), 4_000);
   t.is(ask(admission, "a", 100, 0), "above_bound");
 });
 
 test("guards against grants that outlive a dead holder or a leaving server", (t) => {
   const admission = createAdmission(SETTINGS);
-  admission.setPool(POOL);
+  admission.setPool(POOL, 0);
   admission.recordLoad(reading(0), 0);
   t.is(ask(admission, "a", 100, 0), undefined);
   t.is(admission.expire(15_000), 0);
--- /dev/null
+++ b/src/core/load_catalogue.ts
@@ -0,0 +1,57 @@
+/** The configured servers, their pools, and the order that summaries use. */
+import type { Fleet } from "./fleet_schema.ts";
+import type { BackendServerId } from "./ids.ts";
+import { hash64 } from "./rendezvous.ts";
+
+/** A pool: the backend servers that share one mean. */
+export interface PooledServer {
+  readonly backendServer: BackendServerId;
+  readonly pool: string;
+  readonly capacityTokens: number;
+}
+
+/** The configured servers in the order that summaries use. */
+export interface LoadCatalogue {
+  readonly servers: readonly PooledServer[];
+  readonly byServer: ReadonlyMap<BackendServerId, PooledServer>;
+  /** Summaries of another catalogue's order are told apart by this. */
+  readonly digest: string;
+}
+
+/** Creates the catalogue of a set of servers. */
+export function createLoadCatalogue(
+  servers: readonly PooledServer[],
+): LoadCatalogue {
+  const sorted = [...servers].sort((left, right) =>
+    left.backendServer < right.backendServer ? -1 : 1
+  );
+  const text = sorted.map((server) =>
+    `${server.backendServer} ${server.pool} ${server.capacityTokens}`
+  );
+  return {
+    servers: sorted,
+    byServer: new Map(sorted.map((server) => [server.backendServer, server])),
+    digest: hash64(text.join("\n")),
+  };
+}
+
+/** Pools of a fleet: engines that serve the same models, and each service. */
+export function catalogueOfFleet(fleet: Fleet): LoadCatalogue {
+  const models = new Map<string, Set<string>>();
+  for (const { model, backendServers } of Object.values(fleet.placements)) {
+    for (const server of backendServers) {
+      models.set(server, (models.get(server) ?? new Set()).add(model));
+    }
+  }
+  const servers = Object.entries(fleet.backendServers).map(([name, server]) => {
+    const served = [...models.get(name) ?? []].sort().join("+");
+    return {
+      backendServer: name as BackendServerId,
+      pool: server.kind === "service"
+        ? `service/${server.service ?? name}`
+        : `models/${served}`,
+      capacityTokens: server.capacityTokens,
+    };
+  });
+  return createLoadCatalogue(servers);
+}
--- a/src/core/load_summary.ts
+++ b/src/core/load_summary.ts
@@ -4,46 +4,42 @@
  * a summary: totals per pool, and per server the load relative to the mean.
  */
 import type { PoolLoad } from "./admission.ts";
-import type { Fleet } from "./fleet_schema.ts";
 import type {
   BackendServerId,
   DataCentreId,
   HostId,
   IncarnationId,
 } from "./ids.ts";
-import { hash32, hash64, rankByRendezvous } from "./rendezvous.ts";
+import type { LoadCatalogue, PooledServer } from "./load_catalogue.ts";
+import { hash32, rankByRendezvous } from "./rendezvous.ts";
 
-/** A server or data centre that is not reported for this long is left out. */
-export const ENTRY_LIFETIME_MILLISECONDS = 2_500;
+/** A server whose steward reports nothing for this long has no steward. */
+export const SILENT_AFTER_MILLISECONDS = 750;
+/**
+ * A server or data centre that is not reported for this long is left out. The
+ * time covers the detection of a lost steward: until the next one reports, the
+ * server still belongs to the pool, and leaving it out would raise the mean of
+ * the others while their work is added to them.
+ */
+export const ENTRY_LIFETIME_MILLISECONDS = 10_000;
 /** Routers that one router passes a summary on to. */
-export const SUMMARY_FAN_OUT = 8;
+export const SUMMARY_FAN_OUT = 4;
 
-const RELATIVE_LOAD_UNIT = 4_096;
-const UNKNOWN_LOAD = 0xffff;
+const RELATIVE_LOAD_UNIT = 2_048;
+const MAXIMUM_RELATIVE_LOAD = 0x7ffd;
+const NOT_LIVE = 0x7ffe;
+const UNKNOWN_LOAD = 0x7fff;
+const SILENT_FLAG = 0x8000;
+/** Time in which a server without a steward is assumed to lose most of its load. */
+const SILENT_DRAIN_MILLISECONDS = 5_000;
 const BYTES_PER_LOAD = 2;
 const BYTES_PER_EXCHANGED_LOAD = 6;
 
-/** A pool: the backend servers that share one mean. */
-export interface PooledServer {
-  readonly backendServer: BackendServerId;
-  readonly pool: string;
-  readonly capacityTokens: number;
-}
-
-/** The configured servers in the order that summaries use. */
-export interface LoadCatalogue {
-  readonly servers: readonly PooledServer[];
-  readonly byServer: ReadonlyMap<BackendServerId, PooledServer>;
-  /** Summaries of another catalogue's order are told apart by this. */
-  readonly digest: string;
-}
-
 /** The load of one server as its steward reports it. */
 export interface ServerLoad {
   readonly backendServer: BackendServerId;
-  readonly pool: string;
-  readonly tokens: number;
-  readonly capacityTokens: number;
+  /** Undefined if the server is gone, leaving or does not report its load. */
+  readonly tokens: number | undefined;
 }
 
 /** The totals of one pool: name, tokens, capacity in tokens, engine count. */
@@ -52,8 +48,11 @@
 /** What one aggregator tells the others about its own data centre. */
 export interface LoadExchange {
   readonly pools: readonly PoolTotals[];
-  /** Per server 4 bytes of its name's hash and 2 bytes of relative load. */
-  readonly loads: Uint8Array;
+  /**
+   * Per server 4 bytes of its name's hash and 2 bytes of load and state. The
+   * load is relative to the totals, so the latest ones hold if these are absent.
+   */
+  readonly loads?: Uint8Array;
 }
 
 /** What every router of a data centre receives. */
@@ -67,44 +66,6 @@
   readonly loads?: Uint8Array;
 }
 
-/** Creates the catalogue of a set of servers. */
-export function createLoadCatalogue(
-  servers: readonly PooledServer[],
-): LoadCatalogue {
-  const sorted = [...servers].sort((left, right) =>
-    left.backendServer < right.backendServer ? -1 : 1
-  );
-  const text = sorted.map((server) =>
-    `${server.backendServer} ${server.pool} ${server.capacityTokens}`
-  );
-  return {
-    servers: sorted,
-    byServer: new Map(sorted.map((server) => [server.backendServer, server])),
-    digest: hash64(text.join("\n")),
-  };
-}
-
-/** Pools of a fleet: engines that serve the same models, and each service. */
-export function catalogueOfFleet(fleet: Fleet): LoadCatalogue {
-  const models = new Map<string, Set<string>>();
-  for (const { model, backendServers } of Object.values(fleet.placements)) {
-    for (const server of backendServers) {
-      models.set(server, (models.get(server) ?? new Set()).add(model));
-    }
-  }
-  const servers = Object.entries(fleet.backendServers).map(([name, server]) => {
-    const served = [...models.get(name) ?? []].sort().join("+");
-    return {
-      backendServer: name as BackendServerId,
-      pool: server.kind === "service"
-        ? `service/${server.service ?? name}`
-        : `models/${served}`,
-      capacityTokens: server.capacityTokens,
-    };
-  });
-  return createLoadCatalogue(servers);
-}
-
 /**
  * The routers that a router passes a summary on to: its children in the tree
  * that has the aggregator at its root. Leaving routers receive summaries but
@@ -133,57 +94,79 @@
   return `load/${dataCentre}`;
 }
 
+/** What is known of one server: no tokens if it is not live. */
+interface _ServerState {
+  readonly tokens: number | undefined;
+  /** True if it comes from a steward that reports no more. */
+  readonly isSilent: boolean;
+}
+
 function _relativeLoad(
   tokens: number,
-  capacity: number,
+  server: PooledServer,
   pool: PoolTotals | undefined,
 ): number {
-  if (!pool) return UNKNOWN_LOAD;
-  const [, totalTokens, totalCapacity] = pool;
-  const mean = totalTokens * capacity / Math.max(1, totalCapacity);
+  const [, totalTokens, totalCapacity] = pool ?? ["", 0, 0, 0];
+  const mean = totalTokens * server.capacityTokens / Math.max(1, totalCapacity);
   const relative = mean > 0 ? tokens / mean : 0;
   return Math.min(
-    UNKNOWN_LOAD - 1,
+    MAXIMUM_RELATIVE_LOAD,
     Math.round(relative * RELATIVE_LOAD_UNIT),
   );
 }
 
-function _addTotals(
-  sums: Map<string, PoolTotals>,
-  [pool, tokens, capacity, count]: PoolTotals,
-): void {
-  const sum = sums.get(pool) ?? [pool, 0, 0, 0];
-  sums.set(pool, [
-    pool,
-    sum[1] + tokens,
-    sum[2] + capacity,
-    sum[3] + count,
-  ]);
+/**
+ * The better of two states: a reporting steward before a silent one, then a
+ * live server before one that is not, then the lower load, as a mean that is
+ * too high would let stewards exceed the bound.
+ */
+function _betterState(
+  left: _ServerState | undefined,
+  right: _ServerState,
+): _ServerState {
+  if (!left) return right;
+  if (left.isSilent !== right.isSilent) return left.isSilent ? right : left;
+  if (left.tokens === undefined || right.tokens === undefined) {
+    return left.tokens === undefined ? right : left;
+  }
+  return left.tokens <= right.tokens ? left : right;
+}
+
+function _totalsOf(
+  states: ReadonlyMap<PooledServer, _ServerState>,
+): Map<string, PoolTotals> {
+  const sums = new Map<string, PoolTotals>();
+  for (const [{ pool, capacityTokens }, { tokens }] of states) {
+    if (tokens === undefined) continue;
+    const [, sum, capacity, count] = sums.get(pool) ?? [pool, 0, 0, 0];
+    sums.set(pool, [pool, sum + tokens, capacity + capacityTokens, count + 1]);
+  }
+  return sums;
 }
 
 interface _Entry extends ServerLoad {
-  readonly source: HostId;
   readonly reportedAt: number;
 }
 
 interface _ForeignExchange extends LoadExchange {
+  readonly loads: Uint8Array;
   readonly receivedAt: number;
 }
 
 /** Collects the loads of one data centre. */
 export interface LoadAggregator {
-  /** Replaces everything that a steward reported before. */
-  recordReport(
-    source: HostId,
-    loads: readonly ServerLoad[],
-    nowMilliseconds: number,
-  ): void;
+  /** Takes over what a steward reports of its servers. */
+  recordReport(loads: readonly ServerLoad[], nowMilliseconds: number): void;
   recordExchange(
     dataCentre: DataCentreId,
     exchange: LoadExchange,
     nowMilliseconds: number,
   ): void;
-  exchange(nowMilliseconds: number): LoadExchange;
+  exchange(
+    catalogue: LoadCatalogue,
+    withLoads: boolean,
+    nowMilliseconds: number,
+  ): LoadExchange;
   /** The summary of all data centres; per-server loads only if asked for. */
   summary(
     self: IncarnationId,
@@ -209,86 +192,98 @@
     }
   }
 
-  function recordReport(
-    source: HostId,
-    loads: readonly ServerLoad[],
-    now: number,
-  ): void {
-    for (const [server, entry] of entries) {
-      if (entry.source === source) entries.delete(server);
-    }
+  function recordReport(loads: readonly ServerLoad[], now: number): void {
     for (const load of loads) {
-      entries.set(load.backendServer, { ...load, source, reportedAt: now });
+      entries.set(load.backendServer, { ...load, reportedAt: now });
     }
   }
 
-  function ownTotals(now: number): Map<string, PoolTotals> {
+  function stateOf({ tokens, reportedAt }: _Entry, now: number): _ServerState {
+    const silence = now - reportedAt - SILENT_AFTER_MILLISECONDS;
+    if (silence <= 0) return { tokens, isSilent: false };
+    const rest = Math.exp(-silence / SILENT_DRAIN_MILLISECONDS);
+    return {
+      tokens: tokens === undefined ? undefined : tokens * rest,
+      isSilent: true,
+    };
+  }
+
+  function ownStates(
+    { byServer }: LoadCatalogue,
+    now: number,
+  ): Map<PooledServer, _ServerState> {
     prune(now);
-    const sums = new Map<string, PoolTotals>();
-    for (const { pool, tokens, capacityTokens } of entries.values()) {
-      _addTotals(sums, [pool, tokens, capacityTokens, 1]);
+    const states = new Map<PooledServer, _ServerState>();
+    for (const entry of entries.values()) {
+      const server = byServer.get(entry.backendServer);
+      if (server) states.set(server, stateOf(entry, now));
     }
-    return sums;
+    return states;
   }
 
-  function exchange(now: number): LoadExchange {
-    const totals = ownTotals(now);
-    const loads = new Uint8Array(entries.size * BYTES_PER_EXCHANGED_LOAD);
+  function exchange(
+    catalogue: LoadCatalogue,
+    withLoads: boolean,
+    now: number,
+  ): LoadExchange {
+    const states = ownStates(catalogue, now);
+    const totals = _totalsOf(states);
+    if (!withLoads) return { pools: [...totals.values()] };
+    const loads = new Uint8Array(states.size * BYTES_PER_EXCHANGED_LOAD);
     const view = new DataView(loads.buffer);
     let offset = 0;
-    for (const entry of entries.values()) {
-      const pool = totals.get(entry.pool);
-      view.setUint32(offset, hash32(entry.backendServer));
-      view.setUint16(
-        offset + 4,
-        _relativeLoad(entry.tokens, entry.capacityTokens, pool),
-      );
+    for (const [server, { tokens, isSilent }] of states) {
+      const load = tokens === undefined
+        ? NOT_LIVE
+        : _relativeLoad(tokens, server, totals.get(server.pool));
+      view.setUint32(offset, hash32(server.backendServer));
+      view.setUint16(offset + 4, load | (isSilent ? SILENT_FLAG : 0));
       offset += BYTES_PER_EXCHANGED_LOAD;
     }
     return { pools: [...totals.values()], loads };
   }
 
-  /** Loads of the other data centres' servers by hash, in tokens. */
-  function foreignTokens(catalogue: LoadCatalogue): Map<number, number> {
-    const byHash = new Map(
-      catalogue.servers.map((server) => [hash32(server.backendServer), server]),
-    );
-    const tokens = new Map<number, number>();
-    for (const { pools, loads } of foreign.values()) {
-      const means = _poolLoads(pools);
-      const view = new DataView(loads.buffer, loads.byteOffset, loads.length);
-      const end = loads.length - BYTES_PER_EXCHANGED_LOAD;
-      for (let at = 0; at <= end; at += BYTES_PER_EXCHANGED_LOAD) {
-        const server = byHash.get(view.getUint32(at));
-        const pool = server && means.get(server.pool);
-        if (!server || !pool) continue;
-        const mean = pool.totalTokens * server.capacityTokens /
-          Math.max(1, pool.totalCapacityTokens);
-        const relative = view.getUint16(at + 4) / RELATIVE_LOAD_UNIT;
-        tokens.set(view.getUint32(at), relative * mean);
-      }
+  /** Adds the states that another aggregator sent. */
+  function mergeExchange(
+    states: Map<PooledServer, _ServerState>,
+    byHash: ReadonlyMap<number, PooledServer>,
+    { pools, loads, receivedAt }: _ForeignExchange,
+    now: number,
+  ): void {
+    const isOld = now - receivedAt > SILENT_AFTER_MILLISECONDS;
+    const means = _poolLoads(pools);
+    const view = new DataView(loads.buffer, loads.byteOffset, loads.length);
+    const end = loads.length - BYTES_PER_EXCHANGED_LOAD;
+    for (let at = 0; at <= end; at += BYTES_PER_EXCHANGED_LOAD) {
+      const server = byHash.get(view.getUint32(at));
+      if (!server) continue;
+      const encoded = view.getUint16(at + 4);
+      const load = encoded & ~SILENT_FLAG;
+      const pool = means.get(server.pool);
+      const mean = (pool?.totalTokens ?? 0) * server.capacityTokens /
+        Math.max(1, pool?.totalCapacityTokens ?? 0);
+      const state = {
+        tokens: load === NOT_LIVE
+          ? undefined
+          : mean * load / RELATIVE_LOAD_UNIT,
+        isSilent: isOld || (encoded & SILENT_FLAG) !== 0,
+      };
+      states.set(server, _betterState(states.get(server), state));
     }
-    return tokens;
   }
 
-  function encodeLoads(
+  function allStates(
     catalogue: LoadCatalogue,
-    totals: ReadonlyMap<string, PoolTotals>,
-  ): Uint8Array {
-    const others = foreignTokens(catalogue);
-    const loads = new Uint8Array(catalogue.servers.length * BYTES_PER_LOAD);
-    const view = new DataView(loads.buffer);
-    for (const [index, server] of catalogue.servers.entries()) {
-      const tokens = entries.get(server.backendServer)?.tokens ??
-        others.get(hash32(server.backendServer));
-      const relative = tokens === undefined ? UNKNOWN_LOAD : _relativeLoad(
-        tokens,
-        server.capacityTokens,
-        totals.get(server.pool),
-      );
-      view.setUint16(index * BYTES_PER_LOAD, relative);
+    now: number,
+  ): Map<PooledServer, _ServerState> {
+    const states = ownStates(catalogue, now);
+    const byHash = new Map(
+      catalogue.servers.map((server) => [hash32(server.backendServer), server]),
+    );
+    for (const received of foreign.values()) {
+      mergeExchange(states, byHash, received, now);
     }
-    return loads;
+    return states;
   }
 
   function summary(
@@ -297,21 +292,34 @@
     withLoads: boolean,
     now: number,
   ): LoadSummary {
-    const totals = ownTotals(now);
-    for (const { pools } of foreign.values()) {
-      for (const pool of pools) _addTotals(totals, pool);
-    }
+    const states = allStates(catalogue, now);
+    const totals = _totalsOf(states);
     sequence++;
-    const base = { aggregator: self, sequence, pools: [...totals.values()] };
+    const base = {
+      aggregator: self,
+      sequence,
+      pools: [...totals.values()],
+    };
     if (!withLoads) return base;
-    const loads = encodeLoads(catalogue, totals);
+    const loads = new Uint8Array(catalogue.servers.length * BYTES_PER_LOAD);
+    const view = new DataView(loads.buffer);
+    for (const [index, server] of catalogue.servers.entries()) {
+      const tokens = states.get(server)?.tokens;
+      const load = tokens === undefined
+        ? UNKNOWN_LOAD
+        : _relativeLoad(tokens, server, totals.get(server.pool));
+      view.setUint16(index * BYTES_PER_LOAD, load);
+    }
     return { ...base, catalogue: catalogue.digest, loads };
   }
 
   return {
     recordReport,
-    recordExchange: (dataCentre, received, now) =>
-      void foreign.set(dataCentre, { ...received, receivedAt: now }),
+    recordExchange: (dataCentre, { pools, loads }, now) => {
+      const latest = loads ?? foreign.get(dataCentre)?.loads;
+      if (!latest) return;
+      foreign.set(dataCentre, { pools, loads: latest, receivedAt: now });
+    },
     exchange,
     summary,
   };
--- a/src/core/load_summary_test.ts
+++ b/src/core/load_summary_test.ts
@@ -6,11 +6,10 @@
   type HostId,
   type IncarnationId,
 } from "./ids.ts";
+import { createLoadCatalogue, type PooledServer } from "./load_catalogue.ts";
 import {
   aggregatorKey,
   createLoadAggregator,
-  createLoadCatalogue,
-  type PooledServer,
   poolsOfSummary,
   relativeLoads,
   type ServerLoad,
@@ -20,7 +19,6 @@
 
 const EAST = brandId<DataCentreId>("east");
 const WEST = brandId<DataCentreId>("west");
-const SELF = brandId<HostId>("host-1");
 const AGGREGATOR = brandId<IncarnationId>("incarnation-1");
 
 function pooled(index: number): PooledServer {
@@ -31,17 +29,17 @@
   };
 }
 
-function load(index: number, tokens: number): ServerLoad {
-  return { ...pooled(index), tokens };
+function load(index: number, tokens: number | undefined): ServerLoad {
+  return { backendServer: pooled(index).backendServer, tokens };
 }
 
 test("guards against loads lost between data centres and servers that are gone staying in the mean", (t) => {
   const catalogue = createLoadCatalogue([0, 1, 2, 3].map(pooled));
   const east = createLoadAggregator();
   const west = createLoadAggregator();
-  east.recordReport(SELF, [load(0, 10_000), load(1, 20_000)], 0);
-  west.recordReport(SELF, [load(2, 60_000), load(3, 6_000)], 0);
-  east.recordExchange(WEST, west.exchange(10), 10);
+  east.recordReport([load(0, 10_000), load(1, 20_000)], 0);
+  west.recordReport([load(2, 60_000), load(3, 6_000)], 0);
+  east.recordExchange(WEST, west.exchange(catalogue, true, 10), 10);
   const first = east.summary(AGGREGATOR, catalogue, true, 20);
   t.deepEqual(poolsOfSummary(first).get("models/chat"), {
     totalTokens: 96_000,
@@ -56,8 +54,13 @@
   }
   t.is(relativeLoads(first, createLoadCatalogue([pooled(0)])), undefined);
 
-  east.recordReport(SELF, [load(0, 10_000)], 2_000);
-  const later = east.summary(AGGREGATOR, catalogue, true, 4_000);
+  west.recordReport([load(2, 30_000), load(3, 3_000)], 300);
+  east.recordExchange(WEST, west.exchange(catalogue, false, 300), 300);
+  const pools = poolsOfSummary(east.summary(AGGREGATOR, catalogue, false, 300));
+  t.is(pools.get("models/chat")?.totalTokens, 63_000, "totals are refreshed");
+
+  east.recordReport([load(0, 10_000)], 12_000);
+  const later = east.summary(AGGREGATOR, catalogue, true, 12_000);
   t.is(poolsOfSummary(later).get("models/chat")?.engineCount, 1);
   t.deepEqual([...relativeLoads(later, catalogue)?.keys() ?? []], [
     pooled(0).backendServer,
@@ -65,6 +68,30 @@
   t.true(later.sequence > first.sequence);
 });
 
+test("guards against a lost steward raising the mean and a moved server counting twice", (t) => {
+  const catalogue = createLoadCatalogue([0, 1].map(pooled));
+  const east = createLoadAggregator();
+  const west = createLoadAggregator();
+  function pool(now: number) {
+    const summary = east.summary(AGGREGATOR, catalogue, false, now);
+    return poolsOfSummary(summary).get("models/chat");
+  }
+  east.recordReport([load(0, 10_000), load(1, 10_000)], 0);
+  east.recordReport([load(0, 10_000)], 4_000);
+  const { engineCount = 0, totalTokens = 0 } = pool(4_000) ?? {};
+  t.is(engineCount, 2);
+  t.true(totalTokens > 10_000 && totalTokens < 20_000, `${totalTokens}`);
+  west.recordReport([load(1, 12_000)], 4_000);
+  east.recordExchange(WEST, west.exchange(catalogue, true, 4_000), 4_000);
+  t.deepEqual([pool(4_000)?.engineCount, pool(4_000)?.totalTokens], [
+    2,
+    22_000,
+  ]);
+  west.recordReport([load(1, undefined)], 4_500);
+  east.recordExchange(WEST, west.exchange(catalogue, true, 4_500), 4_500);
+  t.is(pool(4_500)?.engineCount, 1, "a server reported as gone leaves at once");
+});
+
 test("guards against routers that the summary tree leaves out or reaches twice", (t) => {
   const members = Array.from({ length: 59 }, (_unused, index) => ({
     host: brandId<HostId>(`host-${index}`),
--- a/src/core/steward.ts
+++ b/src/core/steward.ts
@@ -70,7 +70,7 @@
 export interface Steward {
   configure(settings: StewardSettings): void;
   recordLoad(reading: LoadReading, nowMilliseconds: number): void;
-  setPool(pool: PoolLoad | undefined): void;
+  setPool(pool: PoolLoad | undefined, nowMilliseconds: number): void;
   request(request: SlotRequest, nowMilliseconds: number): SlotDecision;
   renew(
     holder: HostId,
@@ -83,10 +83,13 @@
   /** Grants what now fits and returns the outcomes of queued requests. */
   settle(nowMilliseconds: number): SlotOutcome[];
   /** Refuses everything that waits. */
-  close(reason: SlotRefusalReason): SlotOutcome[];
+  close(reason: SlotRefusalReason, nowMilliseconds: number): SlotOutcome[];
+  /** The grants as their holders would present them, for the next steward. */
+  exportGrants(nowMilliseconds: number): HeldGrant[];
   isLoadKnown(nowMilliseconds: number): boolean;
-  loadTokens(): number;
-  describe(): unknown;
+  /** The least tokens in flight, which the mean of the pool is made of. */
+  leastLoadTokens(): number;
+  describe(nowMilliseconds: number): unknown;
 }
 
 /** Whether the configuration lets a backend server receive new work. */
@@ -128,26 +131,31 @@
   function refusalFor(
     reason: SlotRefusalReason,
     { priority, weightTokens }: SlotRequest,
+    now: number,
   ): SlotRefusal {
     return {
       reason,
       loadTokens: Math.round(admission.loadTokens()),
-      meanTokens: Math.round(admission.meanTokens()),
+      meanTokens: Math.round(admission.meanTokens(now)),
       expectedWaitMilliseconds: expectedWait(priority, weightTokens),
     };
   }
 
-  function refuse(reason: SlotRefusalReason, request: SlotRequest): void {
-    const refusal = refusalFor(reason, request);
+  function refuse(
+    reason: SlotRefusalReason,
+    request: SlotRequest,
+    now: number,
+  ): void {
+    const refusal = refusalFor(reason, request, now);
     outcomes.push({ grantId: request.grantId, refusal });
   }
 
-  function enqueue(request: SlotRequest): SlotDecision {
+  function enqueue(request: SlotRequest, now: number): SlotDecision {
     const { added, shed } = queue.add(request);
-    if (shed) refuse("queue_full", shed);
+    if (shed) refuse("queue_full", shed, now);
     return added
       ? { kind: "queued" }
-      : { kind: "refused", refusal: refusalFor("queue_full", request) };
+      : { kind: "refused", refusal: refusalFor("queue_full", request, now) };
   }
 
   function request(slot: SlotRequest, now: number): SlotDecision {
@@ -158,8 +166,8 @@
     if (!reason) return { kind: "granted" };
     const mayWait = slot.mayQueue && accepting &&
       admission.canEverFit(slot.weightTokens);
-    if (mayWait) return enqueue(slot);
-    return { kind: "refused", refusal: refusalFor(reason, slot) };
+    if (mayWait) return enqueue(slot, now);
+    return { kind: "refused", refusal: refusalFor(reason, slot, now) };
   }
 
   function release(grantId: string, now: number): void {
@@ -171,9 +179,11 @@
 
   function settle(now: number): SlotOutcome[] {
     admission.expire(now);
-    for (const late of queue.expire(now)) refuse("deadline_exceeded", late);
+    for (const late of queue.expire(now)) {
+      refuse("deadline_exceeded", late, now);
+    }
     if (!accepting) {
-      for (const waiting of queue.removeAll()) refuse("leaving", waiting);
+      for (const waiting of queue.removeAll()) refuse("leaving", waiting, now);
     }
     for (let next = queue.peek(); next; next = queue.peek()) {
       if (admission.tryGrant(next, now)) break;
@@ -185,8 +195,8 @@
     return settled;
   }
 
-  function close(reason: SlotRefusalReason): SlotOutcome[] {
-    for (const waiting of queue.removeAll()) refuse(reason, waiting);
+  function close(reason: SlotRefusalReason, now: number): SlotOutcome[] {
+    for (const waiting of queue.removeAll()) refuse(reason, waiting, now);
     const settled = outcomes;
     outcomes = [];
     return settled;
@@ -201,7 +211,7 @@
   return {
     configure,
     recordLoad: (reading, now) => admission.recordLoad(reading, now),
-    setPool: (pool) => admission.setPool(pool),
+    setPool: (pool, now) => admission.setPool(pool, now),
     request,
     renew: (holder, grants, now) => admission.renew(holder, grants, now),
     release,
@@ -211,12 +221,13 @@
     },
     settle,
     close,
+    exportGrants: (now) => admission.exportGrants(now),
     isLoadKnown: (now) => admission.isLoadKnown(now),
-    loadTokens: () => admission.loadTokens(),
-    describe: () => ({
+    leastLoadTokens: () => admission.leastLoadTokens(),
+    describe: (now) => ({
       accepting,
       loadTokens: admission.loadTokens(),
-      meanTokens: admission.meanTokens(),
+      meanTokens: admission.meanTokens(now),
       grants: admission.grantCount(),
       queued: queue.length(),
       tokensByWorkspace: Object.fromEntries(admission.tokensByWorkspace()),
--- a/src/load_task.ts
+++ b/src/load_task.ts
@@ -7,15 +7,16 @@
 import type {
   BackendServerId,
   DataCentreId,
-  HostId,
   IncarnationId,
 } from "./core/ids.ts";
 import {
-  aggregatorKey,
   catalogueOfFleet,
-  createLoadAggregator,
   createLoadCatalogue,
   type LoadCatalogue,
+} from "./core/load_catalogue.ts";
+import {
+  aggregatorKey,
+  createLoadAggregator,
   type LoadSummary,
   poolsOfSummary,
   relativeLoads,
@@ -35,13 +36,16 @@
 import type { Subscription, TimerService } from "./timer_service.ts";
 
 /** Period of reports, exchanges and summaries. */
-export const LOAD_PERIOD_MILLISECONDS = 500;
-/** A new aggregator waits until every steward has reported to it. */
+export const LOAD_PERIOD_MILLISECONDS = 250;
+/**
+ * A new aggregator waits until every steward has reported to it and the other
+ * aggregators have sent what they know; means of a part of a pool are noisy.
+ */
 export const AGGREGATOR_WARM_UP_MILLISECONDS = 1_200;
 /** After this time without a summary the loads of the pools are unknown. */
 export const SUMMARY_LIFETIME_MILLISECONDS = 10_000;
 
-const SUMMARIES_PER_LOADS = 2;
+const SUMMARIES_PER_LOADS = 4;
 const PREFERRED_SUMMARY_MILLISECONDS = 1_500;
 const MAXIMUM_REMEMBERED_AGGREGATORS = 64;
 
@@ -98,6 +102,11 @@
       : this.#pools.get(pool);
   }
 
+  /** When the latest summary was received; the pools are as old as that. */
+  summaryAt(): number {
+    return this.#summaryAt;
+  }
+
   /** The load of a server relative to its share; undefined if not known. */
   relativeLoad(backendServer: BackendServerId): number | undefined {
     return this.#relativeLoads.get(backendServer);
@@ -161,25 +170,19 @@
     const isAggregator = aggregator?.host === self.host;
     if (!isAggregator) this.#aggregatorSince = undefined;
     else this.#aggregatorSince ??= this.#now();
-    this.#report(self.host, aggregator, isAggregator);
+    this.#report(aggregator, isAggregator);
     if (isAggregator) this.#aggregate(self);
   }
 
-  #report(
-    self: HostId,
-    aggregator: Member | undefined,
-    isAggregator: boolean,
-  ): void {
+  #report(aggregator: Member | undefined, isAggregator: boolean): void {
     const loads = this.#provider();
     if (isAggregator) {
-      this.#aggregator.recordReport(self, loads, this.#now());
+      this.#aggregator.recordReport(loads, this.#now());
     } else if (aggregator) {
       const body: LoadReportBody = {
-        servers: loads.map((load) => [
-          load.backendServer,
-          load.pool,
-          Math.round(load.tokens),
-          load.capacityTokens,
+        servers: loads.map(({ backendServer, tokens }) => [
+          backendServer,
+          tokens === undefined ? null : Math.round(tokens),
         ]),
       };
       this.#options.network.send(aggregator.address, "load.report", body);
@@ -188,21 +191,21 @@
 
   #aggregate(self: Member): void {
     const now = this.#now();
-    if (
-      now - (this.#aggregatorSince ?? now) < AGGREGATOR_WARM_UP_MILLISECONDS
-    ) return;
+    const withLoads = this.#round++ % SUMMARIES_PER_LOADS === 0;
     const exchange: LoadReportBody = {
       dataCentre: self.dataCentre,
-      ...this.#aggregator.exchange(now),
+      ...this.#aggregator.exchange(this.#catalogue, withLoads, now),
     };
     for (const aggregator of this.#otherAggregators(self.dataCentre)) {
       this.#options.network.send(aggregator.address, "load.report", exchange);
     }
-    this.#round++;
+    if (
+      now - (this.#aggregatorSince ?? now) < AGGREGATOR_WARM_UP_MILLISECONDS
+    ) return;
     const summary = this.#aggregator.summary(
       self.incarnation,
       this.#catalogue,
-      this.#round % SUMMARIES_PER_LOADS === 0,
+      withLoads,
       now,
     );
     this.#accept(summary, true);
@@ -223,12 +226,19 @@
     if (!parsed.success) return;
     const report = parsed.data;
     if ("servers" in report) {
-      const loads = report.servers.map((
-        [backendServer, pool, tokens, capacityTokens],
-      ) => ({ backendServer, pool, tokens, capacityTokens }));
-      this.#aggregator.recordReport(from.host, loads, this.#now());
+      const loads = report.servers.map(([backendServer, tokens]) => ({
+        backendServer,
+        tokens: tokens ?? undefined,
+      }));
+      this.#aggregator.recordReport(loads, this.#now());
     } else if (report.dataCentre === from.dataCentre) {
-      this.#aggregator.recordExchange(report.dataCentre, report, this.#now());
+      const { pools, loads } = report;
+      const exchange = loads ? { pools, loads } : { pools };
+      this.#aggregator.recordExchange(
+        report.dataCentre,
+        exchange,
+        this.#now(),
+      );
     }
   }
 
--- /dev/null
+++ b/src/stewardship.ts
@@ -0,0 +1,370 @@
+/**
+ * The stewards that one router is responsible for: which ones, what they know
+ * of load, and how a backend server passes from one steward to the next.
+ */
+import type { PresentedGrant } from "./admission_messages.ts";
+import type { ConfigurationView } from "./configuration_view.ts";
+import type { BackendServerId, HostId, SocketAddress } from "./core/ids.ts";
+import type { ServerLoad } from "./core/load_summary.ts";
+import { pickByRendezvous } from "./core/rendezvous.ts";
+import {
+  createSteward,
+  isInService,
+  refusalWithoutLoad,
+  type SlotOutcome,
+  type SlotRefusal,
+  type SlotRequest,
+  type Steward,
+  type StewardSettings,
+} from "./core/steward.ts";
+import type { LoadSource } from "./load_source.ts";
+import type { LoadTask } from "./load_task.ts";
+import type { Member, MembershipView } from "./membership_view.ts";
+import type { Clock } from "./timer_service.ts";
+
+/**
+ * A router that is no longer the steward answers for this long unless the next
+ * one takes over before, as others may learn of the change later.
+ */
+export const LINGER_MILLISECONDS = 5_000;
+
+/** The result of a request for a slot; granted if there is no refusal. */
+export interface SlotResult {
+  readonly refusal: SlotRefusal | undefined;
+}
+
+/** Options of the stewardship. */
+export interface StewardshipOptions {
+  readonly members: MembershipView;
+  readonly configuration: ConfigurationView;
+  readonly clock: Clock;
+  readonly loadSource: LoadSource;
+  readonly loads: LoadTask;
+  /** Asks the previous steward for its grants; it grants no more after that. */
+  readonly takeOver: (
+    previous: Member,
+    servers: readonly BackendServerId[],
+  ) => Promise<readonly PresentedGrant[]>;
+}
+
+/** The stewards of one router. */
+export interface Stewardship {
+  /** Follows the members and the configuration. */
+  assign(): void;
+  setLeaving(server: BackendServerId, leaving: boolean): void;
+  isSteward(server: BackendServerId): boolean;
+  request(server: BackendServerId, request: SlotRequest): Promise<SlotResult>;
+  release(server: BackendServerId, grantId: string): void;
+  cancel(server: BackendServerId, grantId: string): void;
+  /** Renews grants; returns the servers that this router is no steward of. */
+  renew(
+    holder: HostId,
+    grants: readonly PresentedGrant[],
+  ): Set<BackendServerId>;
+  /** Gives servers up to the next steward and returns their grants. */
+  handOver(
+    servers: readonly BackendServerId[],
+    next: Successor,
+  ): PresentedGrant[];
+  /** The router that took a server over from this one a short time ago. */
+  successorOf(server: BackendServerId): Successor | undefined;
+  /** Drops a successor that does not answer. */
+  forgetSuccessor(server: BackendServerId): void;
+  poll(): void;
+  settle(): void;
+  readPools(): void;
+  serverLoads(): ServerLoad[];
+  close(): void;
+  describe(): unknown;
+}
+
+/** The router that took over a backend server. */
+export interface Successor {
+  readonly host: HostId;
+  readonly address: SocketAddress;
+}
+
+interface _Duty {
+  readonly steward: Steward;
+  readonly waiting: Map<string, (result: SlotResult) => void>;
+  isReading: boolean;
+  /** When the duty ends; undefined while this router is the steward. */
+  endsAt: number | undefined;
+}
+
+/** The steward of a backend server among members that are not leaving. */
+export function stewardOf(
+  backendServer: BackendServerId,
+  members: readonly Member[],
+): Member | undefined {
+  return pickByRendezvous(
+    `steward/${backendServer}`,
+    members,
+    (member) => member.host,
+  );
+}
+
+/** Creates the stewardship of a router; it has no duties at first. */
+export function createStewardship(options: StewardshipOptions): Stewardship {
+  const { members, configuration, clock, loadSource, loads } = options;
+  const duties = new Map<BackendServerId, _Duty>();
+  const successors = new Map<
+    BackendServerId,
+    { readonly next: Successor; readonly until: number }
+  >();
+  const leavingServers = new Set<BackendServerId>();
+
+  function settingsOf(server: BackendServerId): StewardSettings | undefined {
+    const snapshot = configuration.current();
+    const configured = snapshot?.fleet.backendServers[server];
+    if (!snapshot || !configured) return undefined;
+    const { loadBoundRatio, queueLengthPerBackendServer } =
+      snapshot.fleet.fleet;
+    return {
+      loadBoundRatio,
+      queueLength: queueLengthPerBackendServer,
+      capacityTokens: configured.capacityTokens,
+      accepting: isInService(server, snapshot) && !leavingServers.has(server),
+    };
+  }
+
+  function resolve(duty: _Duty, outcomes: readonly SlotOutcome[]): void {
+    for (const { grantId, refusal } of outcomes) {
+      duty.waiting.get(grantId)?.({ refusal });
+      duty.waiting.delete(grantId);
+    }
+  }
+
+  function settleDuty(duty: _Duty): void {
+    resolve(duty, duty.steward.settle(clock.monotonicMilliseconds()));
+  }
+
+  function drop(server: BackendServerId): void {
+    const duty = duties.get(server);
+    if (!duty) return;
+    duties.delete(server);
+    const now = clock.monotonicMilliseconds();
+    resolve(duty, duty.steward.close("not_steward", now));
+  }
+
+  function configure(server: BackendServerId): void {
+    const duty = duties.get(server);
+    const settings = settingsOf(server);
+    if (!duty) return;
+    if (!settings) return drop(server);
+    duty.steward.configure(settings);
+    settleDuty(duty);
+  }
+
+  function readPool(server: BackendServerId, duty: _Duty): void {
+    const pool = loads.catalogue().byServer.get(server)?.pool;
+    const load = pool === undefined ? undefined : loads.poolLoad(pool);
+    duty.steward.setPool(load, loads.summaryAt());
+  }
+
+  /** The age counts from before the read, as the reply may be delayed. */
+  async function readLoad(server: BackendServerId, duty: _Duty): Promise<void> {
+    duty.isReading = true;
+    const startedAt = clock.monotonicMilliseconds();
+    const result = await loadSource.readLoad(server);
+    duty.isReading = false;
+    if (result.isErr()) return;
+    const now = clock.monotonicMilliseconds();
+    const ageMilliseconds = result.value.ageMilliseconds + now - startedAt;
+    duty.steward.recordLoad({ ...result.value, ageMilliseconds }, now);
+    settleDuty(duty);
+  }
+
+  function adopt(server: BackendServerId, settings: StewardSettings): void {
+    const duty: _Duty = {
+      steward: createSteward(settings),
+      waiting: new Map(),
+      isReading: true,
+      endsAt: undefined,
+    };
+    duties.set(server, duty);
+    readPool(server, duty);
+  }
+
+  /** Grants nothing before the previous steward answered: no load is known. */
+  async function takeOver(
+    previous: Member | undefined,
+    servers: readonly BackendServerId[],
+  ): Promise<void> {
+    const grants = previous ? await options.takeOver(previous, servers) : [];
+    if (previous) renew(previous.host, grants);
+    for (const server of servers) {
+      const duty = duties.get(server);
+      if (duty) void readLoad(server, duty);
+    }
+  }
+
+  function mayAdopt(server: BackendServerId): boolean {
+    const until = successors.get(server)?.until ?? -Infinity;
+    return clock.monotonicMilliseconds() >= until;
+  }
+
+  function assign(): void {
+    const { host } = members.self();
+    const others = members.liveMembers().filter((member) =>
+      member.host !== host
+    );
+    const eligible = members.liveMembers().filter((member) => !member.leaving);
+    const names = configuration.current()?.fleet.backendServers ?? {};
+    const adopted = new Map<Member | undefined, BackendServerId[]>();
+    for (const server of Object.keys(names) as BackendServerId[]) {
+      const isOwner = stewardOf(server, eligible)?.host === host;
+      const duty = duties.get(server);
+      const settings = settingsOf(server);
+      if (duty) {
+        duty.endsAt = isOwner
+          ? undefined
+          : duty.endsAt ?? clock.monotonicMilliseconds() + LINGER_MILLISECONDS;
+      } else if (isOwner && settings && mayAdopt(server)) {
+        adopt(server, settings);
+        const previous = stewardOf(server, others);
+        adopted.set(previous, [...adopted.get(previous) ?? [], server]);
+      }
+    }
+    for (const server of [...duties.keys()]) configure(server);
+    for (const [previous, servers] of adopted) void takeOver(previous, servers);
+  }
+
+  function request(
+    server: BackendServerId,
+    slot: SlotRequest,
+  ): Promise<SlotResult> {
+    const duty = duties.get(server);
+    if (!duty) {
+      return Promise.resolve({ refusal: refusalWithoutLoad("not_steward") });
+    }
+    const decision = duty.steward.request(slot, clock.monotonicMilliseconds());
+    if (decision.kind === "queued") {
+      const outcome = new Promise<SlotResult>((settled) => {
+        duty.waiting.set(slot.grantId, settled);
+      });
+      settleDuty(duty);
+      return outcome;
+    }
+    const refusal = decision.kind === "refused" ? decision.refusal : undefined;
+    return Promise.resolve({ refusal });
+  }
+
+  function release(server: BackendServerId, grantId: string): void {
+    const duty = duties.get(server);
+    if (!duty) return;
+    duty.steward.release(grantId, clock.monotonicMilliseconds());
+    settleDuty(duty);
+  }
+
+  function cancel(server: BackendServerId, grantId: string): void {
+    const duty = duties.get(server);
+    if (!duty) return;
+    duty.steward.cancel(grantId, clock.monotonicMilliseconds());
+    const refusal = refusalWithoutLoad("cancelled");
+    resolve(duty, [{ grantId, refusal }]);
+    settleDuty(duty);
+  }
+
+  function renew(
+    holder: HostId,
+    grants: readonly PresentedGrant[],
+  ): Set<BackendServerId> {
+    const now = clock.monotonicMilliseconds();
+    const rejected = new Set<BackendServerId>();
+    for (const grant of grants) {
+      const duty = duties.get(grant.backendServer);
+      if (duty) duty.steward.renew(holder, [grant], now);
+      else rejected.add(grant.backendServer);
+    }
+    return rejected;
+  }
+
+  function handOver(
+    servers: readonly BackendServerId[],
+    next: Successor,
+  ): PresentedGrant[] {
+    const now = clock.monotonicMilliseconds();
+    const grants: PresentedGrant[] = [];
+    for (const server of servers) {
+      for (const grant of duties.get(server)?.steward.exportGrants(now) ?? []) {
+        grants.push({ ...grant, backendServer: server });
+      }
+      successors.set(server, { next, until: now + LINGER_MILLISECONDS });
+      drop(server);
+    }
+    return grants;
+  }
+
+  function settle(): void {
+    const now = clock.monotonicMilliseconds();
+    for (const [server, duty] of [...duties]) {
+      if (now >= (duty.endsAt ?? Infinity)) drop(server);
+      else settleDuty(duty);
+    }
+    let hasExpired = false;
+    for (const [server, { until }] of successors) {
+      if (now < until) continue;
+      successors.delete(server);
+      hasExpired = true;
+    }
+    if (hasExpired) assign();
+  }
+
+  /** Servers that take no new work are reported as not live. */
+  function serverLoads(): ServerLoad[] {
+    const now = clock.monotonicMilliseconds();
+    return [...duties].map(([backendServer, { steward }]) => {
+      const isLive = settingsOf(backendServer)?.accepting === true &&
+        steward.isLoadKnown(now);
+      const tokens = isLive ? steward.leastLoadTokens() : undefined;
+      return { backendServer, tokens };
+    });
+  }
+
+  return {
+    assign,
+    setLeaving: (server, leaving) => {
+      if (leaving) leavingServers.add(server);
+      else leavingServers.delete(server);
+      configure(server);
+    },
+    isSteward: (server) => duties.has(server),
+    request,
+    release,
+    cancel,
+    renew,
+    handOver,
+    successorOf: (server) => successors.get(server)?.next,
+    forgetSuccessor: (server) => {
+      if (successors.delete(server)) assign();
+    },
+    poll: () => {
+      for (const [server, duty] of duties) {
+        if (!duty.isReading) void readLoad(server, duty);
+      }
+    },
+    settle,
+    readPools: () => {
+      for (const [server, duty] of duties) {
+        readPool(server, duty);
+        settleDuty(duty);
+      }
+    },
+    serverLoads,
+    close: () => {
+      for (const server of [...duties.keys()]) drop(server);
+    },
+    describe: () => {
+      const now = clock.monotonicMilliseconds();
+      const stewards = [...duties].map(([server, { steward }]) =>
+        [server, steward.describe(now)] as const
+      );
+      return {
+        stewards: Object.fromEntries(stewards),
+        leaving: [...leavingServers],
+        handedOver: [...successors.keys()],
+      };
+    },
+  };
+}
