--- a/bench/main.ts
+++ b/bench/main.ts
@@ -11,6 +11,8 @@
   {
     affinity: () => import("./affinity.ts"),
     decision: () => import("./decision.ts"),
+    orders: () => import("./orders_bench.ts"),
+    skew: () => import("./skew.ts"),
   };
 
 const DEFAULT_SEED = 1;
--- a/src/backend_state_task.ts
+++ b/src/backend_state_task.ts
@@ -5,7 +5,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
-import { stewardOf } from "./admission_task.ts";
+import { stewardOf } from "./stewardship.ts";
 import type { BackendClient } from "./backend_client.ts";
 import type { ChatHomeTask } from "./chat_home_task.ts";
 import type { ConfigurationView } from "./configuration_view.ts";
--- a/src/chat_dispatch.ts
+++ b/src/chat_dispatch.ts
@@ -10,7 +10,7 @@
   ChatOpening,
   ChatStreamEvents,
 } from "./backend_client.ts";
-import { findSlot } from "./backend_slots.ts";
+import { findSlot } from "./slot_search.ts";
 import type { ChatAnswer, ChatAnswerEvent } from "./caller_services.ts";
 import type { ChatHomeTask } from "./chat_home_task.ts";
 import { type ChatRequest, estimatePromptTokens } from "./chat_request.ts";
@@ -88,9 +88,10 @@
     return server && brandId<SocketAddress>(server.address);
   }
 
-  async function rank(
+  /** Returns a function that ranks anew, as loads change while a request waits. */
+  async function prepareRanking(
     request: ChatRequest,
-  ): Promise<Result<readonly Candidate[], ApplicationError>> {
+  ): Promise<Result<() => readonly Candidate[], ApplicationError>> {
     const { workspace, chat, body } = request;
     const target = {
       kind: "model",
@@ -103,13 +104,14 @@
     const remembered = chat === undefined
       ? []
       : await options.chatHome.lookup(workspace, chat);
-    return ok(routing.rank({
+    const wanted = {
       workspace,
       chat,
       target,
       promptTokens: estimatePromptTokens(body),
       outputTokens: body.max_tokens,
-    }, remembered));
+    };
+    return ok(() => routing.rank(wanted, remembered));
   }
 
   async function open(
@@ -148,22 +150,22 @@
   ): Promise<
     Result<_Started, ApplicationError & { server?: BackendServerId }>
   > {
-    const ranked = await rank(request);
+    const ranked = await prepareRanking(request);
     if (ranked.isErr()) return err(ranked.error);
     const fleet = options.configuration.current()?.fleet.fleet;
-    const slot = await findSlot(
-      {
-        workspace: request.workspace,
-        priority: request.priority,
-        deadlineMilliseconds: request.deadlineMilliseconds,
-        queueWaitMilliseconds: fleet?.queueWaitMilliseconds ?? 0,
-        candidates: ranked.value.filter(({ backendServer }) =>
+    const slot = await findSlot(admission, timers, {
+      workspace: request.workspace,
+      priority: request.priority,
+      deadlineMilliseconds: Math.min(
+        request.deadlineMilliseconds,
+        now() + (fleet?.queueWaitMilliseconds ?? 0),
+      ),
+      mayQueue: true,
+      candidates: () =>
+        ranked.value().filter(({ backendServer }) =>
           !failed.has(backendServer)
         ),
-      },
-      admission,
-      timers.clock,
-    );
+    });
     if (slot.isErr()) return err(slot.error);
     const started = await open(request, slot.value);
     if (started.isOk()) return ok(started.value);
--- a/src/http_platform_client.ts
+++ b/src/http_platform_client.ts
@@ -171,8 +171,7 @@
     return this.#counters;
   }
 
-  /** Closes all connections; pending calls fail. */
-  close(): Promise<void> {
+  override close(): Promise<void> {
     return this.#pool.destroy();
   }
 
--- a/src/platform_client.ts
+++ b/src/platform_client.ts
@@ -64,6 +64,8 @@
   abstract listHosts(): Promise<
     Result<readonly ListedHost[], ApplicationError>
   >;
+  /** Closes connections, if there are any; pending calls fail. */
+  async close(): Promise<void> {}
   /** Returns the counters. */
   abstract counters(): Readonly<PlatformCounters>;
 }
--- a/src/router.ts
+++ b/src/router.ts
@@ -121,10 +121,8 @@
     fleetKey: security.fleetKey,
     identity: { host, dataCentre, incarnation },
   });
-  const httpPlatform = options.platform
-    ? undefined
-    : createHttpPlatformClient(settings.platform);
-  const platform = options.platform ?? httpPlatform;
+  const platform = options.platform ??
+    createHttpPlatformClient(settings.platform);
   const backends = options.backends ??
     createHttpBackendClient({ timers, backendKey: security.backendKey });
 
@@ -358,7 +356,7 @@
     timers.stop();
     await network.stop();
     await backends.stop();
-    await httpPlatform?.close();
+    if (!options.platform) await platform.close();
     logger.info("stopped");
     markStopped();
   }
--- a/src/service_dispatch.ts
+++ b/src/service_dispatch.ts
@@ -5,7 +5,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { AdmissionClient, Slot } from "./admission_client.ts";
 import type { BackendAnswer, BackendClient } from "./backend_client.ts";
-import { findSlot } from "./backend_slots.ts";
+import { findSlot } from "./slot_search.ts";
 import type { ConfigurationView } from "./configuration_view.ts";
 import { type ApplicationError, createError } from "./core/errors.ts";
 import {
@@ -116,18 +116,17 @@
     const failed = new Set<string>();
     retries.recordRequest(now());
     for (;;) {
-      const slot = await findSlot(
-        {
-          workspace,
-          priority: call.priority,
-          deadlineMilliseconds: call.deadlineMilliseconds,
-          queueWaitMilliseconds: options.configuration.current()?.fleet.fleet
-            .queueWaitMilliseconds ?? 0,
-          candidates: candidatesOf(call, failed),
-        },
-        admission,
-        timers.clock,
-      );
+      const fleet = options.configuration.current()?.fleet.fleet;
+      const slot = await findSlot(admission, timers, {
+        workspace,
+        priority: call.priority,
+        deadlineMilliseconds: Math.min(
+          call.deadlineMilliseconds,
+          now() + (fleet?.queueWaitMilliseconds ?? 0),
+        ),
+        mayQueue: true,
+        candidates: () => candidatesOf(call, failed),
+      });
       if (slot.isErr()) return err(slot.error);
       const answer = await send(call, slot.value, idempotent);
       admission.release(slot.value);
