Add the control bench for membership by fleet size

The run showed that every view change rebuilt the ring with hash maps; the ring now works on the members in ring order by binary search.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,7 +8,9 @@
 } from "./bench_report.ts";
 
 const BENCHES: Readonly<Record<string, () => Promise<{ runBench: RunBench }>>> =
-  {};
+  {
+    control: () => import("./control.ts"),
+  };
 
 const DEFAULT_SEED = 1;
 
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -104,7 +104,7 @@
     return { host, dataCentre, address, callerAddress, incarnation, leaving };
   }
 
-  /** Alive and suspect members by host name, this router included. */
+  /** Alive and suspect members in ring order, this router included. */
   members(): readonly Member[] {
     return this.#claims.table.members();
   }
--- a/src/core/membership_ring.ts
+++ b/src/core/membership_ring.ts
@@ -4,8 +4,8 @@
  * another, so that a cut data centre is noticed from outside as well.
  */
 import type { Member } from "../membership_view.ts";
-import type { DataCentreId, HostId } from "./ids.ts";
-import { hash64 } from "./rendezvous.ts";
+import type { HostId } from "./ids.ts";
+import { hash32 } from "./rendezvous.ts";
 
 const MONITORS = 3;
 const MONITORS_OF_OWN_DATA_CENTRE = 2;
@@ -27,105 +27,118 @@
   neighboursOf(host: HostId): readonly Member[];
 }
 
-const _positions = new Map<HostId, string>();
+const _positions = new Map<HostId, number>();
 const MAXIMUM_REMEMBERED_POSITIONS = 8_192;
 
-function _positionOf(host: HostId): string {
+function _positionOf(host: HostId): number {
   const known = _positions.get(host);
   if (known !== undefined) return known;
   if (_positions.size >= MAXIMUM_REMEMBERED_POSITIONS) _positions.clear();
-  const position = hash64(host);
+  const position = hash32(host);
   _positions.set(host, position);
   return position;
 }
 
-function _byPosition(left: Member, right: Member): number {
-  const [leftPosition, rightPosition] = [
-    _positionOf(left.host),
-    _positionOf(right.host),
-  ];
-  if (leftPosition !== rightPosition) {
-    return leftPosition < rightPosition ? -1 : 1;
-  }
-  return left.host < right.host ? -1 : 1;
+/** Order of members on the ring. */
+export function compareRingPlaces(left: Member, right: Member): number {
+  const order = _positionOf(left.host) - _positionOf(right.host);
+  return order !== 0 ? order : left.host < right.host ? -1 : 1;
 }
 
-/** Orders the members once; the caller keeps the ring until the members change. */
+/** Creates the ring of members that are in ring order; kept until they change. */
 export function createMembershipRing(
-  members: readonly Member[],
+  ordered: readonly Member[],
 ): MembershipRing {
-  const ordered = [...members].sort(_byPosition);
-  const places = new Map(ordered.map((member, index) => [member.host, index]));
-  const dataCentres = new Map<DataCentreId, Member[]>();
-  const localPlaces = new Map<HostId, number>();
-  for (const member of ordered) {
-    const group = dataCentres.get(member.dataCentre) ?? [];
-    if (group.length === 0) dataCentres.set(member.dataCentre, group);
-    localPlaces.set(member.host, group.length);
-    group.push(member);
+  function placeOf(host: HostId): number | undefined {
+    let [low, high] = [0, ordered.length - 1];
+    while (low <= high) {
+      const middle = (low + high) >> 1;
+      const candidate = ordered[middle] as Member;
+      if (candidate.host === host) return middle;
+      const order = _positionOf(candidate.host) - _positionOf(host);
+      const before = order !== 0 ? order < 0 : candidate.host < host;
+      if (before) low = middle + 1;
+      else high = middle - 1;
+    }
+    return undefined;
   }
 
-  function nearest(
+  /** Collects members in one direction until there are enough. */
+  function collect(
     place: number,
-    maximumSteps: number,
+    direction: 1 | -1,
+    options: { steps: number; count: number },
     wanted: (member: Member) => boolean,
-  ): Member | undefined {
-    const steps = Math.min(maximumSteps, ordered.length - 1);
-    for (let step = 1; step <= steps; step++) {
-      const index = (place - step + ordered.length) % ordered.length;
+  ): Member[] {
+    const found: Member[] = [];
+    const steps = Math.min(options.steps, ordered.length - 1);
+    for (let step = 1; step <= steps && found.length < options.count; step++) {
+      const index = (place + direction * step + ordered.length) %
+        ordered.length;
       const candidate = ordered[index] as Member;
-      if (wanted(candidate)) return candidate;
+      if (wanted(candidate)) found.push(candidate);
     }
-    return undefined;
+    return found;
   }
 
   function monitorsOf(host: HostId): readonly Member[] {
-    const place = places.get(host);
+    const place = placeOf(host);
     if (place === undefined) return [];
-    const member = ordered[place] as Member;
-    const group = dataCentres.get(member.dataCentre) ?? [];
-    const local = localPlaces.get(host) ?? 0;
-    const monitors: Member[] = [];
-    const locals = Math.min(MONITORS_OF_OWN_DATA_CENTRE, group.length - 1);
-    for (let step = 1; step <= locals; step++) {
-      const index = (local - step + group.length) % group.length;
-      monitors.push(group[index] as Member);
-    }
-    const outside = nearest(
+    const { dataCentre } = ordered[place] as Member;
+    const monitors = collect(
+      place,
+      -1,
+      { steps: ordered.length, count: MONITORS_OF_OWN_DATA_CENTRE },
+      (other) => other.dataCentre === dataCentre,
+    );
+    monitors.push(...collect(
+      place,
+      -1,
+      { steps: MAXIMUM_OUTSIDE_STEPS, count: 1 },
+      (other) => other.dataCentre !== dataCentre,
+    ));
+    const rest = collect(
       place,
-      MAXIMUM_OUTSIDE_STEPS,
-      (other) => other.dataCentre !== member.dataCentre,
+      -1,
+      { steps: ordered.length, count: MONITORS - monitors.length },
+      (other) => !monitors.includes(other),
     );
-    if (outside) monitors.push(outside);
-    const wanted = Math.min(MONITORS, ordered.length - 1);
-    while (monitors.length < wanted) {
-      const next = nearest(
+    return [...monitors, ...rest];
+  }
+
+  /** Members in whose monitors the host can be, then those where it is. */
+  function targetsOf(host: HostId): readonly Member[] {
+    const place = placeOf(host);
+    if (place === undefined) return [];
+    const { dataCentre } = ordered[place] as Member;
+    const steps = { steps: MAXIMUM_OUTSIDE_STEPS, count: ordered.length };
+    const candidates = new Set([
+      ...collect(
         place,
-        ordered.length,
-        (other) => !monitors.includes(other),
-      );
-      if (!next) break;
-      monitors.push(next);
-    }
-    return monitors;
+        1,
+        { steps: ordered.length, count: MONITORS },
+        (other) => other.dataCentre === dataCentre,
+      ),
+      ...collect(place, 1, steps, () => true),
+    ]);
+    return [...candidates].filter((member) =>
+      monitorsOf(member.host).some((monitor) => monitor.host === host)
+    );
   }
 
   return {
     monitorsOf,
-    targetsOf: (host) =>
-      ordered.filter((member) =>
-        member.host !== host &&
-        monitorsOf(member.host).some((monitor) => monitor.host === host)
-      ),
+    targetsOf,
     successorOf: (host) => {
-      const place = places.get(host);
+      const place = placeOf(host);
       if (place === undefined || ordered.length < 2) return undefined;
       return ordered[(place + 1) % ordered.length];
     },
     neighboursOf: (host) => {
-      const place = places.get(host);
+      const place = placeOf(host);
       if (place === undefined) return [];
-      return dataCentres.get((ordered[place] as Member).dataCentre) ?? [];
+      const { dataCentre } = ordered[place] as Member;
+      return ordered.filter((member) => member.dataCentre === dataCentre);
     },
   };
 }
--- a/src/core/membership_table.ts
+++ b/src/core/membership_table.ts
@@ -6,6 +6,7 @@
 import type { Member } from "../membership_view.ts";
 import type { HostId } from "./ids.ts";
 import { MEMBER_STATES, type MemberRecord } from "./membership_messages.ts";
+import { compareRingPlaces } from "./membership_ring.ts";
 import { hash32 } from "./rendezvous.ts";
 
 /** Buckets of the digest; a sync carries only records of differing buckets. */
@@ -58,7 +59,7 @@
   readonly #dead = new Set<HostId>();
   #digest = 0;
   #version = 0;
-  #members: readonly Member[] | undefined;
+  #members: readonly Member[] = [];
 
   /** Rises when a live member appears, disappears or changes. */
   get version(): number {
@@ -96,10 +97,8 @@
     return this.#records.values();
   }
 
-  /** Live members by host name. */
+  /** Live members in ring order; a new array after every change. */
   members(): readonly Member[] {
-    this.#members ??= [...this.#records.values()].filter(isLive).map(_toMember)
-      .sort((left, right) => left.host < right.host ? -1 : 1);
     return this.#members;
   }
 
@@ -138,6 +137,26 @@
         old?.leaving !== record?.leaving || old?.address !== record?.address));
     if (!changed) return;
     this.#version++;
-    this.#members = undefined;
+    if (wasLive) this.#members = this.#without(_toMember(old as MemberRecord));
+    if (live) this.#members = this.#with(_toMember(record as MemberRecord));
+  }
+
+  #placeOf(member: Member): number {
+    let [low, high] = [0, this.#members.length];
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      const order = compareRingPlaces(this.#members[middle] as Member, member);
+      if (order < 0) low = middle + 1;
+      else high = middle;
+    }
+    return low;
+  }
+
+  #without(member: Member): readonly Member[] {
+    return this.#members.filter(({ host }) => host !== member.host);
+  }
+
+  #with(member: Member): readonly Member[] {
+    return this.#members.toSpliced(this.#placeOf(member), 0, member);
   }
 }
