Add workspace limits leased from a limit holder

Change: entry routers admit against a leased share with a token bucket of 250 ms and report held share and demand every 500 ms, one limits.renew message per holder. The holder divides by demand and counts each router with the larger of its grant and its last report, so a lost reply cannot exceed the limit. A new holder raises no held share for one lease (2 s). A router without a holder in reach keeps its last share; one that never had a share uses limit / addresses. Conclusion: the limit holds through moves of the holder.

--- /dev/null
+++ b/src/core/limits_test.ts
@@ -0,0 +1,214 @@
+import test from "ava";
+import fc from "fast-check";
+import { brandId, type HostId, type WorkspaceId } from "./ids.ts";
+import { createLimitHolder, type LimitHolder } from "./limit_holder.ts";
+import { createLimits, type Limits } from "./limits.ts";
+import { createSeededRandom } from "./random.ts";
+
+const WORKSPACE = brandId<WorkspaceId>("temple");
+const STEP_MILLISECONDS = 10;
+const RUN_MILLISECONDS = 40_000;
+const WINDOW_MILLISECONDS = 10_000;
+const SETTLE_MILLISECONDS = 5_000;
+
+interface Entry {
+  readonly host: HostId;
+  readonly limits: Limits;
+  readonly perStep: number;
+  readonly phase: number;
+  holder: LimitHolder | undefined;
+  nextHolder: { holder: LimitHolder | undefined; at: number }[];
+  due: number;
+  running: number[];
+}
+
+interface Scenario {
+  readonly seed: number;
+  readonly entries: number;
+  readonly limit: number;
+  readonly concurrency: number;
+  /** When the holder changes and for how long nobody reaches one before. */
+  readonly moves: readonly { at: number; outage: number }[];
+  readonly holdMilliseconds: number;
+  /** Period after which all demand moves to another router; 0: steady. */
+  readonly shiftMilliseconds: number;
+}
+
+/** Runs saturating demand; returns admissions for each step and the peak use. */
+function run(scenario: Scenario): { admitted: number[]; peakInUse: number } {
+  const random = createSeededRandom(scenario.seed);
+  const limits = {
+    requestsPerSecond: scenario.limit,
+    concurrency: scenario.concurrency,
+    addresses: scenario.entries,
+  };
+  const first = createLimitHolder();
+  const entries = Array.from({ length: scenario.entries }, (_unused, index) => {
+    const share = (0.5 + random.next()) * 2 / scenario.entries;
+    const entry: Entry = {
+      host: brandId<HostId>(`host-${index}`),
+      limits: createLimits({ limitsOf: () => limits }),
+      perStep: share * scenario.limit * STEP_MILLISECONDS / 1_000,
+      phase: 10 * random.integer(50),
+      holder: first,
+      nextHolder: [],
+      due: 0,
+      running: [],
+    };
+    return entry;
+  });
+  const admitted: number[] = [];
+  let peakInUse = 0;
+  for (let now = 0; now < RUN_MILLISECONDS; now += STEP_MILLISECONDS) {
+    for (const { at, outage } of scenario.moves) {
+      if (at !== now) continue;
+      const holder = createLimitHolder();
+      for (const entry of entries) {
+        // Routers learn of a move within a second of each other.
+        // A newer move replaces one that the router has not learned of yet.
+        entry.nextHolder = [
+          { holder: undefined, at: now },
+          { holder, at: now + outage + random.integer(1_000) },
+        ];
+      }
+    }
+    let count = 0;
+    for (const entry of entries) {
+      for (const next of entry.nextHolder) {
+        if (next.at <= now) entry.holder = next.holder;
+      }
+      entry.nextHolder = entry.nextHolder.filter(({ at }) => at > now);
+      if (now % 500 === entry.phase) renew(entry, limits, now, random.next());
+      const ended = entry.running.filter((end) => end <= now);
+      entry.running = entry.running.filter((end) => end > now);
+      for (let end = 0; end < ended.length; end++) {
+        entry.limits.release(WORKSPACE, now);
+      }
+      entry.due += demandOf(entry, entries, scenario, now);
+      for (; entry.due >= 1; entry.due--) {
+        if (entry.limits.tryAcquire(WORKSPACE, now) !== "ok") continue;
+        entry.running.push(now + scenario.holdMilliseconds);
+        count++;
+      }
+    }
+    admitted.push(count);
+    const inUse = entries.reduce((sum, { running }) => sum + running.length, 0);
+    peakInUse = Math.max(peakInUse, inUse);
+  }
+  return { admitted, peakInUse };
+}
+
+function demandOf(
+  entry: Entry,
+  entries: readonly Entry[],
+  { shiftMilliseconds, limit }: Scenario,
+  now: number,
+): number {
+  if (shiftMilliseconds === 0) return entry.perStep;
+  const busy = Math.floor(now / shiftMilliseconds) % entries.length;
+  const share = entry === entries[busy] ? 2 : 0.01;
+  return share * limit * STEP_MILLISECONDS / 1_000;
+}
+
+function renew(
+  entry: Entry,
+  limits: Parameters<LimitHolder["renew"]>[2],
+  now: number,
+  chance: number,
+): void {
+  for (const renewal of entry.limits.renewals(now)) {
+    const share = entry.holder?.renew(entry.host, renewal, limits, now);
+    const replyLost = chance < 0.05;
+    if (share && !replyLost) entry.limits.grant(WORKSPACE, share, now);
+  }
+}
+
+function maximumOverWindow(admitted: readonly number[]): number {
+  const steps = WINDOW_MILLISECONDS / STEP_MILLISECONDS;
+  let [sum, maximum] = [0, 0];
+  admitted.forEach((count, index) => {
+    sum += count - (index >= steps ? admitted[index - steps] ?? 0 : 0);
+    maximum = Math.max(maximum, sum);
+  });
+  return maximum;
+}
+
+const _scenario = fc.record({
+  seed: fc.nat(),
+  entries: fc.integer({ min: 1, max: 6 }),
+  limit: fc.integer({ min: 50, max: 500 }),
+  concurrency: fc.constant(1_000_000),
+  moves: fc.array(
+    fc.record({
+      at: fc.integer({ min: 0, max: 3_500 }).map((step) => step * 10),
+      outage: fc.integer({ min: 0, max: 5_000 }),
+    }),
+    { maxLength: 5 },
+  ),
+  holdMilliseconds: fc.constant(50),
+  shiftMilliseconds: fc.constantFrom(0, 0, 1_000, 3_000),
+});
+
+test("guards against a moved or dead limit holder that lets a workspace exceed its rate or wastes it", (t) => {
+  fc.assert(
+    fc.property(_scenario, (scenario) => {
+      const { admitted } = run(scenario);
+      const seconds = WINDOW_MILLISECONDS / 1_000;
+      if (maximumOverWindow(admitted) > 1.1 * scenario.limit * seconds) {
+        return false;
+      }
+      // Usability is promised for steady demand only.
+      if (scenario.shiftMilliseconds > 0) return true;
+      const settled = admitted.slice(SETTLE_MILLISECONDS / STEP_MILLISECONDS);
+      const total = settled.reduce((sum, count) => sum + count, 0);
+      const span = (RUN_MILLISECONDS - SETTLE_MILLISECONDS) / 1_000;
+      const offered = scenario.limit * span;
+      return total >= 0.9 * offered;
+    }),
+    { seed: 1, numRuns: 150 },
+  );
+  t.pass();
+});
+
+test("guards against shares of concurrency that exceed the limit or stay unused", (t) => {
+  fc.assert(
+    fc.property(_scenario, (scenario) => {
+      const concurrency = 60;
+      const held = { concurrency, holdMilliseconds: 4_000 };
+      const { peakInUse } = run({ ...scenario, ...held });
+      const used = scenario.shiftMilliseconds > 0 ||
+        peakInUse >= 0.9 * concurrency;
+      return used && peakInUse <= 1.1 * concurrency;
+    }),
+    { seed: 1, numRuns: 60 },
+  );
+  t.pass();
+});
+
+test("guards against a holder that leases more than the limit while shares move and replies are lost", (t) => {
+  const limits = { requestsPerSecond: 100, concurrency: 40, addresses: 4 };
+  const random = createSeededRandom(5);
+  const holder = createLimitHolder();
+  const held = new Map<string, { rate: number; concurrency: number }>();
+  for (let now = 0; now < 60_000; now += 125) {
+    const host = brandId<HostId>(`host-${(now / 125) % 4}`);
+    const share = holder.renew(
+      host,
+      {
+        workspace: WORKSPACE,
+        held: held.get(host),
+        wanted: { rate: random.integer(200), concurrency: random.integer(80) },
+      },
+      limits,
+      now,
+    );
+    if (random.next() > 0.2) held.set(host, share);
+    let [rate, concurrency] = [0, 0];
+    for (const other of held.values()) {
+      rate += other.rate;
+      concurrency += other.concurrency;
+    }
+    t.true(rate <= limits.requestsPerSecond + 1e-6, `${rate} at ${now}`);
+    t.true(concurrency <= limits.concurrency, `${concurrency} at ${now}`);
+  }
+});
--- /dev/null
+++ b/src/limits_task.ts
@@ -0,0 +1,204 @@
+/**
+ * The limits task: renews this router's shares with the limit holders, one
+ * message for each holder, and answers renewals for the workspaces that this
+ * router holds.
+ */
+import { z } from "zod";
+import { brandId, type HostId, type WorkspaceId } from "./core/ids.ts";
+import {
+  createLimitHolder,
+  type LimitHolder,
+  type LimitRenewal,
+  type WorkspaceLimits,
+} from "./core/limit_holder.ts";
+import {
+  createLimits,
+  type LimitDecision,
+  type Limits,
+} from "./core/limits.ts";
+import { pickByRendezvous } from "./core/rendezvous.ts";
+import type { Member, MembershipView } from "./membership_view.ts";
+import type { PeerNetwork } from "./peer_network.ts";
+import { Task } from "./task.ts";
+import type { Subscription, TimerService } from "./timer_service.ts";
+
+const RENEWAL_PERIOD_MILLISECONDS = 500;
+const RENEWAL_TIMEOUT_MILLISECONDS = 400;
+const MAXIMUM_WORKSPACES = 65_536;
+
+const _amount = z.number().nonnegative();
+const _renewalSchema = z.strictObject({
+  /** Workspace, held rate and concurrency (-1: none), wanted ones. */
+  w: z.array(
+    z.tuple([
+      z.string().min(1).max(253),
+      z.number().min(-1),
+      z.number().min(-1),
+      _amount,
+      _amount,
+    ]),
+  ).max(MAXIMUM_WORKSPACES),
+});
+const _grantSchema = z.strictObject({
+  /** Workspace, granted rate and concurrency. */
+  s: z.array(z.tuple([z.string().min(1).max(253), _amount, _amount])).max(
+    MAXIMUM_WORKSPACES,
+  ),
+});
+type WireGrant = z.infer<typeof _grantSchema>["s"][number];
+
+/** What the limits task needs. */
+export interface LimitsTaskOptions {
+  readonly network: PeerNetwork;
+  readonly timers: TimerService;
+  readonly view: MembershipView;
+  /** Limits in force; undefined for an unknown workspace. */
+  readonly limitsOf: (workspace: WorkspaceId) => WorkspaceLimits | undefined;
+}
+
+function _packRenewal(
+  { workspace, held, wanted }: LimitRenewal,
+): [string, number, number, number, number] {
+  return [
+    workspace,
+    held?.rate ?? -1,
+    held?.concurrency ?? -1,
+    wanted.rate,
+    wanted.concurrency,
+  ];
+}
+
+/** Admits requests of workspaces and leases their shares. */
+export class LimitsTask extends Task {
+  override readonly name = "limits";
+  readonly #options: LimitsTaskOptions;
+  readonly #limits: Limits;
+  readonly #holder: LimitHolder = createLimitHolder();
+  readonly #subscriptions: Subscription[] = [];
+  #renewalsSent = 0;
+  #renewalsFailed = 0;
+
+  constructor(options: LimitsTaskOptions) {
+    super();
+    this.#options = options;
+    this.#limits = createLimits({ limitsOf: options.limitsOf });
+  }
+
+  /** Admits a request or says which limit refuses it. */
+  tryAcquire(workspace: WorkspaceId, now: number): LimitDecision {
+    return this.#limits.tryAcquire(workspace, now);
+  }
+
+  /** Ends an admitted request. */
+  release(workspace: WorkspaceId, now: number): void {
+    this.#limits.release(workspace, now);
+  }
+
+  override async start(): Promise<void> {
+    this.#options.network.handle("limits.renew", (body, from) => {
+      const parsed = _renewalSchema.safeParse(body);
+      if (!parsed.success) throw new Error("malformed limits.renew");
+      const renewals = parsed.data.w.map((
+        [workspace, rate, concurrency, wantedRate, wantedConcurrency],
+      ) => ({
+        workspace: brandId<WorkspaceId>(workspace),
+        held: rate < 0 ? undefined : { rate, concurrency },
+        wanted: { rate: wantedRate, concurrency: wantedConcurrency },
+      }));
+      return { s: this.#renewAsHolder(from.host, renewals) };
+    });
+    this.#subscriptions.push(this.#options.timers.every(
+      RENEWAL_PERIOD_MILLISECONDS,
+      "limits renewal",
+      () => void this.#renew(),
+    ));
+  }
+
+  override async stop(): Promise<void> {
+    for (const subscription of this.#subscriptions) subscription.cancel();
+  }
+
+  override describe(): unknown {
+    return {
+      shares: this.#limits.describe(),
+      heldWorkspaces: this.#holder.size,
+      renewalsSent: this.#renewalsSent,
+      renewalsFailed: this.#renewalsFailed,
+    };
+  }
+
+  #now(): number {
+    return this.#options.timers.clock.monotonicMilliseconds();
+  }
+
+  /** Sends one message to each holder of an active workspace. */
+  async #renew(): Promise<void> {
+    this.#holder.tick(this.#now());
+    const candidates = this.#options.view.liveMembers().filter((member) =>
+      !member.leaving
+    );
+    const batches = new Map<Member, LimitRenewal[]>();
+    for (const renewal of this.#limits.renewals(this.#now())) {
+      const key = `limits/${renewal.workspace}`;
+      const holder = pickByRendezvous(key, candidates, ({ host }) => host);
+      if (!holder) continue;
+      const batch = batches.get(holder);
+      if (batch) batch.push(renewal);
+      else batches.set(holder, [renewal]);
+    }
+    await Promise.all(
+      [...batches].map(([holder, batch]) => this.#renewWith(holder, batch)),
+    );
+  }
+
+  async #renewWith(
+    holder: Member,
+    renewals: readonly LimitRenewal[],
+  ): Promise<void> {
+    const { host } = this.#options.view.self();
+    if (holder.host === host) {
+      this.#accept(this.#renewAsHolder(host, renewals));
+      return;
+    }
+    this.#renewalsSent++;
+    const reply = await this.#options.network.request(
+      holder.address,
+      "limits.renew",
+      { w: renewals.map(_packRenewal) },
+      RENEWAL_TIMEOUT_MILLISECONDS,
+    );
+    const grants = _grantSchema.safeParse(reply.unwrapOr(undefined));
+    if (grants.success) this.#accept(grants.data.s);
+    else this.#renewalsFailed++;
+  }
+
+  #accept(grants: readonly WireGrant[]): void {
+    for (const [workspace, rate, concurrency] of grants) {
+      this.#limits.grant(
+        brandId<WorkspaceId>(workspace),
+        { rate, concurrency },
+        this.#now(),
+      );
+    }
+  }
+
+  /** Workspaces unknown to this router's configuration get no answer. */
+  #renewAsHolder(
+    router: HostId,
+    renewals: readonly LimitRenewal[],
+  ): WireGrant[] {
+    const grants: WireGrant[] = [];
+    for (const renewal of renewals) {
+      const limits = this.#options.limitsOf(renewal.workspace);
+      if (!limits) continue;
+      const share = this.#holder.renew(router, renewal, limits, this.#now());
+      grants.push([renewal.workspace, share.rate, share.concurrency]);
+    }
+    return grants;
+  }
+}
+
+/** Creates the limits task of one router. */
+export function createLimitsTask(options: LimitsTaskOptions): LimitsTask {
+  return new LimitsTask(options);
+}
