--- a/bench/main.ts
+++ b/bench/main.ts
@@ -10,6 +10,7 @@
 const BENCHES: Readonly<Record<string, () => Promise<{ runBench: RunBench }>>> =
   {
     affinity: () => import("./affinity.ts"),
+    control: () => import("./control.ts"),
     decision: () => import("./decision.ts"),
     orders: () => import("./orders_bench.ts"),
     skew: () => import("./skew.ts"),
--- a/src/admission_task_test.ts
+++ b/src/admission_task_test.ts
@@ -341,7 +341,7 @@
     ...ask(fleet, 1_000, true),
     candidates: () => asCandidates(SERVERS.slice(0, 2)),
   });
-  t.is(found._unsafeUnwrap().backendServer as string, SERVERS[1]);
+  t.deepEqual([found._unsafeUnwrap().backendServer], SERVERS.slice(1, 2));
   let attempts = 0;
   const waiting = findSlot(entry.client, fleet.timers, {
     ...ask(fleet, 1_000, true),
--- a/src/request_limits.ts
+++ b/src/request_limits.ts
@@ -2,60 +2,114 @@
 import { err, ok, type Result } from "neverthrow";
 import type { ChatAnswer } from "./caller_services.ts";
 import { type ApplicationError, createError } from "./core/errors.ts";
+import type { ConfigurationSnapshot } from "./core/fleet_schema.ts";
 import type { WorkspaceId } from "./core/ids.ts";
+import type { WorkspaceLimits } from "./core/limit_holder.ts";
 import type { LimitsTask } from "./limits_task.ts";
+import type { Clock } from "./timer_service.ts";
 
-function _acquire(
-  workspace: WorkspaceId,
-  limits: LimitsTask,
-): Result<void, ApplicationError> {
-  const decision = limits.tryAcquire(workspace);
-  if (decision === "ok") return ok(undefined);
-  return err(createError(decision, `workspace ${workspace}`, ["workspace"]));
-}
+type Outcome<Answer> = Promise<Result<Answer, ApplicationError>>;
 
-/** Runs a call within the workspace's limits. */
-export async function limitCall<Answer>(
-  workspace: WorkspaceId,
-  limits: LimitsTask,
-  run: () => Promise<Result<Answer, ApplicationError>>,
-): Promise<Result<Answer, ApplicationError>> {
-  const acquired = _acquire(workspace, limits);
-  if (acquired.isErr()) return err(acquired.error);
-  try {
-    return await run();
-  } finally {
-    limits.release(workspace);
-  }
+/** Filters in front of the dispatches. */
+export interface RequestLimits {
+  /** Runs a call within the workspace's limits. */
+  limitCall<Answer>(
+    workspace: WorkspaceId,
+    run: () => Outcome<Answer>,
+  ): Outcome<Answer>;
+  /** Runs a chat within the limits; it counts until its stream has ended. */
+  limitChat(
+    workspace: WorkspaceId,
+    run: () => Outcome<ChatAnswer>,
+  ): Outcome<ChatAnswer>;
 }
 
-/** Runs a chat within the workspace's limits; it counts until its stream has ended. */
-export async function limitChat(
+/** Returns the limits of a workspace in a configuration. */
+export function limitsOf(
   workspace: WorkspaceId,
-  limits: LimitsTask,
-  run: () => Promise<Result<ChatAnswer, ApplicationError>>,
-): Promise<Result<ChatAnswer, ApplicationError>> {
-  const acquired = _acquire(workspace, limits);
-  if (acquired.isErr()) return err(acquired.error);
-  const started = await run();
-  if (started.isErr()) {
-    limits.release(workspace);
-    return err(started.error);
-  }
-  const { backendServer, events } = started.value;
-  return ok({
-    backendServer,
-    events: _releaseAtEnd(events, () => limits.release(workspace)),
-  });
+  snapshot: ConfigurationSnapshot | undefined,
+): WorkspaceLimits | undefined {
+  const settings = snapshot?.fleet.workspaces[workspace];
+  if (!snapshot || !settings) return undefined;
+  return {
+    requestsPerSecond: settings.requestsPerSecond,
+    concurrency: settings.concurrency,
+    addresses: snapshot.fleet.fleet.addressesPerWorkspace,
+  };
 }
 
-async function* _releaseAtEnd<Event>(
+/**
+ * Calls `release` once when the events end or their reader leaves. A generator
+ * would not do: one that was never started skips its `finally`.
+ */
+function _releaseAtEnd<Event>(
   events: AsyncIterable<Event>,
   release: () => void,
-): AsyncGenerator<Event, void> {
-  try {
-    yield* events;
-  } finally {
+): AsyncIterable<Event> {
+  const source = events[Symbol.asyncIterator]();
+  let isReleased = false;
+  function releaseOnce(): void {
+    if (isReleased) return;
+    isReleased = true;
     release();
   }
+  const iterator: AsyncIterator<Event, undefined> = {
+    async next() {
+      const next = await source.next();
+      if (!next.done) return next;
+      releaseOnce();
+      return { done: true, value: undefined };
+    },
+    async return() {
+      releaseOnce();
+      await source.return?.();
+      return { done: true, value: undefined };
+    },
+  };
+  return { [Symbol.asyncIterator]: () => iterator };
+}
+
+/** Creates the filters over the limits of this router. */
+export function createRequestLimits(
+  limits: LimitsTask,
+  clock: Clock,
+): RequestLimits {
+  function acquire(workspace: WorkspaceId): Result<void, ApplicationError> {
+    const decision = limits.tryAcquire(
+      workspace,
+      clock.monotonicMilliseconds(),
+    );
+    if (decision === "ok") return ok(undefined);
+    return err(createError(decision, `workspace ${workspace}`, ["workspace"]));
+  }
+
+  function release(workspace: WorkspaceId): void {
+    limits.release(workspace, clock.monotonicMilliseconds());
+  }
+
+  return {
+    async limitCall(workspace, run) {
+      const acquired = acquire(workspace);
+      if (acquired.isErr()) return err(acquired.error);
+      try {
+        return await run();
+      } finally {
+        release(workspace);
+      }
+    },
+    async limitChat(workspace, run) {
+      const acquired = acquire(workspace);
+      if (acquired.isErr()) return err(acquired.error);
+      const started = await run();
+      if (started.isErr()) {
+        release(workspace);
+        return err(started.error);
+      }
+      const { backendServer, events } = started.value;
+      return ok({
+        backendServer,
+        events: _releaseAtEnd(events, () => release(workspace)),
+      });
+    },
+  };
 }
--- a/src/router.ts
+++ b/src/router.ts
@@ -43,7 +43,7 @@
 import type { PeerNetwork } from "./peer_network.ts";
 import type { PlatformClient } from "./platform_client.ts";
 import { createPoolLoadView } from "./pool_load_view.ts";
-import { limitCall } from "./request_limits.ts";
+import { createRequestLimits, limitsOf } from "./request_limits.ts";
 import { RouterServices } from "./router_services.ts";
 import { createRoutingContext } from "./routing_context.ts";
 import { createServiceDispatch } from "./service_dispatch.ts";
@@ -56,6 +56,8 @@
 
 const INCARNATION_BYTES = 8;
 const COUNTER_PERIOD_MILLISECONDS = 1_000;
+/** Retries per request before a configuration is in force. */
+const DEFAULT_RETRY_RATIO = 0.1;
 /** Engines do not tell how long a moved prefix is; any prompt is shorter than this. */
 const MOVED_CHAT_TOKENS = 1_000_000;
 
@@ -169,7 +171,12 @@
     membership: members,
     clock: timers.clock,
   });
-  const limits = new LimitsTask({ members, configuration, network, timers });
+  const limits = new LimitsTask({
+    network,
+    timers,
+    view: members,
+    limitsOf: (workspace) => limitsOf(workspace, configuration.current()),
+  });
   const holdOut = createHoldOut();
   const backendStates = new BackendStateTask({
     network,
@@ -193,7 +200,12 @@
       admissionClient.tokensOf(workspace) *
       (configuration.current()?.fleet.fleet.addressesPerWorkspace ?? 1),
   });
-  const retries = createRetryBudget({ random });
+  const retries = createRetryBudget({
+    random,
+    ratio: () =>
+      configuration.current()?.fleet.fleet.retryBudgetRatio ??
+        DEFAULT_RETRY_RATIO,
+  });
   const common = {
     configuration,
     routing,
@@ -212,12 +224,14 @@
     fleetKey: security.fleetKey,
   });
   const services = createServiceDispatch(common);
+  const requestLimits = createRequestLimits(limits, timers.clock);
   const execution = new ExecutionTask({
     incarnation,
     network,
     members,
     timers,
-    run: (call) => limitCall(call.workspace, limits, () => services.run(call)),
+    run: (call) =>
+      requestLimits.limitCall(call.workspace, () => services.run(call)),
   });
   const hosts = new HostListTask({
     network,
@@ -268,7 +282,7 @@
     execution,
     chats,
     services,
-    limits,
+    limits: requestLimits,
     network,
     timers,
     tasks,
--- a/src/router_services.ts
+++ b/src/router_services.ts
@@ -22,10 +22,9 @@
   WorkspaceId,
 } from "./core/ids.ts";
 import type { ExecutionTask, RequestOutcome } from "./execution_task.ts";
-import type { LimitsTask } from "./limits_task.ts";
 import type { MembershipView } from "./membership_view.ts";
 import type { PeerNetwork } from "./peer_network.ts";
-import { limitCall, limitChat } from "./request_limits.ts";
+import type { RequestLimits } from "./request_limits.ts";
 import type { ServiceAnswer, ServiceCall } from "./service_call.ts";
 import type { ServiceDispatch } from "./service_dispatch.ts";
 import type { Task } from "./task.ts";
@@ -41,7 +40,7 @@
   readonly execution: ExecutionTask;
   readonly chats: ChatDispatch;
   readonly services: ServiceDispatch;
-  readonly limits: LimitsTask;
+  readonly limits: RequestLimits;
   readonly network: PeerNetwork;
   readonly timers: TimerService;
   readonly tasks: readonly Task[];
@@ -126,7 +125,7 @@
     request: ChatRequest,
   ): Promise<Result<ChatAnswer, ApplicationError>> {
     const { limits, chats } = this.#options;
-    return limitChat(request.workspace, limits, () => chats.start(request));
+    return limits.limitChat(request.workspace, () => chats.start(request));
   }
 
   override resumeChat(
@@ -141,7 +140,7 @@
   ): Promise<Result<ServiceAnswer, ApplicationError>> {
     const { services, execution, limits } = this.#options;
     if (services.isIdempotent(call)) {
-      return limitCall(call.workspace, limits, () => services.run(call));
+      return limits.limitCall(call.workspace, () => services.run(call));
     }
     return execution.execute(call);
   }
--- a/src/router_test.ts
+++ b/src/router_test.ts
@@ -53,6 +53,8 @@
     engines: 2,
     services: 1,
     workspaces: ["temple", "market"],
+    // The tests of this file run at once and share the workspaces' limits.
+    workspaceKeys: { requests_per_second: 10_000 },
   });
 });
 
--- a/src/service_dispatch.ts
+++ b/src/service_dispatch.ts
@@ -137,10 +137,12 @@
         options.onUnreachable(slot.value.backendServer);
       }
       if (now() >= call.deadlineMilliseconds) return err(answer.error);
-      const retry = retries.mayRetry(kind, idempotent, now());
-      if (!retry.allowed) return err(answer.error);
+      if (!retries.mayRetry(kind, idempotent, now())) return err(answer.error);
       options.metrics.retries.inc({ reason: kind });
-      await timers.sleep(retry.delayMilliseconds, "service retry");
+      await timers.sleep(
+        retries.delayMilliseconds(failed.size),
+        "service retry",
+      );
     }
   }
 
