Test 20,000 random histories of the configuration

Cause: lost replies, stale reads, rollbacks, cuts and restarts combine in ways that single tests do not reach. Faults that the histories found are fixed: versions that repeat after a rollback let a plan on a lost base win a generation twice, so the head is read before every write; a change whose reply was lost and whose generation was skipped is reported as unknown, not as lost; a router whose pending chunks nobody has takes the older configuration of a peer. A pending watch is renewed when the store went back.

--- /dev/null
+++ b/bench/configuration_histories_test.ts
@@ -0,0 +1,32 @@
+import test from "ava";
+import { runConfigurationHistories } from "./configuration_histories.ts";
+import { CONFIGURATION_RULES } from "./configuration_rules.ts";
+import { NAIVE_CONFIGURATION_RULES } from "./naive_configuration.ts";
+
+test("guards against two winners, going back, partial adoption and routers that never agree", (t) => {
+  const report = runConfigurationHistories(CONFIGURATION_RULES, {
+    histories: 20_000,
+    firstSeed: 1,
+  });
+  t.deepEqual(
+    [...report.violations],
+    [],
+    `first bad seed ${report.firstBadSeed}`,
+  );
+});
+
+test("guards against an invariant check that cannot fail: the naive scheme breaks each invariant", (t) => {
+  const report = runConfigurationHistories(NAIVE_CONFIGURATION_RULES, {
+    histories: 2_000,
+    firstSeed: 1,
+  });
+  for (
+    const violation of [
+      "a generation has two winners",
+      "a router went back",
+      "a configuration was adopted in part",
+    ]
+  ) {
+    t.true((report.violations.get(violation) ?? 0) > 0, violation);
+  }
+});
--- /dev/null
+++ b/bench/configuration_rules.ts
@@ -0,0 +1,65 @@
+/** What a configuration scheme decides, so that histories can run any scheme. */
+import type {
+  ConfigurationAction,
+  ConfigurationContext,
+  ConfigurationEvent,
+} from "../src/core/configuration_events.ts";
+import type { ConfigurationHead } from "../src/core/configuration_head.ts";
+import {
+  createConfigurationState,
+  decideConfiguration,
+} from "../src/core/configuration_state.ts";
+
+/** A router under a scheme. */
+export interface ModelRouter {
+  inForce(): ConfigurationHead | undefined;
+  /** The highest generation that the router would report to an operator. */
+  highestGeneration(): number;
+  chunkOf(digest: string): string | undefined;
+  handle(
+    event: ConfigurationEvent,
+    context: ConfigurationContext,
+  ): readonly ConfigurationAction[];
+}
+
+/** A scheme: how routers decide and how operators write. */
+export interface ConfigurationRules {
+  createRouter(nowMilliseconds: number): ModelRouter;
+  /** Whether operators write conditionally and resolve lost replies. */
+  readonly isConditional: boolean;
+}
+
+class _Router implements ModelRouter {
+  #state;
+
+  constructor(nowMilliseconds: number) {
+    this.#state = createConfigurationState(nowMilliseconds);
+  }
+
+  inForce(): ConfigurationHead | undefined {
+    return this.#state.inForce;
+  }
+
+  highestGeneration(): number {
+    return this.#state.highestGeneration;
+  }
+
+  chunkOf(digest: string): string | undefined {
+    return this.#state.chunks.get(digest);
+  }
+
+  handle(
+    event: ConfigurationEvent,
+    context: ConfigurationContext,
+  ): readonly ConfigurationAction[] {
+    const { state, actions } = decideConfiguration(this.#state, event, context);
+    this.#state = state;
+    return actions;
+  }
+}
+
+/** The scheme that routers run. */
+export const CONFIGURATION_RULES: ConfigurationRules = {
+  createRouter: (nowMilliseconds) => new _Router(nowMilliseconds),
+  isConditional: true,
+};
--- a/src/configuration_task.ts
+++ b/src/configuration_task.ts
@@ -304,7 +304,10 @@
     const { highestGeneration } = this.#state;
     const isLow = (head?.generation ?? 0) < highestGeneration;
     if (isLow && highestGeneration > seenAtStart) return;
+    const wentBack = version < this.#headVersion;
     this.#headVersion = version;
+    // A pending watch would miss the versions that a rolled back store repeats.
+    if (wentBack && this.#watching) void this.#watch(++this.#watchRun);
     this.#handle({ kind: "head_read", head });
   }
 
--- a/src/core/configuration_apply.ts
+++ b/src/core/configuration_apply.ts
@@ -128,41 +128,6 @@
   );
 }
 
-/** Writes the head if it is still the one that the plan is based on. */
-async function _commitHead(
-  plan: HeadPlan,
-  options: ApplyOptions,
-): _Answer<StoredHead> {
-  const { client, sleep } = options;
-  const text = JSON.stringify(plan.head);
-  let lastError = createError(
-    "platform_outcome_unknown",
-    "the head could not be read back",
-  );
-  let mayHaveWritten = false;
-  for (let attempt = 0; attempt < MAXIMUM_COMMIT_ATTEMPTS; attempt++) {
-    if (attempt > 0) await sleep(COMMIT_RETRY_MILLISECONDS * attempt);
-    const written = await client.write(HEAD_KEY, text, plan.baseVersion);
-    if (written.isOk()) return ok(plan.head);
-    const { kind } = written.error;
-    if (kind !== "platform_conflict" && kind !== "platform_outcome_unknown") {
-      if (!mayHaveWritten) return err(written.error);
-    }
-    mayHaveWritten = true;
-    const back = await readHead(client);
-    if (back.isErr()) {
-      lastError = createError("platform_outcome_unknown", back.error.detail, [
-        "head",
-      ]);
-      continue;
-    }
-    const verdict = judgeReadBack(plan, back.value);
-    if (verdict.kind === "won") return ok(plan.head);
-    if (verdict.kind === "lost") return err(_conflict(plan, verdict.winner));
-  }
-  return err(lastError);
-}
-
 /** Refuses a plan that the routers' generation or the recorded floor forbids. */
 async function _checkGeneration(
   plan: HeadPlan,
@@ -181,13 +146,60 @@
   return ok(undefined);
 }
 
+/** Whether a failed write certainly changed nothing. */
+function _isUnwritten({ kind }: ApplicationError): boolean {
+  return kind !== "platform_conflict" && kind !== "platform_outcome_unknown";
+}
+
+/**
+ * Writes the head if it is still the one that the plan is based on. The head and
+ * the generation are checked before every write: the store may have gone back,
+ * and then its versions repeat and the condition of the write is not enough.
+ */
 async function _commit(
   plan: HeadPlan,
   options: ApplyOptions,
 ): _Answer<StoredHead> {
-  const allowed = await _checkGeneration(plan, options);
-  if (allowed.isErr()) return err(allowed.error);
-  return _commitHead(plan, options);
+  const { client, sleep } = options;
+  const text = JSON.stringify(plan.head);
+  let mayHaveWritten = false;
+  let replyLost = false;
+  let detail = "the head could not be read back";
+  for (let attempt = 0; attempt < MAXIMUM_COMMIT_ATTEMPTS; attempt++) {
+    if (attempt > 0) await sleep(COMMIT_RETRY_MILLISECONDS * attempt);
+    const current = await readHead(client);
+    if (current.isErr()) {
+      if (!mayHaveWritten) return err(current.error);
+      detail = current.error.detail;
+      continue;
+    }
+    const verdict = judgeReadBack(plan, current.value, { replyLost });
+    if (verdict.kind === "won") return ok(plan.head);
+    if (verdict.kind === "lost") return err(_conflict(plan, verdict.winner));
+    detail = `the head that was read back is ${verdict.kind}`;
+    if (verdict.kind === "went_back" && !mayHaveWritten) {
+      return err(_storeWentBack(plan.baseGeneration));
+    }
+    if (verdict.kind === "unknown") break;
+    if (verdict.kind !== "unchanged") continue;
+    const allowed = await _checkGeneration(plan, options);
+    if (allowed.isErr()) {
+      if (!mayHaveWritten) return err(allowed.error);
+      detail = allowed.error.detail;
+      continue;
+    }
+    const written = await client.write(HEAD_KEY, text, plan.baseVersion);
+    if (written.isOk()) return ok(plan.head);
+    if (_isUnwritten(written.error) && !mayHaveWritten) {
+      return err(written.error);
+    }
+    mayHaveWritten = true;
+    replyLost ||= written.error.kind !== "platform_conflict";
+  }
+  const kind = mayHaveWritten
+    ? "platform_outcome_unknown"
+    : "platform_unavailable";
+  return err(createError(kind, detail, ["head"]));
 }
 
 /** Makes a fleet the configuration. Drains stay as they are. */
--- a/src/core/configuration_apply_test.ts
+++ b/src/core/configuration_apply_test.ts
@@ -141,13 +141,13 @@
   );
 });
 
-/** A client before whose read-back of the head another change happens. */
+/** A client before whose third read of the head, the read-back, another change happens. */
 function overtakeOnRead(store: PlatformStore, overtake: () => Promise<void>) {
   const client = createStoreClient(store);
   const read = client.read.bind(client);
   let headReads = 0;
   client.read = async (key) => {
-    if (key === HEAD_KEY && ++headReads === 2) await overtake();
+    if (key === HEAD_KEY && ++headReads === 3) await overtake();
     return read(key);
   };
   return client;
@@ -161,6 +161,7 @@
     fleetNamed("b"),
     options("2", {
       fleetGeneration: async () => {
+        if (sleeps > 0) return 0;
         await applyFleet(fleetNamed("c"), options("3"));
         store.faults.staleWrites = 1;
         return 0;
--- a/src/core/configuration_plan.ts
+++ b/src/core/configuration_plan.ts
@@ -24,6 +24,7 @@
   readonly head: StoredHead;
   readonly baseGeneration: number;
   readonly baseVersion: number;
+  readonly baseDigest: string | undefined;
   /** False if chunks and drains are those of the base. */
   readonly changed: boolean;
 }
@@ -76,7 +77,13 @@
   const changed = !base ||
     canonicalJson([base.head.chunks, base.head.drains]) !==
       canonicalJson([head.chunks, head.drains]);
-  return { head, baseGeneration, baseVersion: base?.version ?? 0, changed };
+  return {
+    head,
+    baseGeneration,
+    baseVersion: base?.version ?? 0,
+    baseDigest: base?.head.digest,
+    changed,
+  };
 }
 
 /** Who won, as far as a head that was read back shows. */
@@ -86,15 +93,32 @@
     readonly kind: "lost";
     readonly winner: { readonly generation: number; readonly applyId: string };
   }
-  /** The read may be stale, or the write never arrived: write and read again. */
-  | { readonly kind: "undecided" };
+  /** The head is the plan's base: the write may still succeed. */
+  | { readonly kind: "unchanged" }
+  /** Older than the base: the read is stale, or the store went back. */
+  | { readonly kind: "older" }
+  /** The store went back and repeats versions: another head has the base's version. */
+  | { readonly kind: "went_back" }
+  /** Too many changes followed to tell, or the store went back. */
+  | { readonly kind: "unknown" };
 
-/** Judges the head that was read back after a conflict or a lost reply. */
+/**
+ * Judges the current head before a write, or after a conflict or a lost reply.
+ * After a lost reply, a head that skips the plan's generation proves nothing: the
+ * change may have been in force before the store went back.
+ */
 export function judgeReadBack(
   plan: HeadPlan,
   back: _Base | undefined,
+  options: { readonly replyLost: boolean },
 ): ReadBackVerdict {
-  if (!back || back.version <= plan.baseVersion) return { kind: "undecided" };
+  const version = back?.version ?? 0;
+  if (version < plan.baseVersion) return { kind: "older" };
+  if (version === plan.baseVersion) {
+    const isBase = back?.head.digest === plan.baseDigest;
+    return { kind: isBase ? "unchanged" : "went_back" };
+  }
+  if (!back) return { kind: "older" };
   const { generation, applyId } = plan.head;
   const { head } = back;
   const isOwn = head.applyId === applyId ||
@@ -103,9 +127,12 @@
   const oldest = head.recent.at(-1);
   const forgotten = head.recent.length >= MAXIMUM_RECENT_APPLIES && oldest &&
     oldest.generation > generation;
-  if (forgotten) return { kind: "undecided" };
+  if (forgotten) return { kind: "unknown" };
   const winner =
     head.recent.findLast((past) => past.generation >= generation) ?? head;
+  if (options.replyLost && winner.generation !== generation) {
+    return { kind: "unknown" };
+  }
   return {
     kind: "lost",
     winner: { generation: winner.generation, applyId: winner.applyId },
--- a/src/core/configuration_state.ts
+++ b/src/core/configuration_state.ts
@@ -54,11 +54,25 @@
   return state.inForce?.generation ?? 0;
 }
 
-/** Whether the configuration in force is no older than any that is known of. */
+/**
+ * Whether the configuration in force is no older than that of any peer heard
+ * of. A newer one that nobody can provide at the moment does not count.
+ */
 export function isReady(state: ConfigurationState): boolean {
-  if (!state.inForce) return false;
-  const known = Math.max(state.highestGeneration, ...state.claims.values());
-  return state.inForce.generation >= known;
+  const { claims, inForce, pending } = state;
+  if (!inForce || (pending && !_isFailing(pending))) return false;
+  return inForce.generation >= Math.max(0, ...claims.values());
+}
+
+/** Peers come first; the platform is asked when they have failed. */
+function _candidatesOf(pending: PendingConfiguration): ConfigurationSource[] {
+  const peers = pending.sources.filter((source) => source.kind === "peer");
+  return [...peers, PLATFORM];
+}
+
+/** Whether every source has failed to provide the chunks at least once. */
+function _isFailing(pending: PendingConfiguration): boolean {
+  return pending.attempt >= _candidatesOf(pending).length;
 }
 
 /** Decides on one event. */
@@ -177,13 +191,24 @@
     this.actions.push({ kind: "record_floor", generation: highestGeneration });
   }
 
+  /**
+   * Only generations above this are worth fetching. While nobody provides the
+   * chunks of the pending head, an older one that a peer has is better.
+   */
+  #wantedAbove(): number {
+    const { pending } = this.state;
+    return pending && !_isFailing(pending)
+      ? pending.head.generation
+      : generationOf(this.state);
+  }
+
   #announced(from: SocketAddress, generation: number): void {
     const { pending } = this.state;
     if (generation <= generationOf(this.state)) return;
     if (pending && generation === pending.head.generation) {
       return this.#addSource({ kind: "peer", address: from });
     }
-    if (pending && generation < pending.head.generation) return;
+    if (generation < this.#wantedAbove()) return;
     if (
       this.state.claims.size >= MAXIMUM_CLAIMS && !this.state.claims.has(from)
     ) return;
@@ -193,10 +218,8 @@
 
   #fetchNextHead(): void {
     if (this.state.headFetch) return;
-    const known = this.state.pending?.head.generation ??
-      generationOf(this.state);
     let best: SocketAddress | undefined;
-    let bestGeneration = known;
+    let bestGeneration = this.#wantedAbove();
     for (const [address, generation] of this.state.claims) {
       if (generation > bestGeneration) {
         [best, bestGeneration] = [address, generation];
@@ -237,7 +260,7 @@
     if (pending && head.digest === pending.head.digest) {
       return this.#addSource(source);
     }
-    if (pending && head.generation <= pending.head.generation) return;
+    if (head.generation <= this.#wantedAbove()) return;
     this.#set({
       pending: {
         head,
@@ -269,12 +292,6 @@
     );
   }
 
-  /** Peers come first; the platform is asked when they have failed. */
-  #candidates(pending: PendingConfiguration): ConfigurationSource[] {
-    const peers = pending.sources.filter((source) => source.kind === "peer");
-    return [...peers, PLATFORM];
-  }
-
   #fetchChunks(): void {
     const { pending } = this.state;
     if (!pending || pending.asked) return;
@@ -283,7 +300,7 @@
       MAXIMUM_CHUNKS_PER_FETCH,
     );
     if (digests.length === 0) return this.#complete(pending.head);
-    const candidates = this.#candidates(pending);
+    const candidates = _candidatesOf(pending);
     const source = candidates[pending.attempt % candidates.length] ?? PLATFORM;
     const deadline = this.#now + FETCH_TIMEOUT_MILLISECONDS;
     this.#set({ pending: { ...pending, asked: { source, deadline } } });
@@ -346,7 +363,7 @@
     const { pending } = this.state;
     if (!pending?.asked || !_isSameSource(pending.asked.source, source)) return;
     const attempt = pending.attempt + 1;
-    const rounds = Math.floor(attempt / this.#candidates(pending).length);
+    const rounds = Math.floor(attempt / _candidatesOf(pending).length);
     const backoff = rounds === 0 ? 0 : Math.min(
       MAXIMUM_BACKOFF_MILLISECONDS,
       INITIAL_BACKOFF_MILLISECONDS * 2 ** Math.min(rounds, 10),
