Add the operator's command line

Cause: operators need to check, apply, compare and drain, and to see on which routers a change is in force. Conclusion: the router's status answer and src/router_daemon.ts remain to be wired.

--- /dev/null
+++ b/src/command_line.ts
@@ -0,0 +1,397 @@
+/** The command line: parses arguments, prints results and chooses exit codes. */
+import { readFile } from "node:fs/promises";
+import { type CAC, cac } from "cac";
+import type { Result } from "neverthrow";
+import {
+  toDifferenceText,
+  toErrorLine,
+  toStatusText,
+} from "./command_output.ts";
+import type { ApplicationError } from "./core/errors.ts";
+import { safeParseFleet } from "./core/fleet_file.ts";
+import type { Fleet } from "./core/fleet_schema.ts";
+import {
+  safeParseOperatorSettings,
+  safeParseSettings,
+} from "./core/settings_file.ts";
+import type { Settings } from "./core/settings_schema.ts";
+import {
+  createHttpPlatformClient,
+  type HttpPlatformClient,
+} from "./http_platform_client.ts";
+import {
+  createOperatorClient,
+  diffFleets,
+  hashKey,
+  type OperatorClient,
+} from "./operator_client.ts";
+
+/** Exit codes of the command line. */
+export const EXIT_CODES = {
+  done: 0,
+  failed: 1,
+  usage: 2,
+  conflict: 3,
+  notInForceYet: 4,
+} as const;
+
+const DEFAULT_WAIT_SECONDS = 15;
+
+/** What the command line needs from its process. */
+export interface CommandLineOptions {
+  /** Arguments after the program's name. */
+  readonly arguments: readonly string[];
+  readonly writeOutput: (text: string) => void;
+  readonly writeError: (text: string) => void;
+  /** Runs a router until it stops; missing while the daemon is not built. */
+  readonly runRouter?: (settings: Settings) => Promise<void>;
+}
+
+interface _Flags {
+  readonly settings?: string;
+  readonly json?: boolean;
+  readonly wait?: number;
+  readonly generation?: number;
+  readonly undo?: boolean;
+}
+
+/** Ends a command with a list of errors. */
+class _CommandFailure extends Error {
+  readonly errors: readonly ApplicationError[];
+  readonly file: string | undefined;
+
+  constructor(errors: readonly ApplicationError[], file?: string) {
+    super("command failed");
+    this.errors = errors;
+    this.file = file;
+  }
+}
+
+class _UsageError extends Error {}
+
+function _unwrap<T>(
+  result: Result<T, ApplicationError | ApplicationError[]>,
+  file?: string,
+): T {
+  if (result.isOk()) return result.value;
+  const errors = Array.isArray(result.error) ? result.error : [result.error];
+  throw new _CommandFailure(errors, file);
+}
+
+async function _read(path: string): Promise<string> {
+  try {
+    return await readFile(path, "utf8");
+  } catch (cause) {
+    throw new _UsageError(`cannot read ${path}: ${(cause as Error).message}`);
+  }
+}
+
+function _exitCodeOf(errors: readonly ApplicationError[]): number {
+  const lostRace = errors.some(({ kind, path }) =>
+    kind === "configuration_conflict" && path[0] === "head"
+  );
+  return lostRace ? EXIT_CODES.conflict : EXIT_CODES.failed;
+}
+
+class _CommandLine {
+  readonly #options: CommandLineOptions;
+  #exitCode: number = EXIT_CODES.done;
+
+  constructor(options: CommandLineOptions) {
+    this.#options = options;
+  }
+
+  async run(): Promise<number> {
+    const cli = this.#declare();
+    const { arguments: words } = this.#options;
+    try {
+      cli.parse(["node", "sapphirecart", ...words], { run: false });
+      if (cli.options.help) return EXIT_CODES.done;
+      if (!cli.matchedCommand) {
+        const [word] = words;
+        if (word === undefined) cli.outputHelp();
+        throw new _UsageError(
+          word === undefined
+            ? "give a command"
+            : `unknown command ${word}; see --help`,
+        );
+      }
+      await cli.runMatchedCommand();
+      return this.#exitCode;
+    } catch (cause) {
+      return this.#fail(cause, words.includes("--json"));
+    }
+  }
+
+  #fail(cause: unknown, json: boolean): number {
+    const { writeError, writeOutput } = this.#options;
+    if (cause instanceof _CommandFailure) {
+      const { errors, file } = cause;
+      if (json) writeOutput(JSON.stringify({ errors }));
+      else for (const error of errors) writeError(toErrorLine(error, file));
+      return _exitCodeOf(errors);
+    }
+    const isUsage = cause instanceof _UsageError ||
+      (cause as Error).name === "CACError";
+    writeError((cause as Error).message);
+    return isUsage ? EXIT_CODES.usage : EXIT_CODES.failed;
+  }
+
+  #print(flags: _Flags, value: unknown, text: string): void {
+    this.#options.writeOutput(flags.json ? JSON.stringify(value) : text);
+  }
+
+  #declare(): CAC {
+    const cli = cac("sapphirecart");
+    cli.usage(
+      "COMMAND [options]\n\nRuns the routers of a fleet and changes the fleet's configuration.\nA fleet file describes the whole desired state; `apply` puts it in force.\n\nExit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 another change won,\n4 accepted but not in force on every router yet.",
+    );
+    cli.option("--json", "Print one JSON value instead of text");
+    cli.command(
+      "check <file>",
+      "Check a fleet file and list every fault; changes nothing",
+    )
+      .action((file: string, flags: _Flags) => this.#check(file, flags));
+    _withSettings(
+      cli.command(
+        "apply <file>",
+        "Put a fleet file in force, as a whole, and wait for the routers",
+      ),
+    )
+      .option(
+        "--wait <seconds>",
+        "How long to wait until it is in force on every router; 0 does not wait",
+        { default: DEFAULT_WAIT_SECONDS },
+      )
+      .option(
+        "--generation <number>",
+        "Generation to use after the platform's store went back",
+      )
+      .action((file: string, flags: _Flags) => this.#apply(file, flags));
+    _withSettings(
+      cli.command(
+        "diff <file>",
+        "Show what applying a fleet file would change",
+      ),
+    )
+      .action((file: string, flags: _Flags) => this.#diff(file, flags));
+    _withSettings(
+      cli.command("status", "Show every router, its generation and its alarms"),
+    )
+      .action((flags: _Flags) => this.#status(flags));
+    _withSettings(
+      cli.command(
+        "dump <address>",
+        "Print the state of one router; ADDRESS is its caller address",
+      ),
+    )
+      .action((address: string, flags: _Flags) => this.#dump(address, flags));
+    _withSettings(
+      cli.command(
+        "drain <name>",
+        "Take a host or a backend server out of service without interrupting requests",
+      ),
+    )
+      .option("--undo", "Put it back into service")
+      .action((name: string, flags: _Flags) => this.#drain(name, flags));
+    cli.command(
+      "hash-key <key>",
+      "Print the hash of a key, for key_hash in a fleet file",
+    )
+      .action((key: string | number, flags: _Flags) =>
+        this.#print(
+          flags,
+          { key_hash: hashKey(String(key)) },
+          hashKey(String(key)),
+        )
+      );
+    cli.command(
+      "router <settings>",
+      "Run one router with a settings file until it is stopped",
+    )
+      .action((file: string) => this.#router(file));
+    cli.help((sections) => {
+      const body = cli.matchedCommand?.description;
+      if (body) sections.splice(1, 0, { body });
+    });
+    return cli;
+  }
+
+  async #fleetOf(file: string): Promise<Fleet> {
+    return _unwrap(safeParseFleet(await _read(file)), file);
+  }
+
+  async #withClient(
+    flags: _Flags,
+    use: (client: OperatorClient) => Promise<void>,
+  ): Promise<void> {
+    const file = flags.settings;
+    if (file === undefined) {
+      throw new _UsageError(
+        "give the operator's settings with --settings FILE",
+      );
+    }
+    const settings = _unwrap(
+      safeParseOperatorSettings(await _read(file)),
+      file,
+    );
+    const platform: HttpPlatformClient = createHttpPlatformClient(
+      settings.platform,
+    );
+    try {
+      await use(createOperatorClient({ settings, platform }));
+    } finally {
+      await platform.close();
+    }
+  }
+
+  async #check(file: string, flags: _Flags): Promise<void> {
+    const fleet = await this.#fleetOf(file);
+    const counts = Object.entries(fleet).filter(([record]) =>
+      record !== "fleet"
+    ).map(([record, named]) => [record, Object.keys(named).length] as const);
+    this.#print(
+      flags,
+      { valid: true, counts: Object.fromEntries(counts) },
+      `${file} is valid: ${
+        counts.map(([record, count]) => `${count} ${record}`).join(", ")
+      }`,
+    );
+  }
+
+  async #apply(file: string, flags: _Flags): Promise<void> {
+    const wait = Number(flags.wait ?? DEFAULT_WAIT_SECONDS);
+    const { generation } = flags;
+    if (!Number.isFinite(wait) || wait < 0) {
+      throw new _UsageError("--wait expects a number of seconds");
+    }
+    if (
+      generation !== undefined &&
+      !(Number.isSafeInteger(generation) && generation > 0)
+    ) throw new _UsageError("--generation expects a whole number above 0");
+    const fleet = await this.#fleetOf(file);
+    await this.#withClient(flags, async (client) => {
+      const { changed, head } = _unwrap(
+        await client.apply(
+          fleet,
+          generation === undefined ? {} : { generation },
+        ),
+      );
+      const accepted = `generation ${head.generation} ${
+        changed ? "is accepted" : "already has this configuration"
+      }`;
+      await this.#waitInForce(client, flags, {
+        accepted,
+        generation: head.generation,
+        changed,
+        waitSeconds: wait,
+      });
+    });
+  }
+
+  async #waitInForce(
+    client: OperatorClient,
+    flags: _Flags,
+    { accepted, changed, generation, waitSeconds }: {
+      accepted: string;
+      changed: boolean;
+      generation: number;
+      waitSeconds: number;
+    },
+  ): Promise<void> {
+    if (waitSeconds === 0) {
+      this.#exitCode = EXIT_CODES.notInForceYet;
+      return this.#print(
+        flags,
+        { generation, changed },
+        `${accepted}; not waiting for the routers`,
+      );
+    }
+    const waited = await client.waitInForce(generation, waitSeconds * 1_000);
+    const report = waited.unwrapOr(undefined);
+    const isDone = report !== undefined && report.inForce === report.routers;
+    if (!isDone) this.#exitCode = EXIT_CODES.notInForceYet;
+    const reach = report
+      ? `in force on ${report.inForce} of ${report.routers} routers`
+      : `no router could be asked: ${
+        waited.isErr() ? waited.error.detail : ""
+      }`;
+    this.#print(flags, {
+      generation,
+      changed,
+      in_force: report?.inForce ?? null,
+      routers: report?.routers ?? null,
+    }, `${accepted}; ${reach}`);
+  }
+
+  async #diff(file: string, flags: _Flags): Promise<void> {
+    const fleet = await this.#fleetOf(file);
+    await this.#withClient(flags, async (client) => {
+      const differences = diffFleets(
+        _unwrap(await client.currentFleet()),
+        fleet,
+      );
+      const text = differences.map(toDifferenceText).join("\n");
+      this.#print(flags, { differences }, text || "no difference");
+    });
+  }
+
+  async #status(flags: _Flags): Promise<void> {
+    await this.#withClient(flags, async (client) => {
+      const lines = _unwrap(await client.routers());
+      this.#print(flags, {
+        routers: lines.map(({ address, dataCentre, host, status }) => ({
+          host,
+          data_centre: dataCentre,
+          caller_address: address,
+          status: status ?? null,
+        })),
+      }, lines.map(toStatusText).join("\n"));
+    });
+  }
+
+  async #dump(address: string, flags: _Flags): Promise<void> {
+    await this.#withClient(flags, async (client) => {
+      const dump = _unwrap(await client.dump(address));
+      this.#print(flags, dump, JSON.stringify(dump, undefined, 2));
+    });
+  }
+
+  async #drain(name: string, flags: _Flags): Promise<void> {
+    await this.#withClient(flags, async (client) => {
+      const undo = flags.undo ?? false;
+      const { changed, head } = _unwrap(
+        await client.drain(String(name), { undo }),
+      );
+      const what = undo ? "is back in service" : "is being drained";
+      this.#print(
+        flags,
+        { generation: head.generation, changed, drains: head.drains },
+        `${name} ${what} from generation ${head.generation}${
+          changed ? "" : " (no change)"
+        }`,
+      );
+    });
+  }
+
+  async #router(file: string): Promise<void> {
+    const settings = _unwrap(safeParseSettings(await _read(file)), file);
+    const { runRouter } = this.#options;
+    if (!runRouter) throw new Error("this build has no router daemon");
+    await runRouter(settings);
+  }
+}
+
+function _withSettings(
+  command: ReturnType<CAC["command"]>,
+): ReturnType<CAC["command"]> {
+  return command.option(
+    "--settings <file>",
+    "The operator's settings: platform address and key, operator key, routers",
+  );
+}
+
+/** Runs one command and returns its exit code. */
+export function runCommandLine(options: CommandLineOptions): Promise<number> {
+  return new _CommandLine(options).run();
+}
