--- a/bin/sapphirecart.ts
+++ b/bin/sapphirecart.ts
@@ -1,30 +1,32 @@
 #!/usr/bin/env node
-/** The first command line: `router SETTINGS` and `apply FILE --settings SETTINGS`. */
-import { randomUUID } from "node:crypto";
-import { readFile } from "node:fs/promises";
-import { applyFleet } from "../src/core/configuration_apply.ts";
-import { safeParseFleet } from "../src/core/fleet_file.ts";
-import {
-  safeParseOperatorSettings,
-  safeParseSettings,
-} from "../src/core/settings_file.ts";
-import { createHttpPlatformClient } from "../src/http_platform_client.ts";
-import { runRouter } from "../src/router_daemon.ts";
+/** The program: hands its arguments to the command line. */
+import { runCommandLine } from "../src/command_line.ts";
+import type { Settings } from "../src/core/settings_schema.ts";
 
-const [name = "", file = ""] = process.argv.slice(2);
-const text = await readFile(file, "utf8");
-if (name === "router") {
-  await runRouter(safeParseSettings(text)._unsafeUnwrap());
-} else if (name === "apply") {
-  const settings = await readFile(process.argv.at(-1) ?? "", "utf8");
-  const { platform } = safeParseOperatorSettings(settings)._unsafeUnwrap();
-  const applied = await applyFleet(safeParseFleet(text)._unsafeUnwrap(), {
-    client: createHttpPlatformClient(platform),
-    applyId: randomUUID(),
-    wallMilliseconds: () => Date.now(),
-    sleep: (milliseconds) =>
-      new Promise((resolve) => setTimeout(resolve, milliseconds)),
-  });
-  console.log(JSON.stringify(applied));
-  process.exitCode = applied.isOk() ? 0 : 1;
+interface RouterDaemon {
+  runRouter(settings: Settings): Promise<void>;
 }
+
+/** Loaded on demand, so that operator commands start without the router's parts. */
+async function loadDaemon(): Promise<RouterDaemon> {
+  const path = new URL("../src/router_daemon.js", import.meta.url).href;
+  try {
+    return await import(path) as RouterDaemon;
+  } catch (cause) {
+    if ((cause as { code?: string }).code !== "ERR_MODULE_NOT_FOUND") {
+      throw cause;
+    }
+    throw new Error("this build has no router daemon", { cause });
+  }
+}
+
+async function runRouter(settings: Settings): Promise<void> {
+  await (await loadDaemon()).runRouter(settings);
+}
+
+process.exitCode = await runCommandLine({
+  arguments: process.argv.slice(2),
+  writeOutput: (text) => console.log(text),
+  writeError: (text) => console.error(text),
+  runRouter,
+});
