Carry rendezvous orders over to the next configuration generation

Change: createRoutingIndex takes the previous index and updates its orders for the servers that joined and left; the test of stored events now separates the chat from the shared prompt. Conclusion: a change of a few servers costs a merge per workspace instead of a ranking of the pool.

--- a/bench/affinity_design.ts
+++ b/bench/affinity_design.ts
@@ -86,6 +86,7 @@
   fleet: Fleet,
   engines: readonly BackendServerId[],
   generation: number,
+  previous?: RoutingIndex,
 ): RoutingIndex {
   const engine: Fleet["backendServers"][string] = {
     kind: "engine",
@@ -108,7 +109,7 @@
     digest: "",
     fleet: { ...fleet, backendServers, placements: { all: placement } },
     drains: { hosts: [], backendServers: [] },
-  });
+  }, previous);
 }
 
 /** Exports the hot chats of a leaving engine and reports each move. */
@@ -343,7 +344,8 @@
       if (!this.#states.engines.has(id)) this.#upSince.delete(id);
     }
     const ids = world.engines.map((engine) => engine.id);
-    this.#index = indexEngines(this.#fleet, ids, ++this.#generation);
+    const generation = ++this.#generation;
+    this.#index = indexEngines(this.#fleet, ids, generation, this.#index);
     for (const id of this.#knowledge.keys()) {
       if (!this.#states.engines.has(id)) this.#knowledge.delete(id);
     }
--- a/src/core/routing_index.ts
+++ b/src/core/routing_index.ts
@@ -1,7 +1,8 @@
 /**
  * What routing precomputes for one configuration generation: the eligible
  * backend servers per model, adapter, service and workspace, and rendezvous
- * orders, which are computed on first use and kept.
+ * orders, which are computed on first use, kept, and carried over to the next
+ * generation.
  */
 import type { ConfigurationSnapshot, Fleet } from "./fleet_schema.ts";
 import type { BackendServerId, ModelId, WorkspaceId } from "./ids.ts";
@@ -9,6 +10,8 @@
 
 /** Servers per rendezvous order: the preferred ones and spares for those that are out. */
 const ORDER_LENGTH = 16;
+/** A shorter order has lost too many spares to carry over. */
+const MINIMUM_ORDER_LENGTH = 12;
 /** Orders kept; a router serves a few hundred workspaces at a time. */
 const MAXIMUM_ORDERS = 4_096;
 
@@ -38,12 +41,16 @@
   contains(backendServer: BackendServerId): RoutedServer | undefined;
   /** The first servers in rendezvous order of a key. */
   orderOf(key: string): readonly RoutedServer[];
+  /** The orders computed so far, for the next generation. */
+  readonly orders: ReadonlyMap<string, readonly RoutedServer[]>;
 }
 
 /** The index of one configuration generation. */
 export interface RoutingIndex {
   readonly generation: number;
   readonly loadBoundRatio: number;
+  /** What was compiled so far, by target and workspace, for the next generation. */
+  readonly compiled: ReadonlyMap<string, EligibleServers | undefined>;
   /** Returns undefined if the workspace may not use the target. */
   eligible(
     workspace: WorkspaceId,
@@ -68,22 +75,55 @@
   ];
 }
 
+function _identityOf(server: RoutedServer): string {
+  return server.id;
+}
+
+/**
+ * Updates the orders of the previous generation for the servers that joined and
+ * left. What is left of an order are the first servers of those that stayed,
+ * so merging the joined ones into it gives the first servers of all.
+ */
+function _carryOver(
+  previous: EligibleServers | undefined,
+  byId: ReadonlyMap<string, RoutedServer>,
+): Map<string, readonly RoutedServer[]> {
+  const orders = new Map<string, readonly RoutedServer[]>();
+  if (!previous) return orders;
+  const joined = [...byId.values()]
+    .filter((server) => !previous.contains(server.id));
+  if (joined.length > ORDER_LENGTH) return orders;
+  for (const [key, order] of previous.orders) {
+    const stayed = order.flatMap((server) => byId.get(server.id) ?? []);
+    const isWhole = order.length === previous.servers.length;
+    const length = isWhole ? ORDER_LENGTH : stayed.length;
+    if (length < MINIMUM_ORDER_LENGTH) continue;
+    const merged = joined.length === 0
+      ? stayed
+      : rankByRendezvous(key, [...stayed, ...joined], _identityOf);
+    orders.set(key, merged.slice(0, length));
+  }
+  return orders;
+}
+
 function _createEligible(
   pool: number,
   versions: readonly string[],
   servers: readonly RoutedServer[],
+  previous: EligibleServers | undefined,
 ): EligibleServers {
   const byId = new Map(servers.map((server) => [server.id, server]));
-  const orders = new Map<string, readonly RoutedServer[]>();
+  const orders = _carryOver(previous, byId);
   return {
     pool,
     versions,
     servers,
+    orders,
     contains: (backendServer) => byId.get(backendServer),
     orderOf(key) {
       const known = orders.get(key);
       if (known) return known;
-      const order = rankByRendezvous(key, servers, (server) => server.id)
+      const order = rankByRendezvous(key, servers, _identityOf)
         .slice(0, ORDER_LENGTH);
       if (orders.size >= MAXIMUM_ORDERS) orders.clear();
       orders.set(key, order);
@@ -151,16 +191,19 @@
     : `model ${target.model} ${target.adapter ?? ""}`;
 }
 
-/** Builds the index of a configuration; servers in its drains are left out. */
+/**
+ * Builds the index of a configuration; servers in its drains are left out. The
+ * index of the generation before saves computing the orders again.
+ */
 export function createRoutingIndex(
   snapshot: ConfigurationSnapshot,
+  previous?: RoutingIndex,
 ): RoutingIndex {
   const { fleet, drains } = snapshot;
   const pools = new Map(listPools(fleet).map((name, index) => [name, index]));
   const drained = new Set(drains.backendServers);
   const drainedHosts = new Set(drains.hosts);
-  const shared = new Map<string, EligibleServers | undefined>();
-  const restricted = new Map<string, EligibleServers | undefined>();
+  const compiled = new Map<string, EligibleServers | undefined>();
 
   function isInService(name: string): boolean {
     const server = fleet.backendServers[name];
@@ -169,6 +212,7 @@
   }
 
   function compile(
+    key: string,
     target: RoutingTarget,
     allowed: readonly string[],
   ): EligibleServers | undefined {
@@ -193,32 +237,36 @@
         ? `service ${target.service}`
         : `model ${target.model}`,
     ) ?? -1;
-    return _createEligible(pool, versions, servers);
+    return _createEligible(
+      pool,
+      versions,
+      servers,
+      previous?.compiled.get(key),
+    );
   }
 
   function cached(
-    cache: Map<string, EligibleServers | undefined>,
     key: string,
     target: RoutingTarget,
     allowed: readonly string[],
   ): EligibleServers | undefined {
-    if (cache.has(key)) return cache.get(key);
-    const eligible = compile(target, allowed);
-    if (cache.size >= MAXIMUM_ORDERS) cache.clear();
-    cache.set(key, eligible);
+    if (compiled.has(key)) return compiled.get(key);
+    const eligible = compile(key, target, allowed);
+    if (compiled.size >= MAXIMUM_ORDERS) compiled.clear();
+    compiled.set(key, eligible);
     return eligible;
   }
 
   return {
     generation: snapshot.generation,
     loadBoundRatio: fleet.fleet.loadBoundRatio,
+    compiled,
     eligible(workspace, target) {
       if (!_isAllowed(fleet, workspace, target)) return undefined;
       const allowed = fleet.workspaces[workspace]?.backendServers ?? [];
       const name = _targetName(target);
-      return allowed.length === 0
-        ? cached(shared, name, target, allowed)
-        : cached(restricted, `${name} ${workspace}`, target, allowed);
+      const key = allowed.length === 0 ? name : `${name} ${workspace}`;
+      return cached(key, target, allowed);
     },
     poolOf(kind, name) {
       return pools.get(`${kind} ${name}`) ?? -1;
--- a/src/core/routing_test.ts
+++ b/src/core/routing_test.ts
@@ -220,8 +220,10 @@
   const stored = createView({
     engines: 100,
     remembered: [remember("e7", 1_900), remember("e8", 900)],
-    cacheState: (server) =>
-      server === "e8" ? { kind: "present", tokens: 1_950 } : UNKNOWN,
+    cacheState: (server, prefix) =>
+      server === "e8" && prefix.chat !== undefined
+        ? { kind: "present", tokens: 1_950 }
+        : UNKNOWN,
   });
   t.is(rankedNames(createRequest({}), stored)[0], "e8");
   const view = createView({
@@ -255,3 +257,29 @@
   t.true(new Set(homes(40, 0)).size <= 2);
   t.true(new Set(homes(40, 40 * MEAN_TOKENS)).size > 20);
 });
+
+test("guards against an order carried over from earlier generations that differs from a fresh one", (t) => {
+  const workspace = brandId<WorkspaceId>("all");
+  const target = { kind: "model", model: "m" } as const;
+  const random = createSeededRandom(2);
+  let carried = createRoutingIndex(snapshot(40, []));
+  let kept = 0;
+  for (let generation = 0; generation < 60; generation++) {
+    const drained = Array.from(
+      { length: random.integer(6) },
+      () => `e${random.integer(40)}`,
+    );
+    const configuration = snapshot(38 + random.integer(4), drained);
+    const fresh = createRoutingIndex(configuration).eligible(workspace, target);
+    carried = createRoutingIndex(configuration, carried);
+    const eligible = carried.eligible(workspace, target);
+    kept += eligible?.orders.size ?? 0;
+    for (const key of ["a", "b", "c", "d"]) {
+      const order = eligible?.orderOf(key).map((server) => server.id) ?? [];
+      t.true(order.length >= 12);
+      const expected = fresh?.orderOf(key).map((server) => server.id) ?? [];
+      t.deepEqual(order, expected.slice(0, order.length));
+    }
+  }
+  t.true(kept > 60, `${kept} orders were carried over`);
+});
