Admit the first requests of an idle workspace; run the demo end to end

Cause: the limits' token bucket began empty, so the first request of a workspace that had been idle was refused with rate_limited. The demo's round robin kept each chat on one engine, as 20 chats divide by 4 engines. Conclusion: the demo's checks run on the whole path.

--- a/demo/main.ts
+++ b/demo/main.ts
@@ -23,6 +23,8 @@
 /** The largest request of the workload: a whole chat without cache, and its answer. */
 const REQUEST_TOKENS = 1_000;
 const NAIVE_TURNS = 12;
+/** Room for the chats of one engine, but not for every chat on every engine. */
+const CACHE_TOKENS = 8_000;
 
 /** The size of the demo. */
 export interface DemoSize {
@@ -40,7 +42,7 @@
   engines: 4,
   services: 2,
   workspaces: ["temple", "market"],
-  chatsPerWorkspace: 10,
+  chatsPerWorkspace: 20,
 };
 
 function sleep(milliseconds: number): Promise<void> {
@@ -112,7 +114,11 @@
   showProgress(
     `starting ${size.routers} routers, ${size.engines} engines, ${size.services} services`,
   );
-  const fleet = await startFleetProcesses({ ...size, keepMilliseconds: 2_000 });
+  const fleet = await startFleetProcesses({
+    ...size,
+    keepMilliseconds: 2_000,
+    engineParameters: ["--cache-tokens", String(CACHE_TOKENS)],
+  });
   try {
     return await runFleet(fleet, size, json);
   } finally {
@@ -158,6 +164,8 @@
   const naiveCacheReuse = await measureNaiveReuse({
     ...size,
     turns: NAIVE_TURNS,
+    cacheTokens: CACHE_TOKENS,
+    seed: SEED,
   });
   const changes = await countChanges(fleet.services);
 
--- a/demo/naive_reuse.ts
+++ b/demo/naive_reuse.ts
@@ -2,6 +2,7 @@
  * The demo's baseline: the same chats sent to engines of their own in turn
  * (round robin), without routers.
  */
+import { createSeededRandom } from "../src/core/random.ts";
 import { answerText } from "../stand_ins/engine_text.ts";
 import { startEngine } from "../stand_ins/engine.ts";
 import {
@@ -16,6 +17,8 @@
   readonly workspaces: readonly string[];
   readonly chatsPerWorkspace: number;
   readonly turns: number;
+  readonly cacheTokens: number;
+  readonly seed: number;
 }
 
 async function _complete(address: string, body: unknown): Promise<void> {
@@ -39,8 +42,10 @@
       startEngine({
         models: [`${STAND_IN_MODEL}@${STAND_IN_MODEL_VERSION}`],
         tokenMilliseconds: 1,
+        cacheTokens: options.cacheTokens,
       })),
   );
+  const random = createSeededRandom(options.seed);
   let next = 0;
   const chats = options.workspaces.flatMap((workspace) =>
     Array.from({ length: options.chatsPerWorkspace }, (_unused, index) => ({
@@ -50,7 +55,8 @@
     }))
   );
   for (let turn = 0; turn < options.turns; turn++) {
-    for (const { name, label, messages } of chats) {
+    // Chats return in no fixed order, or round robin would keep each on one engine.
+    for (const { name, label, messages } of random.shuffle(chats)) {
       askQuestion(messages, label, turn);
       const engine = engines[next++ % engines.length];
       if (!engine) continue;
--- a/src/core/limits_test.ts
+++ b/src/core/limits_test.ts
@@ -212,3 +212,14 @@
     t.true(concurrency <= limits.concurrency, `${concurrency} at ${now}`);
   }
 });
+
+test("guards against refusing the first requests of a workspace that was idle", (t) => {
+  const limits = createLimits({
+    limitsOf: () => ({ requestsPerSecond: 100, concurrency: 50, addresses: 3 }),
+  });
+  const workspace = brandId<WorkspaceId>("temple");
+  t.is(limits.tryAcquire(workspace, 0), "ok");
+  limits.release(workspace, 1);
+  limits.renewals(60_000);
+  t.is(limits.tryAcquire(workspace, 60_001), "ok");
+});
--- a/src/core/token_bucket.ts
+++ b/src/core/token_bucket.ts
@@ -16,20 +16,26 @@
   rate(): number;
 }
 
-/** Creates an empty bucket that fills at the given rate. */
+/**
+ * Creates a bucket that holds one burst, so that the first requests of a
+ * workspace that was idle are admitted.
+ */
 export function createTokenBucket(
   tokensPerSecond: number,
   now: number,
 ): TokenBucket {
   let rate = tokensPerSecond;
-  let tokens = 0;
+  let tokens = burst();
   let filledAt = now;
 
+  function burst(): number {
+    return Math.max(1, rate * BURST_MILLISECONDS / 1_000);
+  }
+
   function fill(at: number): void {
     const elapsed = Math.max(0, at - filledAt);
     filledAt = Math.max(at, filledAt);
-    const burst = Math.max(1, rate * BURST_MILLISECONDS / 1_000);
-    tokens = Math.min(burst, tokens + rate * elapsed / 1_000);
+    tokens = Math.min(burst(), tokens + rate * elapsed / 1_000);
   }
 
   return {
@@ -42,7 +48,7 @@
     setRate(next, at) {
       fill(at);
       rate = next;
-      tokens = Math.min(tokens, Math.max(1, rate * BURST_MILLISECONDS / 1_000));
+      tokens = Math.min(tokens, burst());
     },
     rate: () => rate,
   };
--- a/src/router_services.ts
+++ b/src/router_services.ts
@@ -93,7 +93,10 @@
     return this.#options.timers.clock.monotonicMilliseconds();
   }
 
-  /** A stale router leaves itself out, as it may hold an old configuration. */
+  /**
+   * A stale router leaves itself out, as it may hold an old configuration,
+   * unless it is the only one.
+   */
   override addresses(
     { id }: AuthenticatedWorkspace,
     _chat: ChatId | undefined,
@@ -101,9 +104,10 @@
     const { members, configurationTask, execution } = this.#options;
     const fleet = configurationTask.view.current()?.fleet.fleet;
     const self = members.self().incarnation;
-    const usable = members.liveMembers().filter(({ incarnation }) =>
-      incarnation !== self || !configurationTask.isStale()
-    );
+    const live = members.liveMembers();
+    const others = live.filter(({ incarnation }) => incarnation !== self);
+    const withdraws = configurationTask.isStale() && others.length > 0;
+    const usable = withdraws ? others : live;
     const epoch = execution.epoch();
     return {
       addresses: chooseEntryMembers(
@@ -164,6 +168,7 @@
       data_centre: self.dataCentre,
       incarnation: self.incarnation,
       generation: snapshot?.generation ?? 0,
+      highest_generation: configurationTask.highestGeneration(),
       digest: snapshot?.digest ?? "",
       stale: configurationTask.isStale(),
       stopping: this.#stopping,
--- a/stand_ins/fleet_processes.ts
+++ b/stand_ins/fleet_processes.ts
@@ -24,6 +24,9 @@
 
 const COMMAND_TIMEOUT_MILLISECONDS = 30_000;
 
+/** Accepted, but not yet in force: no router runs when the fleet file is applied. */
+const ACCEPTED_EXIT_CODE = 4;
+
 /** How large the fleet is and how its parts behave. */
 export interface FleetProcessesOptions {
   readonly dataCentres: readonly string[];
@@ -185,8 +188,8 @@
     function command(...parameters: string[]): Promise<CommandResult> {
       return _runCommand([...parameters, "--settings", operatorFile]);
     }
-    const applied = await command("apply", fleetFile, "--no-wait");
-    if (applied.exitCode !== 0) {
+    const applied = await command("apply", fleetFile, "--wait", "0");
+    if (applied.exitCode !== ACCEPTED_EXIT_CODE) {
       throw new Error(`apply failed: ${applied.output}${applied.errors}`);
     }
     const routers = await Promise.all(
