--- a/invariants/at_most_once.ts
+++ b/invariants/at_most_once.ts
@@ -28,6 +28,8 @@
 const SETTLE_MILLISECONDS = 300;
 /** Time after a failure in which all views of the members have settled. */
 const HEALED_AFTER_MILLISECONDS = 5_000;
+const CONTROL_ATTEMPTS = 20;
+const CONTROL_RETRY_MILLISECONDS = 100;
 const FRESH_CALLS = 20;
 /** Share of fresh calls on healthy hosts that must run. */
 const FRESH_TARGET = 0.99;
@@ -52,15 +54,24 @@
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
+/** Retries, as a service that refuses connections refuses its controls too. */
 async function setFaults(
   process: ManagedProcess,
   faults: object,
 ): Promise<void> {
-  await fetch(`http://${process.address}/faults`, {
-    method: "POST",
-    headers: { "content-type": "application/json" },
-    body: JSON.stringify(faults),
-  });
+  for (let attempt = 0; attempt < CONTROL_ATTEMPTS; attempt++) {
+    try {
+      await fetch(`http://${process.address}/faults`, {
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(faults),
+      });
+      return;
+    } catch {
+      await sleep(CONTROL_RETRY_MILLISECONDS);
+    }
+  }
+  throw new Error(`${process.name} does not take faults`);
 }
 
 /** Brings one failure about and undoes it again. */
