Add the overhead bench; take ports below the system's range

Cause: the router's share of a request had no measurement, and a fleet failed to start when its port was taken between the search and the start. Change: bench/overhead.ts against a bare fastify and undici proxy; ports come from 12,000 to 29,999, below those of outgoing connections.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -13,6 +13,7 @@
     control: () => import("./control.ts"),
     decision: () => import("./decision.ts"),
     orders: () => import("./orders_bench.ts"),
+    overhead: () => import("./overhead.ts"),
     skew: () => import("./skew.ts"),
   };
 
--- /dev/null
+++ b/bench/overhead.ts
@@ -0,0 +1,150 @@
+/**
+ * What a router adds to a request: its time and its requests a second as ratios
+ * to a bare fastify and undici proxy, in alternating rounds of one run. Times
+ * are medians over rounds, so that noise on a shared machine does not decide.
+ */
+import { Pool } from "undici";
+import { startFleetProcesses } from "../stand_ins/fleet_processes.ts";
+import { STAND_IN_SERVICE, workspaceKey } from "../stand_ins/fleet_text.ts";
+import { createProcessGroup } from "../stand_ins/processes.ts";
+import type { BenchOptions, BenchReport, BenchRow } from "./bench_report.ts";
+
+const ROUNDS = 9;
+const REQUESTS_PER_ROUND = 400;
+const WARM_UP_REQUESTS = 1_500;
+const CONNECTIONS = 8;
+/** The stated target: a request takes at most this multiple of the bare proxy's time. */
+const TIME_TARGET = 1.3;
+
+type Method = "GET" | "POST";
+
+interface Target {
+  readonly name: string;
+  readonly pool: Pool;
+  readonly prefix: string;
+}
+
+function _median(values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.floor(sorted.length / 2)] ?? Number.NaN;
+}
+
+async function _send(
+  target: Target,
+  method: Method,
+  item: number,
+): Promise<void> {
+  const path = method === "GET" ? `/slots/${item}` : `/slots/${item}/release`;
+  const answer = await target.pool.request({
+    method,
+    path: target.prefix + path,
+    headers: { authorization: `Bearer ${workspaceKey("temple")}` },
+  });
+  await answer.body.dump();
+  if (answer.statusCode !== 200) {
+    throw new Error(`${target.name}: ${answer.statusCode}`);
+  }
+}
+
+/** Sends requests over a number of workers and returns microseconds per request. */
+async function _measure(
+  target: Target,
+  method: Method,
+  workers: number,
+  requests: number,
+): Promise<number> {
+  let sent = 0;
+  async function work(): Promise<void> {
+    while (sent < requests) await _send(target, method, sent++);
+  }
+  const startedAt = performance.now();
+  await Promise.all(Array.from({ length: workers }, work));
+  return 1_000 * (performance.now() - startedAt) / requests;
+}
+
+async function _compare(
+  targets: readonly [Target, Target],
+  method: Method,
+  workers: number,
+): Promise<BenchRow & { readonly ratio: number }> {
+  const times: [number[], number[]] = [[], []];
+  for (let round = 0; round < ROUNDS; round++) {
+    times[0].push(
+      await _measure(targets[0], method, workers, REQUESTS_PER_ROUND),
+    );
+    times[1].push(
+      await _measure(targets[1], method, workers, REQUESTS_PER_ROUND),
+    );
+  }
+  const [bare, router] = [_median(times[0]), _median(times[1])];
+  return {
+    call: method === "GET" ? "idempotent" : "non-idempotent",
+    workers,
+    bareMicroseconds: Math.round(bare),
+    routerMicroseconds: Math.round(router),
+    ratio: Math.round(100 * router / bare) / 100,
+  };
+}
+
+/** Measures the router's share of a request against the bare proxy. */
+export async function runBench(_options: BenchOptions): Promise<BenchReport> {
+  const fleet = await startFleetProcesses({
+    dataCentres: ["north"],
+    routers: 1,
+    engines: 1,
+    services: 1,
+    workspaces: ["temple"],
+    workspaceKeys: { requests_per_second: 1_000_000, concurrency: 100_000 },
+  });
+  const group = createProcessGroup();
+  const pools: Pool[] = [];
+  try {
+    const backend = fleet.services[0]?.address ?? "";
+    const proxy = await group.start("bare", "bench/bare_proxy_main.js", [
+      "--backend",
+      backend,
+    ]);
+    function createTarget(
+      name: string,
+      address: string,
+      prefix: string,
+    ): Target {
+      const pool = new Pool(`http://${address}`, { connections: CONNECTIONS });
+      pools.push(pool);
+      return { name, pool, prefix };
+    }
+    const targets = [
+      createTarget("bare", proxy.address, ""),
+      createTarget(
+        "router",
+        fleet.routerAddresses[0] ?? "",
+        `/v1/services/${STAND_IN_SERVICE}`,
+      ),
+    ] as const;
+    for (const target of targets) {
+      await _measure(target, "GET", CONNECTIONS, WARM_UP_REQUESTS);
+    }
+    const rows = [
+      await _compare(targets, "GET", 1),
+      await _compare(targets, "GET", CONNECTIONS),
+      await _compare(targets, "POST", 1),
+      await _compare(targets, "POST", CONNECTIONS),
+    ];
+    return {
+      name: "overhead",
+      rows,
+      bounds: rows.slice(0, 2).map((row) => ({
+        name: `time of an idempotent call over the bare proxy's, ${
+          String(row["workers"])
+        } workers`,
+        value: row.ratio,
+        comparison: "at_most",
+        limit: TIME_TARGET,
+      })),
+    };
+  } finally {
+    await Promise.all(pools.map((pool) => pool.close()));
+    await group.stop();
+    await fleet.stop();
+  }
+}
--- a/stand_ins/processes.ts
+++ b/stand_ins/processes.ts
@@ -3,6 +3,7 @@
  * exactly those that it started.
  */
 import { type ChildProcess, spawn } from "node:child_process";
+import { randomInt } from "node:crypto";
 import { createServer } from "node:net";
 import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
@@ -126,28 +127,27 @@
   };
 }
 
-function _reservePort(): Promise<
-  { port: number; release: () => Promise<void> }
-> {
-  return new Promise((resolve, reject) => {
+/**
+ * Below the range from which the system takes ports of outgoing connections, or
+ * a port found free could be taken before the process has opened it.
+ */
+const FIRST_PORT = 12_000;
+const PORT_COUNT = 18_000;
+
+function _isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
     const server = createServer();
-    server.once("error", reject);
-    server.listen(0, "127.0.0.1", () => {
-      const address = server.address();
-      const port = typeof address === "object" && address ? address.port : 0;
-      resolve({
-        port,
-        release: () => new Promise((done) => server.close(() => done())),
-      });
-    });
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
   });
 }
 
 /** Returns distinct free ports on the loopback address. */
 export async function findFreePorts(count: number): Promise<number[]> {
-  const reserved = await Promise.all(
-    Array.from({ length: count }, _reservePort),
-  );
-  await Promise.all(reserved.map((entry) => entry.release()));
-  return reserved.map((entry) => entry.port);
+  const found = new Set<number>();
+  while (found.size < count) {
+    const port = FIRST_PORT + randomInt(PORT_COUNT);
+    if (!found.has(port) && await _isFree(port)) found.add(port);
+  }
+  return [...found];
 }
