Identify callers in one place

Cause: four handlers of the HTTP interface repeated the key check and two of them the reading of priority and deadline. Change: a wrapper identifies the workspace; one function reads what chats and calls have in common; the unused chat parameter of the address query is gone. Conclusion: behaviour is unchanged.

--- a/src/caller_interface.ts
+++ b/src/caller_interface.ts
@@ -18,7 +18,7 @@
   createError,
   toErrorBody,
 } from "./core/errors.ts";
-import { brandId, type ChatId, type RequestId } from "./core/ids.ts";
+import { brandId, type RequestId } from "./core/ids.ts";
 import type { Metrics } from "./metrics.ts";
 import {
   createAnswerHeaders,
@@ -46,6 +46,12 @@
   readonly "*": string;
 }
 
+type IdentifiedHandler<Parameters> = (
+  request: FastifyRequest<{ Params: Parameters }>,
+  reply: FastifyReply,
+  workspace: AuthenticatedWorkspace,
+) => Promise<unknown>;
+
 /** Answers with the status and body that belong to an error's kind. */
 export function sendError(
   reply: FastifyReply,
@@ -106,17 +112,38 @@
     done(null, payload);
   });
 
-  function authenticate(
-    request: FastifyRequest,
-  ): Result<AuthenticatedWorkspace, ApplicationError> {
-    return access.workspaceOf(request.headers.authorization);
+  /** Runs a handler for a caller whose key is known, and answers the others. */
+  function identified<Parameters>(
+    handler: IdentifiedHandler<Parameters>,
+  ): (
+    request: FastifyRequest<{ Params: Parameters }>,
+    reply: FastifyReply,
+  ) => Promise<unknown> {
+    return async (request, reply) => {
+      const workspace = access.workspaceOf(request.headers.authorization);
+      if (workspace.isErr()) return sendError(reply, workspace.error);
+      return handler(request, reply, workspace.value);
+    };
   }
 
-  function requestIdOf(request: FastifyRequest): RequestId {
-    const given = request.headers["x-sapphirecart-request-id"];
-    return typeof given === "string"
+  /** What chats and calls have in common. */
+  function envelopeOf(
+    { headers }: FastifyRequest,
+    { id: workspace, settings }: AuthenticatedWorkspace,
+  ) {
+    const given = headers["x-sapphirecart-request-id"];
+    const id = typeof given === "string"
       ? brandId<RequestId>(given)
       : services.newRequestId();
+    return {
+      id,
+      workspace,
+      priority: readPriority(headers, settings.priority),
+      deadlineMilliseconds: readDeadline(
+        headers,
+        services.monotonicMilliseconds(),
+      ),
+    };
   }
 
   function count(
@@ -145,126 +172,103 @@
   }
 
   function addCallerRoutes(): void {
-    server.get<{ Querystring: { chat?: string } }>(
+    server.get(
       "/v1/addresses",
-      async (request, reply) => {
-        const workspace = authenticate(request);
-        if (workspace.isErr()) return sendError(reply, workspace.error);
-        const chat = request.query.chat;
-        return services.addresses(
-          workspace.value,
-          chat === undefined ? undefined : brandId<ChatId>(chat),
-        );
-      },
-    );
-    server.get<{ Params: { id: string } }>(
-      "/v1/requests/:id",
-      async (request, reply) => {
-        const workspace = authenticate(request);
-        if (workspace.isErr()) return sendError(reply, workspace.error);
-        const outcome = await services.outcome(
-          brandId<RequestId>(request.params.id),
-          workspace.value.id,
-        );
-        if (outcome.isErr()) return sendError(reply, outcome.error);
-        const { state, answer } = outcome.value;
-        if (state === "forbidden") {
-          return sendError(
-            reply,
-            createError("forbidden", "not yours"),
-          );
-        }
-        return {
-          state,
-          answer: answer && {
-            status: answer.status,
-            headers: answer.headers,
-            backend_server: answer.backendServer,
-            body_base64: Buffer.from(answer.body).toString("base64"),
-          },
-        };
-      },
+      identified(async (_request, _reply, workspace) =>
+        services.addresses(workspace)
+      ),
     );
-    server.post("/v1/chat/completions", chat);
+    server.get("/v1/requests/:id", identified(outcome));
+    server.post("/v1/chat/completions", identified(chat));
     server.route<{ Params: ServiceParameters }>({
       method: [...SERVICE_METHODS],
       url: "/v1/services/:service/*",
-      handler: callService,
+      handler: identified(callService),
     });
   }
 
+  async function outcome(
+    request: FastifyRequest<{ Params: { id: string } }>,
+    reply: FastifyReply,
+    workspace: AuthenticatedWorkspace,
+  ): Promise<unknown> {
+    const id = brandId<RequestId>(request.params.id);
+    const found = await services.outcome(id, workspace.id);
+    if (found.isErr()) return sendError(reply, found.error);
+    const { state, answer } = found.value;
+    if (state === "forbidden") {
+      return sendError(reply, createError("forbidden", "not yours"));
+    }
+    return {
+      state,
+      answer: answer && {
+        status: answer.status,
+        headers: answer.headers,
+        backend_server: answer.backendServer,
+        body_base64: Buffer.from(answer.body).toString("base64"),
+      },
+    };
+  }
+
+  async function resumeChat(
+    resumeToken: string,
+    reply: FastifyReply,
+    workspace: AuthenticatedWorkspace,
+  ): Promise<FastifyReply> {
+    const resumed = await services.resumeChat(workspace.id, resumeToken);
+    count("chat", resumed);
+    if (resumed.isErr()) return sendError(reply, resumed.error);
+    const format = { id: "resumed", model: "", stream: true };
+    return answerWithChat(reply, resumed.value, format);
+  }
+
   async function chat(
     request: FastifyRequest,
     reply: FastifyReply,
+    workspace: AuthenticatedWorkspace,
   ): Promise<FastifyReply> {
-    const workspace = authenticate(request);
-    if (workspace.isErr()) return sendError(reply, workspace.error);
     const resumeToken = request.headers["last-event-id"];
     if (typeof resumeToken === "string") {
-      const resumed = await services.resumeChat(
-        workspace.value.id,
-        resumeToken,
-      );
-      count("chat", resumed);
-      if (resumed.isErr()) return sendError(reply, resumed.error);
-      return answerWithChat(reply, resumed.value, {
-        id: "resumed",
-        model: "",
-        stream: true,
-      });
+      return resumeChat(resumeToken, reply, workspace);
     }
     const body = safeParseChatBody(_bodyOf(request));
     if (body.isErr()) return sendError(reply, body.error);
-    const id = requestIdOf(request);
+    const envelope = envelopeOf(request, workspace);
     const answer = await services.chat({
-      id,
-      workspace: workspace.value.id,
+      ...envelope,
       chat: readChatId(request.headers),
       body: body.value,
-      priority: readPriority(
-        request.headers,
-        workspace.value.settings.priority,
-      ),
-      deadlineMilliseconds: readDeadline(
-        request.headers,
-        services.monotonicMilliseconds(),
-      ),
     });
     count("chat", answer);
-    reply.header("x-sapphirecart-request-id", id);
+    reply.header("x-sapphirecart-request-id", envelope.id);
     if (answer.isErr()) return sendError(reply, answer.error);
     const { model, stream } = body.value;
-    return answerWithChat(reply, answer.value, { id, model, stream });
+    return answerWithChat(reply, answer.value, {
+      id: envelope.id,
+      model,
+      stream,
+    });
   }
 
   async function callService(
     request: FastifyRequest<{ Params: ServiceParameters }>,
     reply: FastifyReply,
+    workspace: AuthenticatedWorkspace,
   ): Promise<FastifyReply> {
-    const workspace = authenticate(request);
-    if (workspace.isErr()) return sendError(reply, workspace.error);
-    const path = readServicePath(request.params.service, request.url);
+    const { service } = request.params;
+    const path = readServicePath(service, request.url);
     if (path.isErr()) return sendError(reply, path.error);
-    const id = requestIdOf(request);
+    const envelope = envelopeOf(request, workspace);
     const answer = await services.callService({
-      id,
-      workspace: workspace.value.id,
-      service: request.params.service,
+      ...envelope,
+      service,
       method: request.method,
       path: path.value,
       headers: readForwardedHeaders(request.headers),
       body: _bodyOf(request),
-      priority: readPriority(
-        request.headers,
-        workspace.value.settings.priority,
-      ),
-      deadlineMilliseconds: readDeadline(
-        request.headers,
-        services.monotonicMilliseconds(),
-      ),
     });
     count("service", answer);
-    reply.header("x-sapphirecart-request-id", id);
+    reply.header("x-sapphirecart-request-id", envelope.id);
     if (answer.isErr()) return sendError(reply, answer.error);
     return reply.code(answer.value.status)
       .headers(createAnswerHeaders(answer.value))
--- a/src/caller_services.ts
+++ b/src/caller_services.ts
@@ -3,7 +3,7 @@
 import type { AuthenticatedWorkspace } from "./access.ts";
 import type { ChatRequest } from "./chat_request.ts";
 import type { ApplicationError } from "./core/errors.ts";
-import type { ChatId, RequestId, WorkspaceId } from "./core/ids.ts";
+import type { RequestId, WorkspaceId } from "./core/ids.ts";
 import type { RequestOutcome } from "./execution_task.ts";
 import type { ServiceAnswer, ServiceCall } from "./service_call.ts";
 
@@ -52,10 +52,7 @@
 export abstract class CallerServices {
   abstract newRequestId(): RequestId;
   abstract monotonicMilliseconds(): number;
-  abstract addresses(
-    workspace: AuthenticatedWorkspace,
-    chat: ChatId | undefined,
-  ): AddressAnswer;
+  abstract addresses(workspace: AuthenticatedWorkspace): AddressAnswer;
   abstract chat(
     request: ChatRequest,
   ): Promise<Result<ChatAnswer, ApplicationError>>;
--- a/src/router_services.ts
+++ b/src/router_services.ts
@@ -15,12 +15,7 @@
 import type { ChatRequest } from "./chat_request.ts";
 import type { ConfigurationTask } from "./configuration_task.ts";
 import { type ApplicationError, createError } from "./core/errors.ts";
-import type {
-  ChatId,
-  IncarnationId,
-  RequestId,
-  WorkspaceId,
-} from "./core/ids.ts";
+import type { IncarnationId, RequestId, WorkspaceId } from "./core/ids.ts";
 import type { ExecutionTask, RequestOutcome } from "./execution_task.ts";
 import type { MembershipView } from "./membership_view.ts";
 import type { PeerNetwork } from "./peer_network.ts";
@@ -94,10 +89,7 @@
    * A stale router leaves itself out, as it may hold an old configuration,
    * unless it is the only one.
    */
-  override addresses(
-    { id }: AuthenticatedWorkspace,
-    _chat: ChatId | undefined,
-  ): AddressAnswer {
+  override addresses({ id }: AuthenticatedWorkspace): AddressAnswer {
     const { members, configurationTask, execution } = this.#options;
     const fleet = configurationTask.view.current()?.fleet.fleet;
     const self = members.self().incarnation;
