Count peer traffic by message kind

The demo breaks its budget of control traffic, but the counters only gave totals, so the cause could not be seen. PeerTraffic counts bytes and messages by kind; kinds outside the closed list share one entry, so the table is bounded. The state dump shows it and the demo prints the split.

--- a/demo/main.ts
+++ b/demo/main.ts
@@ -11,6 +11,7 @@
   startFleetProcesses,
 } from "../stand_ins/fleet_processes.ts";
 import { OPERATOR_KEY } from "../stand_ins/fleet_text.ts";
+import type { PeerCounters } from "../src/peer_network.ts";
 import { measureNaiveReuse } from "./naive_reuse.ts";
 import { countChanges, observeLoads } from "./observer.ts";
 import { startWorkload, type WorkloadCounts } from "./workload.ts";
@@ -68,18 +69,60 @@
   return response.json();
 }
 
-/** Control bytes that each router has exchanged so far. */
-async function readControlBytes(
+interface RouterTraffic {
+  readonly bytesSent: number;
+  readonly bytesReceived: number;
+  readonly byKind: Readonly<
+    Record<string, Record<keyof PeerCounters, number>>
+  >;
+}
+
+/** The traffic of each router with its peers so far. */
+async function readTraffic(
   addresses: readonly string[],
-): Promise<number[]> {
+): Promise<RouterTraffic[]> {
   return Promise.all(addresses.map(async (address) => {
     const dump = await readOperator(address, "/operator/dump") as {
-      network: { bytesSent: number; bytesReceived: number };
+      network: RouterTraffic;
     };
-    return dump.network.bytesSent + dump.network.bytesReceived;
+    return dump.network;
   }));
 }
 
+function totalBytes(traffic: RouterTraffic | undefined): number {
+  return (traffic?.bytesSent ?? 0) + (traffic?.bytesReceived ?? 0);
+}
+
+/** Mean traffic of a router by message kind, sent and received, each second. */
+function trafficRows(
+  before: readonly RouterTraffic[],
+  after: readonly RouterTraffic[],
+  seconds: number,
+) {
+  const span = seconds * after.length;
+  const sums = new Map<string, { bytes: number; messages: number }>();
+  for (const [all, sign] of [[before, -1], [after, 1]] as const) {
+    for (
+      const [kind, traffic] of all.flatMap((r) => Object.entries(r.byKind))
+    ) {
+      const { bytes, messages } = sums.get(kind) ?? { bytes: 0, messages: 0 };
+      sums.set(kind, {
+        bytes: bytes + sign * (traffic.bytesSent + traffic.bytesReceived),
+        messages: messages +
+          sign * (traffic.messagesSent + traffic.messagesReceived),
+      });
+    }
+  }
+  return [...sums]
+    .sort(([, left], [, right]) => right.bytes - left.bytes)
+    .map(([kind, { bytes, messages }]) => ({
+      kind,
+      bytesPerSecond: Math.round(bytes / span),
+      messagesPerSecond: round(messages / span),
+      bytesPerMessage: Math.round(bytes / messages),
+    }));
+}
+
 /** Drains a backend server and returns how long the change took to be in force everywhere. */
 async function drain(
   fleet: FleetProcesses,
@@ -145,7 +188,7 @@
   const { counts } = workload;
   showProgress("fleet is up; chats return");
   const startedAt = performance.now();
-  const bytesBefore = await readControlBytes(fleet.routerAddresses.slice(1));
+  const trafficBefore = await readTraffic(fleet.routerAddresses.slice(1));
   await sleep(WARM_UP_MILLISECONDS);
   showProgress("killing host-0", counts);
   await fleet.routers[0]?.kill();
@@ -156,7 +199,7 @@
   loads.exclude("engine-1");
   await sleep(AFTER_DRAIN_MILLISECONDS);
   const seconds = (performance.now() - startedAt) / 1_000;
-  const bytesAfter = await readControlBytes(live);
+  const trafficAfter = await readTraffic(live);
   showProgress("finishing what is in flight", counts);
   await workload.stop();
   await loads.stop();
@@ -169,8 +212,8 @@
   });
   const changes = await countChanges(fleet.services);
 
-  const controlBytes = bytesAfter.map((bytes, index) =>
-    bytes - (bytesBefore[index] ?? 0)
+  const controlBytes = trafficAfter.map((traffic, index) =>
+    totalBytes(traffic) - totalBytes(trafficBefore[index])
   );
   const result = {
     requests: counts.requests,
@@ -225,6 +268,7 @@
   ];
   const held = checks.every(([, isHeld]) => isHeld);
   if (!json) {
+    console.table(trafficRows(trafficBefore, trafficAfter, seconds));
     console.table(
       Object.entries(result).map(([figure, value]) => ({ figure, value })),
     );
--- a/src/frame_codec.ts
+++ b/src/frame_codec.ts
@@ -75,8 +75,10 @@
   push(bytes: Buffer): Result<Frame[], ApplicationError>;
 }
 
-/** Creates a reader for one connection. */
-export function createFrameReader(): FrameReader {
+/** Creates a reader for one connection; it reports the size of every frame. */
+export function createFrameReader(
+  onSize: (kind: string, bytes: number) => void = () => {},
+): FrameReader {
   let chunks: Buffer[] = [];
   let bufferedBytes = 0;
 
@@ -112,6 +114,7 @@
           take(LENGTH_BYTES + length).subarray(LENGTH_BYTES),
         );
         if (frame.isErr()) return err(frame.error);
+        onSize(frame.value.k, LENGTH_BYTES + length);
         frames.push(frame.value);
       }
       return ok(frames);
--- a/src/peer_connection.ts
+++ b/src/peer_connection.ts
@@ -20,7 +20,8 @@
   type Frame,
   FRAME_VERSION,
 } from "./frame_codec.ts";
-import type { PeerCounters, PeerIdentity } from "./peer_network.ts";
+import type { PeerIdentity } from "./peer_network.ts";
+import type { PeerTraffic } from "./peer_traffic.ts";
 
 const NONCE_BYTES = 16;
 /** Time for both sides to prove themselves, in milliseconds. */
@@ -44,7 +45,7 @@
   readonly fleetKey: string;
   /** True on the side that opened the connection. */
   readonly opened: boolean;
-  readonly counters: PeerCounters;
+  readonly traffic: PeerTraffic;
   readonly generation: () => number;
   readonly onFrame: (frame: Frame, connection: PeerConnection) => void;
   readonly onReady: (connection: PeerConnection) => void;
@@ -87,8 +88,10 @@
 export function createPeerConnection(
   options: PeerConnectionOptions,
 ): PeerConnection {
-  const { socket, self, fleetKey, opened, counters } = options;
-  const reader = createFrameReader();
+  const { socket, self, fleetKey, opened, traffic } = options;
+  const reader = createFrameReader((kind, bytes) =>
+    traffic.received(kind, bytes)
+  );
   const ownNonce = randomBytes(NONCE_BYTES).toString("hex");
   const [ownRole, peerRole] = opened
     ? ["opener", "listener"]
@@ -124,8 +127,7 @@
       b: body,
     });
     if (encoded.isErr()) return false;
-    counters.messagesSent++;
-    counters.bytesSent += encoded.value.length;
+    traffic.sent(kind, encoded.value.length);
     socket.write(encoded.value);
     return true;
   }
@@ -189,11 +191,9 @@
 
   socket.setNoDelay(true);
   socket.on("data", (bytes) => {
-    counters.bytesReceived += bytes.length;
     const frames = reader.push(bytes);
     if (frames.isErr()) return close(frames.error);
     for (const frame of frames.value) {
-      counters.messagesReceived++;
       const accepted = acceptFrame(frame);
       if (accepted.isErr()) return close(accepted.error);
     }
--- /dev/null
+++ b/src/peer_traffic.ts
@@ -0,0 +1,61 @@
+/** Counts a router's traffic with its peers, in total and by message kind. */
+import {
+  PEER_MESSAGE_KINDS,
+  type PeerCounters,
+  type PeerMessageKind,
+} from "./peer_network.ts";
+
+/** Kinds outside the closed list: the handshake, and what a peer made up. */
+const OTHER_KIND = "other";
+const _kinds = new Set<string>(PEER_MESSAGE_KINDS);
+
+/** Bytes and messages of one kind; replies count with their request's kind. */
+export interface KindTraffic {
+  bytesSent: number;
+  bytesReceived: number;
+  messagesSent: number;
+  messagesReceived: number;
+}
+
+/** The traffic of one router since it started. */
+export class PeerTraffic {
+  readonly counters: PeerCounters = _emptyTraffic();
+  readonly #byKind = new Map<string, KindTraffic>();
+
+  /** Counts a frame that was written to a peer. */
+  sent(kind: string, bytes: number): void {
+    for (const traffic of [this.counters, this.#of(kind)]) {
+      traffic.bytesSent += bytes;
+      traffic.messagesSent++;
+    }
+  }
+
+  /** Counts a frame that came from a peer. */
+  received(kind: string, bytes: number): void {
+    for (const traffic of [this.counters, this.#of(kind)]) {
+      traffic.bytesReceived += bytes;
+      traffic.messagesReceived++;
+    }
+  }
+
+  /** The traffic of every kind that was seen; at most one entry per known kind. */
+  byKind(): Record<string, KindTraffic> {
+    return Object.fromEntries(this.#byKind);
+  }
+
+  #of(kind: string): KindTraffic {
+    const name = _kinds.has(kind) ? kind as PeerMessageKind : OTHER_KIND;
+    let traffic = this.#byKind.get(name);
+    if (!traffic) this.#byKind.set(name, traffic = _emptyTraffic());
+    return traffic;
+  }
+}
+
+function _emptyTraffic(): KindTraffic {
+  return {
+    bytesSent: 0,
+    bytesReceived: 0,
+    messagesSent: 0,
+    messagesReceived: 0,
+  };
+}
--- a/src/tcp_peer_network.ts
+++ b/src/tcp_peer_network.ts
@@ -29,6 +29,7 @@
   type PeerMessageKind,
   PeerNetwork,
 } from "./peer_network.ts";
+import { PeerTraffic } from "./peer_traffic.ts";
 
 /** Time to open a connection to a peer, in milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
@@ -80,12 +81,7 @@
   readonly #links = new Map<string, _Link>();
   readonly #connections = new Set<PeerConnection>();
   readonly #pending = new Map<number, _PendingRequest>();
-  readonly #counters: PeerCounters = {
-    bytesSent: 0,
-    bytesReceived: 0,
-    messagesSent: 0,
-    messagesReceived: 0,
-  };
+  readonly #traffic = new PeerTraffic();
   readonly #generationListeners:
     ((generation: number, from: PeerIdentity) => void)[] = [];
   #server: Server | undefined;
@@ -171,7 +167,7 @@
   }
 
   override counters(): Readonly<PeerCounters> {
-    return this.#counters;
+    return this.#traffic.counters;
   }
 
   override describe(): unknown {
@@ -182,7 +178,8 @@
       ),
       pendingRequests: this.#pending.size,
       rejectedConnections: this.#rejectedConnections,
-      ...this.#counters,
+      ...this.#traffic.counters,
+      byKind: this.#traffic.byKind(),
     };
   }
 
@@ -271,7 +268,7 @@
       opened,
       self: { ...this.#options.identity, address: this.#address },
       fleetKey: this.#options.fleetKey,
-      counters: this.#counters,
+      traffic: this.#traffic,
       generation: () => this.#generation,
       onFrame: (frame, source) => this.#receive(frame, source),
       onReady: (ready) => this.#ready(ready, to),
