Keep part of an unused limit for routers that join

Cause: the limit holder leased the whole limit, also the part that nobody wanted. A router that joined found nothing left and was granted a share of 0 until the others had renewed twice, so it refused every request with concurrency_limited for about a second, although 12 of 256 requests were in use. Callers that kept its address used up their attempts.

Change: half of what nobody wants stays with the holder. The faults of the planned-stop runs name the errors that callers were given.

A workspace that uses its whole limit still grants nothing to a joining router at first.

--- a/demo/workload.ts
+++ b/demo/workload.ts
@@ -1,5 +1,5 @@
 /** The demo's callers: returning chats and non-idempotent calls, each answer checked. */
-import { type Caller, createCaller } from "../src/caller.ts";
+import { type Caller, type CallFailure, createCaller } from "../src/caller.ts";
 import { createSeededRandom, type RandomSource } from "../src/core/random.ts";
 import { answerText, type ChatMessage } from "../stand_ins/engine_text.ts";
 import {
@@ -27,6 +27,8 @@
   /** Work that callers were told was not run. */
   readonly notRunItems: string[];
   readonly completedItems: string[];
+  /** Errors that callers were given, by kind and detail. */
+  readonly errors: Map<string, number>;
 }
 
 /** How the callers behave. */
@@ -84,6 +86,7 @@
     cachedTokens: 0,
     notRunItems: [],
     completedItems: [],
+    errors: new Map(),
   };
 }
 
@@ -99,9 +102,11 @@
     return new Promise((resolve) => setTimeout(resolve, milliseconds));
   }
 
-  function countFailure(kind: "not_run" | "outcome_unknown"): void {
+  function countFailure({ kind, error }: CallFailure): void {
     if (kind === "not_run") counts.notRun++;
     else counts.unknown++;
+    const name = `${kind}: ${error.kind} (${error.detail})`;
+    counts.errors.set(name, (counts.errors.get(name) ?? 0) + 1);
   }
 
   async function runTurn(
@@ -120,7 +125,7 @@
         deadlineMilliseconds: DEADLINE_MILLISECONDS,
       })
     ) {
-      if (event.isErr()) return countFailure(event.error.kind);
+      if (event.isErr()) return countFailure(event.error);
       text += event.value.text;
       counts.promptTokens += event.value.usage?.promptTokens ?? 0;
       counts.cachedTokens += event.value.usage?.cachedTokens ?? 0;
@@ -162,7 +167,7 @@
         deadlineMilliseconds: DEADLINE_MILLISECONDS,
       });
       if (result.isErr()) {
-        countFailure(result.error.kind);
+        countFailure(result.error);
         if (result.error.kind === "not_run") {
           counts.notRunItems.push(`slots/${item}`);
         }
--- a/invariants/graceful_stop.ts
+++ b/invariants/graceful_stop.ts
@@ -73,6 +73,7 @@
   if (counts.truncatedAnswers > 0) {
     faults.push(`${counts.truncatedAnswers} answers were not whole`);
   }
+  for (const [error, count] of counts.errors) faults.push(`${count}: ${error}`);
   if (counts.completed === 0) faults.push("no request completed");
   return faults;
 }
--- a/src/core/limit_holder.ts
+++ b/src/core/limit_holder.ts
@@ -8,6 +8,13 @@
 /** Time for which a share is leased. */
 export const SHARE_LEASE_MILLISECONDS = 2_000;
 
+/**
+ * Part of the unwanted rest of a limit that is not leased. A joining router is
+ * served from it; otherwise it would refuse everything until the others have
+ * given up part of their shares, which takes two of their renewals.
+ */
+const RESERVED_RATIO = 0.5;
+
 /** The limits of a workspace. */
 export interface WorkspaceLimits {
   readonly requestsPerSecond: number;
@@ -66,6 +73,12 @@
   return shares;
 }
 
+/** Returns what may be leased of a total: what is wanted and part of the rest. */
+function _leasable(total: number, wanted: readonly number[]): number {
+  const sum = wanted.reduce((before, want) => before + want, 0);
+  return total - RESERVED_RATIO * Math.max(0, total - sum);
+}
+
 /** Rounds shares down and gives the remaining units to the largest fractions. */
 export function roundShares(shares: readonly number[]): number[] {
   const floors = shares.map((share) => Math.floor(share + 1e-9));
@@ -174,13 +187,15 @@
     const wanted = routers.map((other) =>
       (entry.leases.get(other) as _Lease).wanted
     );
+    const wantedRates = wanted.map(({ rate }) => rate);
+    const wantedConcurrencies = wanted.map(({ concurrency }) => concurrency);
     const rates = divideByDemand(
-      limits.requestsPerSecond,
-      wanted.map(({ rate }) => rate),
+      _leasable(limits.requestsPerSecond, wantedRates),
+      wantedRates,
     );
     const concurrencies = roundShares(divideByDemand(
-      limits.concurrency,
-      wanted.map(({ concurrency }) => concurrency),
+      _leasable(limits.concurrency, wantedConcurrencies),
+      wantedConcurrencies,
     ));
     return {
       rate: rates[place] ?? 0,
--- a/src/core/limits_test.ts
+++ b/src/core/limits_test.ts
@@ -223,3 +223,28 @@
   limits.renewals(60_000);
   t.is(limits.tryAcquire(workspace, 60_001), "ok");
 });
+
+test("guards against refusing every request of a router that joins while the limits are hardly used", (t) => {
+  const limits = { requestsPerSecond: 200, concurrency: 256, addresses: 3 };
+  const holder = createLimitHolder();
+  const wanted = { rate: 10, concurrency: 4 };
+  function renew(host: string, held: { rate: number; concurrency: number }) {
+    const renewal = { workspace: WORKSPACE, held, wanted };
+    return holder.renew(brandId<HostId>(host), renewal, limits, now);
+  }
+  let now = 0;
+  let first = { rate: 0, concurrency: 0 };
+  let second = { rate: 0, concurrency: 0 };
+  for (; now < 10_000; now += 500) {
+    first = renew("host-0", first);
+    second = renew("host-1", second);
+  }
+  const joined = holder.renew(
+    brandId<HostId>("host-2"),
+    { workspace: WORKSPACE, held: undefined, wanted },
+    limits,
+    now,
+  );
+  t.true(joined.rate >= wanted.rate, `${joined.rate}`);
+  t.true(joined.concurrency >= wanted.concurrency, `${joined.concurrency}`);
+});
