Parse the chunks of a configuration in slices

Cause: a router parsed all chunks of its first configuration in one step once the last one had arrived. With 47,000 workspaces this blocked the event loop for longer than the suspicion time of membership, 1.5 s.

Change: chunks are parsed as each reply arrives, and the parsing yields after 5 ms. The join that follows merges parsed chunks only.

Conclusion: a first join no longer makes other members suspect the router.

--- a/src/configuration_task.ts
+++ b/src/configuration_task.ts
@@ -2,6 +2,7 @@
  * Keeps the configuration of one router: watches the platform if it is this
  * router's duty, exchanges changes with peers, and publishes what is in force.
  */
+import { prepareChunks } from "./chunk_preparation.ts";
 import {
   ConfigurationExchange,
   parseHeadObject,
@@ -17,7 +18,11 @@
   ConfigurationSource,
   ConfigurationState,
 } from "./core/configuration_events.ts";
-import { type ConfigurationHead, HEAD_KEY } from "./core/configuration_head.ts";
+import {
+  type ConfigurationHead,
+  HEAD_KEY,
+  sha256,
+} from "./core/configuration_head.ts";
 import {
   createConfigurationState,
   decideConfiguration,
@@ -284,11 +289,12 @@
       : await this.#exchange.fetchChunks(source.address, digests);
     if (fetched.isErr()) {
       this.#handle({ kind: "fetch_failed", source, what: "chunks" });
-    } else {this.#handle({
-        kind: "chunks_arrived",
-        source,
-        texts: fetched.value,
-      });}
+      return;
+    }
+    const asked = new Set(digests);
+    const texts = fetched.value.filter((text) => asked.has(sha256(text)));
+    await prepareChunks(this.#reader, texts);
+    this.#handle({ kind: "chunks_arrived", source, texts });
   }
 
   async #readPlatform(): Promise<boolean> {
--- a/src/core/configuration_chunks.ts
+++ b/src/core/configuration_chunks.ts
@@ -104,6 +104,17 @@
 export class ChunkReader {
   #known = new Map<string, _ReadChunk>();
 
+  /**
+   * Parses one chunk ahead of `read`, so that a caller can spread the parsing
+   * over time. A malformed chunk is left for `read` to report.
+   */
+  prepare(text: string): void {
+    const digest = sha256(text);
+    if (this.#known.has(digest)) return;
+    const chunk = _readChunk(text);
+    if (chunk.isOk()) this.#known.set(digest, chunk.value);
+  }
+
   /** Reads the chunks of a head; fails if one is missing or malformed. */
   read(
     digests: readonly string[],
