Mend what the documentation found

Cause: writing the pages showed alarms that reached neither log nor metrics, drain HOST refusing hosts that only backend servers name, a ledger that refused new ids for up to 30 s when one epoch filled it, a limit that was kept when a dispatch threw, and a demo that timed a change from its first router. Change: each of these; the demo times a change from the start of the command.

--- a/demo/main.ts
+++ b/demo/main.ts
@@ -23,6 +23,9 @@
 const LOAD_BOUND = 1.25;
 /** The largest request of the workload: a whole chat without cache, and its answer. */
 const REQUEST_TOKENS = 1_000;
+const POLL_MILLISECONDS = 10;
+/** The stated target on one machine; the command's own start counts too. */
+const SPREAD_LIMIT_MILLISECONDS = 5_000;
 const NAIVE_TURNS = 12;
 /** Room for the chats of one engine, but not for every chat on every engine. */
 const CACHE_TOKENS = 8_000;
@@ -123,33 +126,31 @@
     }));
 }
 
-/** Drains a backend server and returns how long the change took to be in force everywhere. */
+/**
+ * Drains a backend server and returns the time from the start of the command
+ * until the change is in force on every live router.
+ */
 async function drain(
   fleet: FleetProcesses,
   name: string,
   live: readonly string[],
 ) {
-  const before = await readOperator(
-    live[0] as string,
-    "/operator/status",
-  ) as RouterStatus;
+  function readStatus(address: string): Promise<RouterStatus> {
+    return readOperator(address, "/operator/status") as Promise<RouterStatus>;
+  }
+  const before = await readStatus(live[0] as string);
+  const startedAt = performance.now();
   const result = fleet.command("drain", name);
-  let acceptedAt: number | undefined;
-  for (;;) {
-    const statuses = await Promise.all(
-      live.map((address) =>
-        readOperator(address, "/operator/status") as Promise<RouterStatus>
-      ),
-    );
-    const adopted = statuses.filter(({ generation }) =>
+  let spreadMilliseconds = 0;
+  for (let adopted = 0; adopted < live.length;) {
+    await sleep(POLL_MILLISECONDS);
+    const statuses = await Promise.all(live.map(readStatus));
+    adopted = statuses.filter(({ generation }) =>
       generation > before.generation
     ).length;
-    if (adopted > 0) acceptedAt ??= performance.now();
-    if (adopted === live.length) break;
-    await sleep(10);
+    spreadMilliseconds = performance.now() - startedAt;
+    if (spreadMilliseconds > SPREAD_LIMIT_MILLISECONDS) break;
   }
-  const spreadMilliseconds = performance.now() -
-    (acceptedAt ?? performance.now());
   return { exitCode: (await result).exitCode, spreadMilliseconds };
 }
 
@@ -259,7 +260,7 @@
     [
       "configuration in force within 5 s",
       drained.exitCode === 0 &&
-      result.configurationSpreadMilliseconds < 5_000,
+      result.configurationSpreadMilliseconds < SPREAD_LIMIT_MILLISECONDS,
     ],
     [
       "cache reuse above round robin",
--- a/src/chat_home_task.ts
+++ b/src/chat_home_task.ts
@@ -30,7 +30,7 @@
 const LOOKUP_TIMEOUT_MILLISECONDS = 50;
 /** A share of the 128 MB of a node; an entry takes less than 200 bytes. */
 const DEFAULT_MAXIMUM_CHATS = 100_000;
-/** Entries per handover message, to stay far below the frame limit of 1 MiB. */
+/** Entries per handover message, to stay far below the frame limit of 2 MiB. */
 const ENTRIES_PER_MESSAGE = 512;
 /** An unacknowledged handover message is given up after this time. */
 const HANDOVER_TIMEOUT_MILLISECONDS = 1_000;
--- a/src/core/execution_ledger.ts
+++ b/src/core/execution_ledger.ts
@@ -114,13 +114,16 @@
     }
   }
 
-  /** Ids of forgotten epochs are refused as expired, so forgetting never permits a second run. */
-  function makeRoom(): void {
+  /**
+   * Ids of forgotten epochs are refused as expired, so forgetting never permits
+   * a second run. The present epoch stays, or every new id would be refused.
+   */
+  function makeRoom(now: number): void {
     let oldest = Infinity;
     for (const entry of entries.values()) {
       if (entry.state !== "running") oldest = Math.min(oldest, entry.epoch);
     }
-    if (oldest < Infinity) forgetBefore(oldest + 1);
+    if (oldest < epochAt(now)) forgetBefore(oldest + 1);
   }
 
   function decisionOf(entry: _Entry<Answer>): LedgerDecision<Answer> {
@@ -147,7 +150,7 @@
         : { kind: "forbidden" };
     }
     const { epoch } = parts.value;
-    if (entries.size >= maximumEntries) makeRoom();
+    if (entries.size >= maximumEntries) makeRoom(now);
     if (epoch < oldestEpoch || epoch > epochAt(now) + MAXIMUM_LEAD_EPOCHS) {
       return { kind: "expired" };
     }
--- a/src/core/execution_ledger_test.ts
+++ b/src/core/execution_ledger_test.ts
@@ -126,3 +126,12 @@
     kind: "forbidden",
   });
 });
+
+test("guards against refusing new requests when one epoch fills the table", (t) => {
+  const ledger = createLedger(10);
+  for (let index = 0; index < 100; index++) {
+    const id = ledger.issue(`random-${index}`, 0);
+    t.is(ledger.begin(id, TEMPLE, 0).kind, "run");
+    ledger.settle(id, { kind: "finished", answer: "x", answerBytes: 1 });
+  }
+});
--- a/src/metrics.ts
+++ b/src/metrics.ts
@@ -58,6 +58,12 @@
       help: "Configuration generation in force",
       registers,
     }),
+    alarms: new Gauge({
+      name: `${prefix}alarm`,
+      help: "1 while an alarm is raised, by alarm",
+      labelNames: ["alarm"],
+      registers,
+    }),
     members: new Gauge({
       name: `${prefix}members`,
       help: "Live members as this router sees them",
--- a/src/operator_client.ts
+++ b/src/operator_client.ts
@@ -272,9 +272,15 @@
     const known = (await this.routers()).unwrapOr([]).map(({ host }) => host);
     const head = await readHead(this.#platform);
     const drained = head.unwrapOr(undefined)?.head.drains;
-    const isHost = [...listed, ...known, ...drained?.hosts ?? []].includes(
-      name,
-    );
+    const configured = Object.values(fleet.value.backendServers).map((
+      { host },
+    ) => host);
+    const isHost = [
+      ...listed,
+      ...known,
+      ...configured,
+      ...drained?.hosts ?? [],
+    ].includes(name);
     if (isBackendServer && isHost) {
       return err(
         createError(
--- a/src/request_limits.ts
+++ b/src/request_limits.ts
@@ -100,7 +100,10 @@
     async limitChat(workspace, run) {
       const acquired = acquire(workspace);
       if (acquired.isErr()) return err(acquired.error);
-      const started = await run();
+      const started = await run().catch((cause: unknown) => {
+        release(workspace);
+        throw cause;
+      });
       if (started.isErr()) {
         release(workspace);
         return err(started.error);
--- a/src/router.ts
+++ b/src/router.ts
@@ -149,6 +149,7 @@
     platform,
     timers,
     random,
+    onAlarm: reportAlarm,
   });
   const configuration = configurationTask.view;
   const loads = new LoadTask({ members, configuration, network, timers });
@@ -297,6 +298,12 @@
   let stopping: Promise<void> | undefined;
   const { promise: stopped, resolve: markStopped } = _createSignal();
 
+  function reportAlarm(alarm: string, detail: string | undefined): void {
+    metrics.alarms.set({ alarm }, detail === undefined ? 0 : 1);
+    if (detail === undefined) logger.info({ alarm }, "alarm ended");
+    else logger.warn({ alarm, detail }, "alarm raised");
+  }
+
   /** Engines know chats as `workspace/chat`. */
   function rememberMovedChat(name: string, target: string): void {
     const separator = name.indexOf("/");
--- a/src/slot_search.ts
+++ b/src/slot_search.ts
@@ -69,10 +69,10 @@
 
 function _toError(
   refusal: SlotRefusal | undefined,
-  deadlinePassed: boolean,
+  hasAsked: boolean,
 ): ApplicationError {
   if (refusal) return createError("overloaded", refusal.reason);
-  return deadlinePassed
+  return hasAsked
     ? createError("no_backend_server", "no backend server serves this now")
     : createError("deadline_exceeded", "before a slot was looked for");
 }
