--- a/bench/main.ts
+++ b/bench/main.ts
@@ -15,6 +15,7 @@
     orders: () => import("./orders_bench.ts"),
     overhead: () => import("./overhead.ts"),
     skew: () => import("./skew.ts"),
+    traffic: () => import("./traffic.ts"),
   };
 
 const DEFAULT_SEED = 1;
