Rank members for servers and limit holders once per membership change

Cause: the observation of backend servers ranked all members for each configured server every second, and renewals of limits for each active workspace every 500 ms.

Change: both keep the chosen member until the membership changes, as the admission client does.

--- a/src/backend_state_task.ts
+++ b/src/backend_state_task.ts
@@ -26,7 +26,7 @@
 import type { RandomSource } from "./core/random.ts";
 import { versionName } from "./core/routing_index.ts";
 import type { EngineState } from "./engine_protocol.ts";
-import type { MembershipView } from "./membership_view.ts";
+import type { Member, MembershipView } from "./membership_view.ts";
 import type { PeerNetwork } from "./peer_network.ts";
 import { Task } from "./task.ts";
 import type { Subscription, TimerService } from "./timer_service.ts";
@@ -96,6 +96,8 @@
   readonly states = new BackendStates();
   readonly #options: BackendStateTaskOptions;
   readonly #observations = new Map<BackendServerId, _Observation>();
+  /** Stewards of servers among the present members; ranked once per change. */
+  readonly #stewards = new Map<BackendServerId, Member | undefined>();
   #subscriptions: Subscription[] = [];
 
   constructor(options: BackendStateTaskOptions) {
@@ -104,7 +106,8 @@
   }
 
   override async start(): Promise<void> {
-    const { network, timers, configuration } = this.#options;
+    const { network, members, timers, configuration } = this.#options;
+    members.onChange(() => this.#stewards.clear());
     network.handle("backend.state", (body) => this.#handle(body));
     configuration.onChange(({ fleet }) => this.#retainServersOf(fleet));
     this.#subscriptions = [
@@ -152,6 +155,9 @@
       return Object.hasOwn(fleet.backendServers, id);
     }
     this.states.retain(isKept);
+    for (const id of this.#stewards.keys()) {
+      if (!isKept(id)) this.#stewards.delete(id);
+    }
     this.#options.holdOut.retain(isKept);
   }
 
@@ -198,12 +204,20 @@
     const live = members.liveMembers().filter((member) => !member.leaving);
     for (const [name, server] of Object.entries(servers)) {
       const id = brandId<BackendServerId>(name);
-      if (stewardOf(id, live)?.incarnation === self) {
+      if (this.#stewardOf(id, live)?.incarnation === self) {
         void this.#observe(id, server);
       } else this.#observations.delete(id);
     }
   }
 
+  #stewardOf(
+    id: BackendServerId,
+    live: readonly Member[],
+  ): Member | undefined {
+    if (!this.#stewards.has(id)) this.#stewards.set(id, stewardOf(id, live));
+    return this.#stewards.get(id);
+  }
+
   async #observe(id: BackendServerId, server: BackendServer): Promise<void> {
     const observation = this.#observations.get(id) ??
       { failures: 0, isBusy: false, cacheSequence: undefined };
--- a/src/limits_task.ts
+++ b/src/limits_task.ts
@@ -75,6 +75,8 @@
   readonly #limits: Limits;
   readonly #holder: LimitHolder = createLimitHolder();
   readonly #subscriptions: Subscription[] = [];
+  /** Holders of the active workspaces among the present members. */
+  #holders: ReadonlyMap<WorkspaceId, Member> = new Map();
   #renewalsSent = 0;
   #renewalsFailed = 0;
 
@@ -95,6 +97,7 @@
   }
 
   override async start(): Promise<void> {
+    this.#options.view.onChange(() => this.#holders = new Map());
     this.#options.network.handle("limits.renew", (body, from) => {
       const parsed = _renewalSchema.safeParse(body);
       if (!parsed.success) throw new Error("malformed limits.renew");
@@ -138,14 +141,22 @@
       !member.leaving
     );
     const batches = new Map<Member, LimitRenewal[]>();
+    const holders = new Map<WorkspaceId, Member>();
     for (const renewal of this.#limits.renewals(this.#now())) {
-      const key = `limits/${renewal.workspace}`;
-      const holder = pickByRendezvous(key, candidates, ({ host }) => host);
+      const { workspace } = renewal;
+      const holder = this.#holders.get(workspace) ??
+        pickByRendezvous(
+          `limits/${workspace}`,
+          candidates,
+          ({ host }) => host,
+        );
       if (!holder) continue;
+      holders.set(workspace, holder);
       const batch = batches.get(holder);
       if (batch) batch.push(renewal);
       else batches.set(holder, [renewal]);
     }
+    this.#holders = holders;
     await Promise.all(
       [...batches].map(([holder, batch]) => this.#renewWith(holder, batch)),
     );
