Add the capacity page and the slopes bench behind it

Cause: the design names docs/CAPACITY.md, and nothing showed what a node spends at full size.

Change: the bench slopes measures every duty at four sizes with the real modules, fits lines, and calculates the full size.

--- a/bench/bench_report.ts
+++ b/bench/bench_report.ts
@@ -5,6 +5,8 @@
   readonly seed: number;
   /** True for the larger sizes, which take longer than 45 s. */
   readonly large: boolean;
+  /** Whether a bench that keeps figures in files writes them. */
+  readonly write?: boolean;
 }
 
 /** A regression bound taken from a stated target. */
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -13,6 +13,7 @@
     control: () => import("./control.ts"),
     decision: () => import("./decision.ts"),
     orders: () => import("./orders_bench.ts"),
+    slopes: () => import("./slopes.ts"),
     skew: () => import("./skew.ts"),
   };
 
@@ -39,7 +40,7 @@
 
 async function runNamed(
   name: string | undefined,
-  options: { json?: boolean; large?: boolean; seed?: number },
+  options: { json?: boolean; large?: boolean; seed?: number; write?: boolean },
 ): Promise<void> {
   const load = name === undefined ? undefined : BENCHES[name];
   if (!load) {
@@ -53,6 +54,7 @@
   const report = await runBench({
     seed: options.seed ?? DEFAULT_SEED,
     large: options.large ?? false,
+    write: options.write ?? false,
   });
   printReport(report, options.json ?? false);
   process.exitCode = isPassed(report) ? 0 : 1;
@@ -62,6 +64,7 @@
 command.command("[name]", "Runs one bench")
   .option("--json", "Print one JSON object as the last line")
   .option("--large", "Use the larger sizes")
+  .option("--write", "Write the figures to their files (slopes)")
   .option("--seed <number>", "Seed of the run")
   .action(runNamed);
 command.help();
--- /dev/null
+++ b/bench/slopes_measure.ts
@@ -0,0 +1,78 @@
+/** Measuring helpers of the slopes bench: heap, processor time and line fits. */
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+
+/** One metric measured at several sizes, with its least-squares line. */
+export interface Slope {
+  readonly duty: string;
+  readonly metric: string;
+  /** What the size counts. */
+  readonly driver: string;
+  readonly sizes: readonly number[];
+  readonly values: readonly number[];
+  readonly slope: number;
+  readonly intercept: number;
+  /** Root mean square of the residuals relative to the mean value. */
+  readonly residual: number;
+}
+
+setFlagsFromString("--expose-gc");
+const _collectGarbage = runInNewContext("gc") as () => void;
+
+/** Bytes in use after a garbage collection. */
+export function usedBytes(): number {
+  _collectGarbage();
+  const { heapUsed, arrayBuffers } = process.memoryUsage();
+  return heapUsed + arrayBuffers;
+}
+
+/** Processor microseconds since the start of the process. */
+export function cpuMicroseconds(): number {
+  const { user, system } = process.cpuUsage();
+  return user + system;
+}
+
+/** Rounds to significant digits, so that figures are short on the page. */
+export function significant(value: number, digits = 4): number {
+  return Number(value.toPrecision(digits));
+}
+
+/** Fits a line through the points. */
+export function fitSlope(
+  duty: string,
+  metric: string,
+  driver: string,
+  points: readonly (readonly [number, number])[],
+): Slope {
+  const count = points.length;
+  const meanX = points.reduce((sum, [x]) => sum + x, 0) / count;
+  const meanY = points.reduce((sum, [, y]) => sum + y, 0) / count;
+  let [covariance, variance] = [0, 0];
+  for (const [x, y] of points) {
+    covariance += (x - meanX) * (y - meanY);
+    variance += (x - meanX) ** 2;
+  }
+  const slope = covariance / variance;
+  const intercept = meanY - slope * meanX;
+  const squares = points.reduce(
+    (sum, [x, y]) => sum + (y - intercept - slope * x) ** 2,
+    0,
+  );
+  return {
+    duty,
+    metric,
+    driver,
+    sizes: points.map(([x]) => x),
+    values: points.map(([, y]) => significant(y)),
+    slope: significant(slope),
+    intercept: significant(intercept),
+    residual: meanY === 0
+      ? 0
+      : significant(Math.sqrt(squares / count) / Math.abs(meanY), 2),
+  };
+}
+
+/** Value of a fitted line at a size. */
+export function valueAt({ slope, intercept }: Slope, size: number): number {
+  return intercept + slope * size;
+}
--- /dev/null
+++ b/bench/slopes_router.ts
@@ -0,0 +1,343 @@
+/**
+ * The cost of membership, of observing backend servers, of order-giving and of
+ * the caller entry. HTTP bytes are counted by a relay on the loopback address.
+ */
+import { connect, createServer, type Socket } from "node:net";
+import { err, ok } from "neverthrow";
+import { AdmissionTask } from "../src/admission_task.ts";
+import {
+  type BackendClient,
+  createHttpBackendClient,
+} from "../src/backend_client.ts";
+import { BackendStateTask } from "../src/backend_state_task.ts";
+import type { ChatHomeTask } from "../src/chat_home_task.ts";
+import { createExecutionLedger } from "../src/core/execution_ledger.ts";
+import { createHoldOut } from "../src/core/hold_out.ts";
+import { createError } from "../src/core/errors.ts";
+import {
+  type BackendServerId,
+  brandId,
+  type SocketAddress,
+  type WorkspaceId,
+} from "../src/core/ids.ts";
+import { createSeededRandom } from "../src/core/random.ts";
+import type { EngineState } from "../src/engine_protocol.ts";
+import { LoadSource } from "../src/load_source.ts";
+import { LoadTask } from "../src/load_task.ts";
+import { createOrderTask } from "../src/order_task.ts";
+import { createSystemTimerService } from "../src/timer_service.ts";
+import { startEngine } from "../stand_ins/engine.ts";
+import { createMembershipFleet } from "../stand_ins/membership_fleet.ts";
+import { PlatformStore } from "../stand_ins/platform_store.ts";
+import { createStoreClient } from "../stand_ins/store_client.ts";
+import { runBench as runDecision } from "./decision.ts";
+import {
+  FixedConfiguration,
+  MemoryFleet,
+  MESSAGE_OVERHEAD_BYTES,
+} from "./memory_fleet.ts";
+import { snapshotOf } from "./slopes_configuration.ts";
+import {
+  cpuMicroseconds,
+  fitSlope,
+  type Slope,
+  usedBytes,
+} from "./slopes_measure.ts";
+import { fitAll } from "./slopes_tasks.ts";
+
+const MEMBER_SIZES = [51, 102, 205, 410];
+const JOIN_LIMIT_MILLISECONDS = 60_000;
+const SETTLE_MILLISECONDS = 5_000;
+const IDLE_SECONDS = 4;
+const DATA_CENTRES = 7;
+const ENGINE_SIZES = [220, 440, 660, 880];
+const ROUTERS = 410;
+const OBSERVE_SECONDS = 5;
+const ORDER_SECONDS = 60;
+const LEDGER_SIZES = [5_000, 10_000, 20_000, 40_000];
+const POLLS = [20, 40, 80, 160];
+/** Each byte is sent by one router and received by another; both count. */
+const ENDS = 2;
+
+async function _measureMembership(size: number) {
+  const before = usedBytes();
+  const fleet = createMembershipFleet({
+    size,
+    dataCentres: DATA_CENTRES,
+    seed: 1,
+    loss: 0,
+    encode: true,
+  });
+  fleet.advanceUntil(() => fleet.isConverged(), JOIN_LIMIT_MILLISECONDS);
+  fleet.advance(SETTLE_MILLISECONDS);
+  const stateBytes = usedBytes() - before;
+  const { bytes, messages } = fleet.traffic;
+  const cpu = cpuMicroseconds();
+  fleet.advance(1_000 * IDLE_SECONDS);
+  const spent = cpuMicroseconds() - cpu;
+  const sent = fleet.traffic.messages - messages;
+  const sentBytes = fleet.traffic.bytes - bytes + MESSAGE_OVERHEAD_BYTES * sent;
+  const perRouter = size * IDLE_SECONDS;
+  const start = fleet.traffic.bytes;
+  const startMessages = fleet.traffic.messages;
+  const victim = fleet.running()[size >> 1];
+  if (victim) fleet.kill(victim);
+  fleet.advance(SETTLE_MILLISECONDS);
+  if (victim) fleet.restart(victim);
+  fleet.advance(SETTLE_MILLISECONDS);
+  const event = fleet.traffic.bytes - start +
+    MESSAGE_OVERHEAD_BYTES * (fleet.traffic.messages - startMessages) -
+    2 * SETTLE_MILLISECONDS / 1_000 * sentBytes / IDLE_SECONDS;
+  return {
+    "messages a second": ENDS * sent / perRouter,
+    "bytes a second": ENDS * sentBytes / perRouter,
+    "processor microseconds a second": spent / perRouter,
+    "state bytes": stateBytes / size,
+    "bytes of one failure and replacement": ENDS * event / size,
+  };
+}
+
+const _SERVING: EngineState = {
+  items: Array.from({ length: 5 }, (_unused, index) => ({
+    model: `model-${index}`,
+    version: "v1",
+    state: "serving" as const,
+  })),
+  modelSlots: 8,
+  fencingNumber: 0,
+};
+
+async function _measureObservation(engines: number) {
+  const fleet = new MemoryFleet(ROUTERS, DATA_CENTRES);
+  let calls = 0;
+  const backends = {
+    readState: () => {
+      calls++;
+      return Promise.resolve(ok(_SERVING));
+    },
+    readCacheEvents: () => {
+      calls++;
+      return Promise.resolve(ok({ latest: 0, events: [] }));
+    },
+  } as unknown as BackendClient;
+  const before = usedBytes();
+  const task = new BackendStateTask({
+    network: fleet.network(0),
+    members: fleet.view(0),
+    configuration: new FixedConfiguration(snapshotOf(0, engines)),
+    backends,
+    chatHome: {} as ChatHomeTask,
+    holdOut: createHoldOut(),
+    timers: fleet.timers,
+    random: createSeededRandom(1),
+  });
+  await task.start();
+  await fleet.run(2_000);
+  const stateBytes = usedBytes() - before;
+  const [cpu, start] = [cpuMicroseconds(), calls];
+  await fleet.run(1_000 * OBSERVE_SECONDS);
+  return {
+    "processor microseconds a second": (cpuMicroseconds() - cpu) /
+      OBSERVE_SECONDS,
+    "calls to engines a second": (calls - start) / OBSERVE_SECONDS,
+    "state bytes": Math.max(0, stateBytes),
+  };
+}
+
+class _NoLoads extends LoadSource {
+  override readLoad(id: BackendServerId) {
+    return Promise.resolve(err(createError("not_found", id)));
+  }
+}
+
+/** What a change of the members or the configuration costs the stewards. */
+async function _measureAssignment(engines: number) {
+  const fleet = new MemoryFleet(ROUTERS, DATA_CENTRES);
+  const base = {
+    members: fleet.view(0),
+    configuration: new FixedConfiguration(snapshotOf(0, engines)),
+    network: fleet.network(0),
+    timers: fleet.timers,
+  };
+  const loads = new LoadTask(base);
+  const task = new AdmissionTask({
+    ...base,
+    loads,
+    loadSource: new _NoLoads(),
+  });
+  const cpu = cpuMicroseconds();
+  await task.start();
+  const spent = cpuMicroseconds() - cpu;
+  await task.stop();
+  return { "processor microseconds of assigning duties": spent };
+}
+
+/** One router holds all 64 groups, so the figures are those of the fleet. */
+async function _measureOrders(engines: number) {
+  const fleet = new MemoryFleet(1, 1);
+  const store = new PlatformStore();
+  const platform = createStoreClient(store);
+  const before = usedBytes();
+  let calls = 0;
+  const one = snapshotOf(0, engines);
+  const items = new Map<string, EngineState>();
+  for (const [name, placement] of Object.entries(one.fleet.placements)) {
+    for (const engine of placement.backendServers) {
+      items.set(one.fleet.backendServers[engine]?.address ?? name, {
+        items: [{ model: placement.model, version: "v1", state: "serving" }],
+        modelSlots: 2,
+        fencingNumber: 0,
+      });
+    }
+  }
+  const task = createOrderTask({
+    platform,
+    backend: {
+      readState: (address: string) => {
+        calls++;
+        return Promise.resolve(ok(items.get(address) ?? _SERVING));
+      },
+      sendOrder: () => Promise.reject(new Error("an order was sent")),
+    },
+    membership: fleet.view(0),
+    configuration: new FixedConfiguration(one),
+    timers: fleet.timers,
+    random: createSeededRandom(1),
+  });
+  await task.start();
+  await fleet.run(40_000);
+  const stateBytes = usedBytes() - before;
+  const { reads, writes } = platform.counters();
+  const [cpu, start] = [cpuMicroseconds(), calls];
+  await fleet.run(1_000 * ORDER_SECONDS);
+  const spent = cpuMicroseconds() - cpu;
+  await task.stop();
+  return {
+    "platform writes a second, fleet": (platform.counters().writes - writes) /
+      ORDER_SECONDS,
+    "platform reads a second, fleet": (platform.counters().reads - reads) /
+      ORDER_SECONDS,
+    "calls to engines a second, fleet": (calls - start) / ORDER_SECONDS,
+    "processor microseconds a second, fleet": spent / ORDER_SECONDS,
+    "state bytes, fleet": stateBytes,
+    "lease value bytes": store.current("lease/orders/1")?.value.length ?? NaN,
+  };
+}
+
+function _closed(socket: Socket): Promise<void> {
+  return new Promise((resolve) => socket.once("close", () => resolve()));
+}
+
+/** Bytes on the wire of polls of an engine's load and state. */
+async function _measurePolls(): Promise<Slope[]> {
+  const engine = await startEngine({ models: ["model-0@v1"] });
+  let bytes = 0;
+  const sockets: Promise<void>[] = [];
+  const [host = "", port = ""] = engine.address.split(":");
+  const relay = createServer((from) => {
+    const to = connect(Number(port), host);
+    sockets.push(_closed(from));
+    from.on("data", (data) => bytes += data.length);
+    to.on("data", (data) => bytes += data.length);
+    from.on("error", () => to.destroy());
+    to.on("error", () => from.destroy());
+    from.pipe(to).pipe(from);
+  });
+  await new Promise<void>((resolve) => relay.listen(0, "127.0.0.1", resolve));
+  const bound = relay.address();
+  const address = brandId<SocketAddress>(
+    `127.0.0.1:${typeof bound === "object" ? bound?.port : 0}`,
+  );
+  const timers = createSystemTimerService();
+  const client = createHttpBackendClient({ timers });
+  const kinds = {
+    "bytes of load polls": () => client.readLoad(address),
+    "bytes of state polls": () => client.readState(address),
+    "bytes of cache event polls": () => client.readCacheEvents(address, 0),
+  };
+  const slopes: Slope[] = [];
+  for (const [metric, poll] of Object.entries(kinds)) {
+    const points: [number, number][] = [];
+    for (const polls of POLLS) {
+      const start = bytes;
+      for (let index = 0; index < polls; index++) {
+        (await poll())._unsafeUnwrap();
+      }
+      points.push([
+        polls,
+        bytes - start + ENDS * MESSAGE_OVERHEAD_BYTES * polls,
+      ]);
+    }
+    slopes.push(fitSlope("engine polls", metric, "polls", points));
+  }
+  await client.stop();
+  relay.close();
+  await engine.stop();
+  await Promise.all(sockets);
+  timers.stop();
+  return slopes;
+}
+
+async function _measureLedger(requests: number) {
+  const before = usedBytes();
+  const ledger = createExecutionLedger<Buffer>({
+    incarnation: brandId("0123456789abcdef"),
+  });
+  const random = createSeededRandom(1);
+  const cpu = cpuMicroseconds();
+  for (let index = 0; index < requests; index++) {
+    const id = ledger.issue(random.token(), 1_000_000);
+    ledger.begin(id, brandId<WorkspaceId>(`workspace-${index % 343}`), 1e6);
+    ledger.settle(id, { kind: "refused" });
+  }
+  const spent = cpuMicroseconds() - cpu;
+  const stateBytes = usedBytes() - before;
+  const counted = ledger.counts();
+  return {
+    "ledger state bytes": stateBytes,
+    "ledger processor microseconds": spent,
+    "ledger entries": Object.values(counted).reduce(
+      (sum, count) => sum + count,
+      0,
+    ),
+  };
+}
+
+async function _decisionSlopes(): Promise<Slope[]> {
+  const report = await runDecision({ seed: 1, large: false });
+  return ["decision_microseconds", "bytes_per_chat"].map((column) =>
+    fitSlope(
+      "caller entry",
+      column.replaceAll("_", " "),
+      "engines",
+      report.rows.map((row) => [Number(row.engines), Number(row[column])]),
+    )
+  );
+}
+
+function _measureHosts(hosts: number) {
+  const list = Array.from({ length: hosts }, (_unused, index) => ({
+    host: `host-${index}`,
+    state: "live",
+  }));
+  return Promise.resolve({ "host list bytes": JSON.stringify(list).length });
+}
+
+/** Measures the duties of a router that need no traffic between routers. */
+export async function routerSlopes(): Promise<Slope[]> {
+  return [
+    ...await fitAll("membership", "routers", MEMBER_SIZES, _measureMembership),
+    ...await fitAll(
+      "backend observation",
+      "engines",
+      ENGINE_SIZES,
+      _measureObservation,
+    ),
+    ...await fitAll("steward", "engines", ENGINE_SIZES, _measureAssignment),
+    ...await fitAll("order-giver", "engines", ENGINE_SIZES, _measureOrders),
+    ...await _measurePolls(),
+    ...await fitAll("caller entry", "requests", LEDGER_SIZES, _measureLedger),
+    ...await _decisionSlopes(),
+    ...await fitAll("host list", "hosts", MEMBER_SIZES, _measureHosts),
+  ];
+}
