Tell the loser of a race who won; add configuration failure runs

Cause: an apply read the head, another operator won, and routers adopted the winner before the apply asked them for their generation. It then reported that the platform's store had gone back, with exit code 1, and asked for a higher generation, which invites the operator to overwrite the winner.

Ruled out: a store that went back; the head read again names the winner.

Change: when the routers' generation forbids a plan, the head is read again; a head that moved is a lost race (configuration_conflict, exit code 3). The run configuration_faults covers racing operators, lost replies, an outage between chunk and head, stale reads, a router that starts in an outage, silent watches and a store that goes back. A stopped router shows that the bound can fail.

--- a/invariants/main.ts
+++ b/invariants/main.ts
@@ -4,6 +4,7 @@
  */
 import { cac } from "cac";
 import { AT_MOST_ONCE_INVARIANTS } from "./at_most_once.ts";
+import { CONFIGURATION_INVARIANTS } from "./configuration.ts";
 import { GRACEFUL_STOP_INVARIANTS } from "./graceful_stop.ts";
 import { MEMBERSHIP_INVARIANTS } from "./membership.ts";
 import type { Invariant, InvariantOutcome } from "./invariant.ts";
@@ -12,6 +13,7 @@
   ...AT_MOST_ONCE_INVARIANTS,
   ...GRACEFUL_STOP_INVARIANTS,
   ...MEMBERSHIP_INVARIANTS,
+  ...CONFIGURATION_INVARIANTS,
 ];
 
 const DEFAULT_SEED = 1;
--- a/src/core/configuration_apply.ts
+++ b/src/core/configuration_apply.ts
@@ -137,13 +137,19 @@
   if (floor.isErr()) return err(floor.error);
   const seen = Math.max(floor.value, await options.fleetGeneration?.() ?? 0);
   const { baseGeneration, head } = plan;
-  if (head.generation <= Math.max(seen, baseGeneration)) {
-    return err(_storeWentBack(Math.max(seen, baseGeneration)));
-  }
-  if (seen > baseGeneration && options.generation === undefined) {
-    return err(_storeWentBack(seen));
-  }
-  return ok(undefined);
+  const highest = Math.max(seen, baseGeneration);
+  const isAbove = head.generation > highest;
+  const mustFollow = options.generation === undefined;
+  if (isAbove && !(mustFollow && seen > baseGeneration)) return ok(undefined);
+  // Routers may already have a generation that won after the head was read.
+  const current = await readHead(options.client);
+  if (current.isErr()) return err(current.error);
+  const verdict = judgeReadBack(plan, current.value, { replyLost: false });
+  return err(
+    verdict.kind === "lost"
+      ? _conflict(plan, verdict.winner)
+      : _storeWentBack(highest),
+  );
 }
 
 /** Whether a failed write certainly changed nothing. */
--- a/src/core/configuration_apply_test.ts
+++ b/src/core/configuration_apply_test.ts
@@ -175,6 +175,24 @@
   t.is(sleeps, 2);
 });
 
+test("guards against telling the loser of a race that the store went back", async (t) => {
+  const { store, options } = setUp();
+  await applyFleet(fleetNamed("a"), options("1"));
+  async function winFirst(): Promise<number> {
+    await applyFleet(fleetNamed("b"), options("2"));
+    return 2;
+  }
+  const lost = await applyFleet(
+    fleetNamed("c"),
+    options("3", { fleetGeneration: winFirst }),
+  );
+  t.deepEqual(lost._unsafeUnwrapErr().path, ["head", "2"]);
+  t.is(
+    (await readHead(createStoreClient(store)))._unsafeUnwrap()?.head.applyId,
+    "2",
+  );
+});
+
 test("guards against drains that an apply takes back", async (t) => {
   const { store, options } = setUp();
   await applyFleet(fleetNamed("a"), options("1"));
