Close peer connections whose peer vanished

Cause: a peer whose host vanishes sends neither FIN nor RST, and the network kept the connection and wrote to it until TCP gave up. Besides, the close event of an old socket could come while a new dial was in progress and failed it.

Change: 1 s after a request without any byte from the peer a keepalive is sent; after 3 s of silence the connection is closed and the next message dials anew. The keepalive keeps slow work for a request from being taken for silence. A dialled socket no longer reports failure to the dial once it is connected.

Conclusion: shown through a relay that swallows bytes, not with a host that was unplugged.

--- a/src/peer_connection.ts
+++ b/src/peer_connection.ts
@@ -64,6 +64,8 @@
     reply: boolean,
     body: unknown,
   ): boolean;
+  /** Time since the first request after the last byte received; 0 without one. */
+  unansweredMilliseconds(): number;
   close(reason: ApplicationError): void;
 }
 
@@ -96,6 +98,7 @@
   let claimed: PeerIdentity | undefined;
   let proved = false;
   let closed = false;
+  let unansweredSince: number | undefined;
   const handshakeTimer = setTimeout(() => {
     close(createError("peer_unreachable", "the handshake timed out"));
   }, HANDSHAKE_TIMEOUT_MILLISECONDS);
@@ -124,6 +127,7 @@
       b: body,
     });
     if (encoded.isErr()) return false;
+    if (correlation !== 0 && !reply) unansweredSince ??= performance.now();
     counters.messagesSent++;
     counters.bytesSent += encoded.value.length;
     socket.write(encoded.value);
@@ -184,11 +188,14 @@
     identity: () => proved ? claimed : undefined,
     send: (kind, correlation, reply, body) =>
       proved && send(kind, correlation, reply, body),
+    unansweredMilliseconds: () =>
+      unansweredSince === undefined ? 0 : performance.now() - unansweredSince,
     close,
   };
 
   socket.setNoDelay(true);
   socket.on("data", (bytes) => {
+    unansweredSince = undefined;
     counters.bytesReceived += bytes.length;
     const frames = reader.push(bytes);
     if (frames.isErr()) return close(frames.error);
--- a/src/peer_network.ts
+++ b/src/peer_network.ts
@@ -34,6 +34,7 @@
   "limits.renew",
   "backend.state",
   "hosts.listed",
+  "network.keepalive",
 ] as const;
 
 /** One of the closed list of message kinds. */
--- a/src/tcp_peer_network.ts
+++ b/src/tcp_peer_network.ts
@@ -18,6 +18,11 @@
 } from "./core/errors.ts";
 import { brandId, type SocketAddress } from "./core/ids.ts";
 import type { Frame } from "./frame_codec.ts";
+import {
+  type Keepalive,
+  KEEPALIVE_KIND,
+  startKeepalive,
+} from "./peer_keepalive.ts";
 import {
   createPeerConnection,
   type PeerConnection,
@@ -94,15 +99,21 @@
   #nextCorrelation = 1;
   #stopped = false;
   #rejectedConnections = 0;
+  #keepalive: Keepalive | undefined;
 
   constructor(options: TcpPeerNetworkOptions) {
     super();
     this.#options = options;
+    this.handle(KEEPALIVE_KIND, () => ({}));
   }
 
   override async start(): Promise<SocketAddress> {
     const server = createServer((socket) => this.#adopt(socket, false));
     this.#server = server;
+    this.#keepalive = startKeepalive({
+      connections: this.#connections,
+      nextCorrelation: () => this.#nextCorrelation++,
+    });
     await new Promise<void>((resolve, reject) => {
       server.once("error", reject);
       server.listen(this.#options.port, this.#options.host, resolve);
@@ -114,6 +125,7 @@
 
   override async stop(): Promise<void> {
     this.#stopped = true;
+    this.#keepalive?.stop();
     const reason = createError("stopping", "the router stops");
     for (const connection of [...this.#connections]) connection.close(reason);
     for (const correlation of [...this.#pending.keys()]) {
@@ -182,6 +194,7 @@
       ),
       pendingRequests: this.#pending.size,
       rejectedConnections: this.#rejectedConnections,
+      silentConnections: this.#keepalive?.silentConnections() ?? 0,
       ...this.#counters,
     };
   }
@@ -242,12 +255,16 @@
       timeout: CONNECT_TIMEOUT_MILLISECONDS,
     });
     socket.once("timeout", () => socket.destroy());
+    const failed = this.#dialFailed.bind(this, to);
     socket.once("connect", () => {
       socket.setTimeout(0);
+      // The connection reports its own end; a late event would fail a new dial.
+      socket.off("error", failed);
+      socket.off("close", failed);
       this.#adopt(socket, true, to);
     });
-    socket.once("error", () => this.#dialFailed(to));
-    socket.once("close", () => this.#dialFailed(to));
+    socket.once("error", failed);
+    socket.once("close", failed);
   }
 
   #dialFailed(to: SocketAddress): void {
--- /dev/null
+++ b/src/tcp_peer_network_test.ts
@@ -0,0 +1,95 @@
+import test from "ava";
+import { connect, createServer, type Socket } from "node:net";
+import {
+  brandId,
+  type DataCentreId,
+  type HostId,
+  type IncarnationId,
+  type SocketAddress,
+} from "./core/ids.ts";
+import { createTcpPeerNetwork } from "./tcp_peer_network.ts";
+
+function createNetwork(host: string) {
+  return createTcpPeerNetwork({
+    host: "127.0.0.1",
+    port: 0,
+    fleetKey: "key",
+    identity: {
+      host: brandId<HostId>(host),
+      dataCentre: brandId<DataCentreId>("asahikawa"),
+      incarnation: brandId<IncarnationId>(`${host}-1`),
+    },
+  });
+}
+
+/** A relay that can swallow all bytes of its open connections, as a dead host does. */
+async function startRelay(target: string) {
+  const swallowed = new Set<Socket>();
+  const sockets = new Set<Socket>();
+  let accepted = 0;
+  const server = createServer((incoming) => {
+    accepted++;
+    const outgoing = connect(Number(target.split(":")[1]), "127.0.0.1");
+    for (const [from, to] of [[incoming, outgoing], [outgoing, incoming]]) {
+      sockets.add(from as Socket);
+      from?.on("data", (bytes) => {
+        if (!swallowed.has(from)) to?.write(bytes);
+      });
+      from?.on("error", () => undefined);
+      from?.on("close", () => to?.destroy());
+    }
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as { port: number };
+  return {
+    address: brandId<SocketAddress>(`127.0.0.1:${port}`),
+    accepted: () => accepted,
+    swallow: () => sockets.forEach((socket) => swallowed.add(socket)),
+    close() {
+      for (const socket of sockets) socket.destroy();
+      server.close();
+    },
+  };
+}
+
+test("guards against keeping a connection whose peer vanished without closing it", async (t) => {
+  const [left, right] = [createNetwork("host-0"), createNetwork("host-1")];
+  await left.start();
+  const relay = await startRelay(await right.start());
+  t.teardown(async () => {
+    relay.close();
+    await Promise.all([left.stop(), right.stop()]);
+  });
+  right.handle("membership.probe", () => "alive");
+  function probe() {
+    return left.request(relay.address, "membership.probe", {}, 1_000);
+  }
+  t.is((await probe())._unsafeUnwrap(), "alive");
+  relay.swallow();
+  t.is((await probe())._unsafeUnwrapErr().kind, "outcome_unknown");
+  const deadline = performance.now() + 6_000;
+  let answer = await probe();
+  while (answer.isErr() && performance.now() < deadline) {
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    answer = await probe();
+  }
+  t.is(answer.unwrapOr(undefined), "alive");
+  t.is(relay.accepted(), 2);
+});
+
+test("guards against closing a connection whose peer works long on a request", async (t) => {
+  const [left, right] = [createNetwork("host-0"), createNetwork("host-1")];
+  t.teardown(() => Promise.all([left.stop(), right.stop()]).then(() => {}));
+  await left.start();
+  const address = await right.start();
+  right.handle(
+    "execution.run",
+    () => new Promise((resolve) => setTimeout(resolve, 4_500, "done")),
+  );
+  const answer = await left.request(address, "execution.run", {}, 6_000);
+  t.is(answer.unwrapOr(undefined), "done");
+  const { silentConnections } = left.describe() as {
+    silentConnections: number;
+  };
+  t.is(silentConnections, 0);
+});
