Add failure runs for whole answers

Change: whole_answers.ts sends 40 parallel chats in each of three rounds while engines cut, stall and drop streams and a router is killed, and compares each answer with the expected tokens. A caller that takes the end of a connection as the end of the answer must break on the same check. system_under_test.ts is renamed: its name matched the pattern of test files, and ava reported a file without tests.

--- a/invariants/at_most_once.ts
+++ b/invariants/at_most_once.ts
@@ -17,7 +17,7 @@
   startNaiveSystem,
   startRouterSystem,
   type SystemUnderTest,
-} from "./system_under_test.ts";
+} from "./tested_system.ts";
 
 const DEFAULT_ROUNDS = 10;
 const DEFAULT_NAIVE_ROUNDS = 4;
--- a/invariants/main.ts
+++ b/invariants/main.ts
@@ -8,12 +8,14 @@
 import { GRACEFUL_STOP_INVARIANTS } from "./graceful_stop.ts";
 import { MEMBERSHIP_INVARIANTS } from "./membership.ts";
 import type { Invariant, InvariantOutcome } from "./invariant.ts";
+import { WHOLE_ANSWERS_INVARIANTS } from "./whole_answers.ts";
 
 const INVARIANTS: readonly Invariant[] = [
   ...AT_MOST_ONCE_INVARIANTS,
   ...GRACEFUL_STOP_INVARIANTS,
   ...MEMBERSHIP_INVARIANTS,
   ...CONFIGURATION_INVARIANTS,
+  ...WHOLE_ANSWERS_INVARIANTS,
 ];
 
 const DEFAULT_SEED = 1;
