Add failure runs for isolation and bad input

Change: isolation.ts presents one workspace's request ids, resume tokens and chat name as another workspace at every router, tries all routes with wrong keys, and sends malformed and oversized frames and bodies to a live router. The same check must break when both workspaces have one key.

The frames come before a handshake, so frames of an authenticated peer are not covered here. That the connections ended by the named error is checked by their count only.

--- /dev/null
+++ b/invariants/isolation.ts
@@ -0,0 +1,287 @@
+/**
+ * Isolation of workspaces, and input that no honest party sends: another
+ * workspace's outcomes, streams and chats, wrong keys, and malformed or
+ * oversized frames and bodies on a live router's ports.
+ */
+import { connect } from "node:net";
+import { createSeededRandom, type RandomSource } from "../src/core/random.ts";
+import { MAXIMUM_FRAME_BYTES } from "../src/frame_codec.ts";
+import {
+  type FleetProcesses,
+  startFleetProcesses,
+} from "../stand_ins/fleet_processes.ts";
+import {
+  STAND_IN_MODEL,
+  STAND_IN_SERVICE,
+  workspaceKey,
+} from "../stand_ins/fleet_text.ts";
+import type {
+  Invariant,
+  InvariantOptions,
+  InvariantOutcome,
+} from "./invariant.ts";
+import { readOperatorPath, readRouterStatus } from "./router_status.ts";
+
+const WORKSPACES = ["temple", "market"];
+const ROUTERS = 3;
+const FUZZED_FRAMES = 200;
+const FUZZED_BODIES = 100;
+const MAXIMUM_FUZZ_BYTES = 2_000;
+const CLOSE_LIMIT_MILLISECONDS = 4_000;
+const OVERSIZED_BODY_BYTES = 64 * 1024 * 1024;
+const NO_KEY_PATHS = [
+  ["GET", "/v1/addresses"],
+  ["GET", "/v1/requests/a.1.b"],
+  ["POST", "/v1/chat/completions"],
+  ["POST", `/v1/services/${STAND_IN_SERVICE}/slots/a/release`],
+  ["GET", "/operator/status"],
+  ["GET", "/operator/dump"],
+  ["POST", "/operator/stop"],
+] as const;
+
+interface Answer {
+  readonly status: number;
+  readonly text: string;
+  readonly headers: Headers;
+}
+
+async function send(
+  address: string,
+  method: string,
+  path: string,
+  key: string,
+  options: { body?: string | Uint8Array; headers?: Record<string, string> } =
+    {},
+): Promise<Answer> {
+  const response = await fetch(`http://${address}${path}`, {
+    method,
+    headers: { authorization: `Bearer ${key}`, ...options.headers },
+    ...(options.body === undefined ? {} : { body: options.body as string }),
+  });
+  const text = await response.text();
+  return { status: response.status, text, headers: response.headers };
+}
+
+function errorCode(answer: Answer): string {
+  try {
+    const body = JSON.parse(answer.text) as { error?: { code?: string } };
+    return body.error?.code ?? "";
+  } catch {
+    return "";
+  }
+}
+
+function expect(
+  faults: string[],
+  what: string,
+  seen: unknown,
+  wanted: unknown,
+): void {
+  if (seen !== wanted) {
+    faults.push(`${what}: ${String(seen)} instead of ${String(wanted)}`);
+  }
+}
+
+/** Every route without a valid key of the right kind. */
+async function tryKeys(address: string, faults: string[]): Promise<number> {
+  for (const [method, path] of NO_KEY_PATHS) {
+    const wrong = await send(address, method, path, "wrong");
+    expect(faults, `${method} ${path}`, wrong.status, 401);
+    if (!path.startsWith("/operator/")) continue;
+    const workspace = await send(address, method, path, workspaceKey("temple"));
+    expect(faults, `${path} with a workspace key`, workspace.status, 403);
+  }
+  return NO_KEY_PATHS.length;
+}
+
+/** One workspace presents the ids, tokens and chats of another. */
+async function readForeign(
+  { routerAddresses }: FleetProcesses,
+  owner: string,
+  reader: string,
+  faults: string[],
+): Promise<void> {
+  const [first = "", second = ""] = routerAddresses;
+  const call = await send(
+    first,
+    "POST",
+    `/v1/services/${STAND_IN_SERVICE}/slots/${owner}/release`,
+    workspaceKey(owner),
+  );
+  expect(faults, "own call", call.status, 200);
+  const id = call.headers.get("x-sapphirecart-request-id") ?? "";
+  for (const address of routerAddresses) {
+    const path = `/v1/requests/${id}`;
+    const foreign = await send(address, "GET", path, workspaceKey(reader));
+    expect(faults, `outcome at ${address}`, errorCode(foreign), "forbidden");
+    const own = await send(address, "GET", path, workspaceKey(owner));
+    expect(faults, `own outcome at ${address}`, own.status, 200);
+  }
+  const chat = {
+    body: JSON.stringify({
+      model: STAND_IN_MODEL,
+      messages: [{ role: "user", content: `private words of ${owner}` }],
+      max_tokens: 8,
+      stream: true,
+    }),
+    headers: { "x-sapphirecart-chat": "shared-name" },
+  };
+  const path = "/v1/chat/completions";
+  const stream = await send(first, "POST", path, workspaceKey(owner), chat);
+  const token = /^id: (.+)$/m.exec(stream.text)?.[1] ?? "";
+  const resume = { ...chat, headers: { "last-event-id": token } };
+  const taken = await send(second, "POST", path, workspaceKey(reader), resume);
+  expect(faults, "stream", errorCode(taken), "token_invalid");
+  const own = await send(second, "POST", path, workspaceKey(owner), resume);
+  expect(faults, "own stream", own.status, 200);
+  const other = await send(first, "POST", path, workspaceKey(reader), {
+    ...chat,
+    body: chat.body.replace(`private words of ${owner}`, "hello"),
+  });
+  const content = /"content":"[^"]+"/g;
+  const answered = new Set(stream.text.match(content));
+  if ((other.text.match(content) ?? []).some((part) => answered.has(part))) {
+    faults.push(`${reader} got a token of a chat of ${owner}`);
+  }
+}
+
+function randomBytes(random: RandomSource, length: number): Buffer {
+  return Buffer.from(
+    Array.from({ length }, () => random.integer(256)),
+  );
+}
+
+/** Sends bytes to a port; true if the router ends the connection in time. */
+function sendRaw(address: string, bytes: Buffer): Promise<boolean> {
+  const [host = "", port] = address.split(":");
+  return new Promise((resolve) => {
+    const socket = connect(Number(port), host, () => socket.write(bytes));
+    const timer = setTimeout(() => {
+      socket.destroy();
+      resolve(false);
+    }, CLOSE_LIMIT_MILLISECONDS);
+    socket.on("data", () => undefined);
+    socket.on("error", () => undefined);
+    socket.on("close", () => {
+      clearTimeout(timer);
+      resolve(true);
+    });
+  });
+}
+
+/** A frame with a valid length and a body of noise, or one that is too long. */
+function createBadFrame(random: RandomSource): Buffer {
+  const length = Buffer.alloc(4);
+  if (random.next() < 0.5) {
+    length.writeUInt32BE(MAXIMUM_FRAME_BYTES + 1 + random.integer(1_000_000));
+    return Buffer.concat([length, randomBytes(random, random.integer(100))]);
+  }
+  const body = randomBytes(random, 1 + random.integer(MAXIMUM_FUZZ_BYTES));
+  length.writeUInt32BE(body.length);
+  return Buffer.concat([length, body]);
+}
+
+async function readRejected(address: string): Promise<number> {
+  const dump = await readOperatorPath(address, "/operator/dump") as
+    | { network: { rejectedConnections: number } }
+    | undefined;
+  return dump?.network.rejectedConnections ?? -1;
+}
+
+/** Sends bad frames to the peer port; each ends its connection and no other. */
+async function fuzzFrames(
+  address: string,
+  random: RandomSource,
+  faults: string[],
+): Promise<void> {
+  const status = await readRouterStatus(address);
+  const dump = await readOperatorPath(address, "/operator/dump") as
+    | { network: { address: string } }
+    | undefined;
+  const peer = dump?.network.address ?? "";
+  const before = await readRejected(address);
+  const closed = await Promise.all(
+    Array.from(
+      { length: FUZZED_FRAMES },
+      () => sendRaw(peer, createBadFrame(random)),
+    ),
+  );
+  const open = closed.filter((isClosed) => !isClosed).length;
+  expect(faults, "connections left open by bad frames", open, 0);
+  const rejected = await readRejected(address) - before;
+  expect(faults, "connections ended by an error", rejected, FUZZED_FRAMES);
+  const after = await readRouterStatus(address);
+  expect(faults, "members", after?.hosts.length, status?.hosts.length);
+}
+
+/** Sends bad bodies to the caller port; each is answered with a typed error. */
+async function fuzzBodies(
+  address: string,
+  random: RandomSource,
+  faults: string[],
+): Promise<void> {
+  const path = "/v1/chat/completions";
+  const key = workspaceKey("temple");
+  for (let index = 0; index < FUZZED_BODIES; index++) {
+    const body = randomBytes(random, random.integer(MAXIMUM_FUZZ_BYTES));
+    const answer = await send(address, "POST", path, key, { body });
+    expect(faults, "bad body", errorCode(answer), "malformed_body");
+  }
+  const body = Buffer.alloc(OVERSIZED_BODY_BYTES);
+  try {
+    const answer = await send(address, "POST", path, key, { body });
+    expect(faults, "large body", errorCode(answer), "body_too_large");
+  } catch {
+    // The router may end the connection while the body is still being sent.
+  }
+  await sendRaw(address, randomBytes(random, MAXIMUM_FUZZ_BYTES));
+}
+
+async function runIsolation(
+  { seed }: InvariantOptions,
+  reader: string,
+): Promise<InvariantOutcome> {
+  const fleet = await startFleetProcesses({
+    dataCentres: ["north", "south"],
+    routers: ROUTERS,
+    engines: 1,
+    services: 1,
+    workspaces: WORKSPACES,
+    keepMilliseconds: 500,
+  });
+  const faults: string[] = [];
+  try {
+    const random = createSeededRandom(seed);
+    const address = fleet.routerAddresses[0] ?? "";
+    const routes = await tryKeys(address, faults);
+    await readForeign(fleet, "temple", reader, faults);
+    await fuzzFrames(address, random, faults);
+    await fuzzBodies(address, random, faults);
+    const running = fleet.routers.filter((router) => router.isRunning());
+    expect(faults, "running routers", running.length, ROUTERS);
+    await readForeign(fleet, "temple", reader, faults);
+    return {
+      faults,
+      figures: { routes, frames: FUZZED_FRAMES, bodies: FUZZED_BODIES },
+    };
+  } finally {
+    await fleet.stop();
+  }
+}
+
+/** Isolation of workspaces and robustness against bad input. */
+export const ISOLATION_INVARIANTS: readonly Invariant[] = [
+  {
+    name: "isolation",
+    promise:
+      "no workspace reads another's work, and bad input ends only its own connection",
+    isNaive: false,
+    run: (options: InvariantOptions) => runIsolation(options, "market"),
+  },
+  {
+    name: "isolation_shared_key",
+    promise: "the same check with two workspaces that share one key",
+    isNaive: true,
+    run: (options: InvariantOptions) => runIsolation(options, "temple"),
+  },
+];
--- a/invariants/main.ts
+++ b/invariants/main.ts
@@ -6,6 +6,7 @@
 import { AT_MOST_ONCE_INVARIANTS } from "./at_most_once.ts";
 import { CONFIGURATION_INVARIANTS } from "./configuration.ts";
 import { GRACEFUL_STOP_INVARIANTS } from "./graceful_stop.ts";
+import { ISOLATION_INVARIANTS } from "./isolation.ts";
 import { MEMBERSHIP_INVARIANTS } from "./membership.ts";
 import type { Invariant, InvariantOutcome } from "./invariant.ts";
 import { WHOLE_ANSWERS_INVARIANTS } from "./whole_answers.ts";
@@ -16,6 +17,7 @@
   ...MEMBERSHIP_INVARIANTS,
   ...CONFIGURATION_INVARIANTS,
   ...WHOLE_ANSWERS_INVARIANTS,
+  ...ISOLATION_INVARIANTS,
 ];
 
 const DEFAULT_SEED = 1;
