Add failure runs for limits while their holders are killed

Change: limits.ts presses one workspace against its rate (three times 50 a second) and another against its concurrency (20), over four routers, and kills the limit holders of both after 6 s of 18 s. Admitted requests are counted at the callers from sending to end. The check must break on ten times the limits.

The two holders may be one router or two. That a surge of one workspace leaves another's 95th percentile alone is not covered.

--- a/invariants/main.ts
+++ b/invariants/main.ts
@@ -7,6 +7,7 @@
 import { CONFIGURATION_INVARIANTS } from "./configuration.ts";
 import { GRACEFUL_STOP_INVARIANTS } from "./graceful_stop.ts";
 import { ISOLATION_INVARIANTS } from "./isolation.ts";
+import { LIMITS_INVARIANTS } from "./limits.ts";
 import { MEMBERSHIP_INVARIANTS } from "./membership.ts";
 import type { Invariant, InvariantOutcome } from "./invariant.ts";
 import { WHOLE_ANSWERS_INVARIANTS } from "./whole_answers.ts";
@@ -18,6 +19,7 @@
   ...CONFIGURATION_INVARIANTS,
   ...WHOLE_ANSWERS_INVARIANTS,
   ...ISOLATION_INVARIANTS,
+  ...LIMITS_INVARIANTS,
 ];
 
 const DEFAULT_SEED = 1;
