--- a/src/peer_connection.ts
+++ b/src/peer_connection.ts
@@ -65,6 +65,8 @@
     reply: boolean,
     body: unknown,
   ): boolean;
+  /** Time since the first request after the last byte received; 0 without one. */
+  unansweredMilliseconds(): number;
   close(reason: ApplicationError): void;
 }
 
@@ -99,6 +101,7 @@
   let claimed: PeerIdentity | undefined;
   let proved = false;
   let closed = false;
+  let unansweredSince: number | undefined;
   const handshakeTimer = setTimeout(() => {
     close(createError("peer_unreachable", "the handshake timed out"));
   }, HANDSHAKE_TIMEOUT_MILLISECONDS);
@@ -128,6 +131,7 @@
     });
     if (encoded.isErr()) return false;
     traffic.sent(kind, encoded.value.length);
+    if (correlation !== 0 && !reply) unansweredSince ??= performance.now();
     socket.write(encoded.value);
     return true;
   }
@@ -186,11 +190,14 @@
     identity: () => proved ? claimed : undefined,
     send: (kind, correlation, reply, body) =>
       proved && send(kind, correlation, reply, body),
+    unansweredMilliseconds: () =>
+      unansweredSince === undefined ? 0 : performance.now() - unansweredSince,
     close,
   };
 
   socket.setNoDelay(true);
   socket.on("data", (bytes) => {
+    unansweredSince = undefined;
     const frames = reader.push(bytes);
     if (frames.isErr()) return close(frames.error);
     for (const frame of frames.value) {
