--- a/src/caller_addresses.ts
+++ b/src/caller_addresses.ts
@@ -34,7 +34,7 @@
 
 /** The caller's list of usable addresses. */
 export interface AddressBook {
-  /** Returns usable addresses, best first; empty if no router answered. */
+  /** Returns usable addresses in random order, failed ones last; empty if no router answered. */
   list(): Promise<readonly CallerAddress[]>;
   /** Notes that an address failed, so that it is tried last and the list renewed. */
   avoid(address: string): void;
@@ -77,7 +77,8 @@
         avoid(address);
         continue;
       }
-      known = answer.data.addresses;
+      // Every caller of a workspace gets the same order from the routers.
+      known = random.shuffle(answer.data.addresses);
       validUntil = clock.monotonicMilliseconds() +
         answer.data.keep_milliseconds;
       return;
--- a/src/caller_chat.ts
+++ b/src/caller_chat.ts
@@ -245,7 +245,9 @@
       const failure = answer.isErr() ? answer.error : readFailure(answer.value);
       progress.failure = failure ??
         createError("backend_failed", "the backend server failed");
-      if (!answerFor(progress.failure).retryable) break;
+      const { status, retryable } = answerFor(progress.failure);
+      if (!retryable) break;
+      if (status === 503) book.avoid(target.address);
       continue;
     }
     for await (const event of _readStream(opened.value, progress)) {
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -144,7 +144,7 @@
   platform_unavailable: answer(
     503,
     "the platform is not reachable",
-    "unknown",
+    "not_run",
     true,
   ),
   platform_conflict: answer(
--- a/src/core/errors_test.ts
+++ b/src/core/errors_test.ts
@@ -8,7 +8,7 @@
 
 test("guards against telling a caller to retry work whose outcome is unknown", (t) => {
   for (const [kind, entry] of Object.entries(ERROR_ANSWERS)) {
-    if (entry.runState === "unknown" && kind !== "platform_unavailable") {
+    if (entry.runState === "unknown") {
       t.false(entry.retryable, kind);
     }
   }
