--- a/src/core/limit_holder.ts
+++ b/src/core/limit_holder.ts
@@ -7,6 +7,11 @@
 
 /** Time for which a share is leased. */
 export const SHARE_LEASE_MILLISECONDS = 6_000;
+/**
+ * A new holder raises no share for this long. Routers renew at once when the
+ * holder changes, so by then it knows what all of them hold.
+ */
+export const HOLDER_SETTLE_MILLISECONDS = 2_000;
 
 /**
  * Part of the unwanted rest of a limit that is not leased. A joining router is
@@ -164,7 +169,7 @@
     if (known) this.#expire(known, now);
     if (known && known.leases.size > 0) return known;
     const entry = {
-      settledAt: now + SHARE_LEASE_MILLISECONDS,
+      settledAt: now + HOLDER_SETTLE_MILLISECONDS,
       leases: new Map<HostId, _Lease>(),
     };
     this.#workspaces.set(workspace, entry);
--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -120,6 +120,11 @@
     use.bucket.setRate(share.rate, now);
   }
 
+  /** Makes every share due for renewal, because its holder may have changed. */
+  renewSoon(): void {
+    for (const use of this.#uses.values()) use.renewedAt = -Infinity;
+  }
+
   /** Shares and use for the state dump. */
   describe(): unknown {
     return [...this.#uses].map(([workspace, use]) => ({
--- a/src/core/limits_test.ts
+++ b/src/core/limits_test.ts
@@ -75,7 +75,9 @@
     let count = 0;
     for (const entry of entries) {
       for (const next of entry.nextHolder) {
-        if (next.at <= now) entry.holder = next.holder;
+        if (next.at > now) continue;
+        entry.holder = next.holder;
+        entry.limits.renewSoon();
       }
       entry.nextHolder = entry.nextHolder.filter(({ at }) => at > now);
       if (now % 500 === entry.phase) renew(entry, limits, now, random.next());
--- a/src/limits_task.ts
+++ b/src/limits_task.ts
@@ -97,7 +97,10 @@
   }
 
   override async start(): Promise<void> {
-    this.#options.view.onChange(() => this.#holders = new Map());
+    this.#options.view.onChange(() => {
+      this.#holders = new Map();
+      this.#limits.renewSoon();
+    });
     this.#options.network.handle("limits.renew", (body, from) => {
       const parsed = _renewalSchema.safeParse(body);
       if (!parsed.success) throw new Error("malformed limits.renew");
