Share the caller library's failure sorting and answer reading

Cause: reading the whole change showed two copies: toCallFailure stood in caller.ts and caller_chat.ts, and caller_http.ts read bodies as backend_answer.ts does. Change: src/call_failure.ts holds the failure types and their sorting; caller_http.ts calls readWhole of backend_answer.ts with its own limit.

--- a/demo/workload.ts
+++ b/demo/workload.ts
@@ -1,5 +1,6 @@
 /** The demo's callers: returning chats and non-idempotent calls, each answer checked. */
-import { type Caller, type CallFailure, createCaller } from "../src/caller.ts";
+import { type Caller, createCaller } from "../src/caller.ts";
+import type { CallFailure } from "../src/call_failure.ts";
 import { createSeededRandom, type RandomSource } from "../src/core/random.ts";
 import { answerText, type ChatMessage } from "../stand_ins/engine_text.ts";
 import {
--- a/src/caller.ts
+++ b/src/caller.ts
@@ -6,6 +6,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
 import { BackendTransport } from "./backend_transport.ts";
+import { type CallFailure, toCallFailure } from "./call_failure.ts";
 import { createAddressBook } from "./caller_addresses.ts";
 import {
   type CallerAnswer,
@@ -13,11 +14,7 @@
   readFailure,
 } from "./caller_http.ts";
 import { type ChatEvent, type ChatOptions, streamChat } from "./caller_chat.ts";
-import {
-  answerFor,
-  type ApplicationError,
-  createError,
-} from "./core/errors.ts";
+import { answerFor, createError } from "./core/errors.ts";
 import { brandId, type IncarnationId } from "./core/ids.ts";
 import type { RandomSource } from "./core/random.ts";
 import { formatRequestId } from "./core/request_id.ts";
@@ -76,21 +73,6 @@
   readonly body: Buffer;
 }
 
-/** Proof that the work was not done and never will be for this call. */
-export interface NotRun {
-  readonly kind: "not_run";
-  readonly error: ApplicationError;
-}
-
-/** The work may or may not have been done; the caller must find out by its own means. */
-export interface OutcomeUnknown {
-  readonly kind: "outcome_unknown";
-  readonly error: ApplicationError;
-}
-
-/** Why a call brought no answer. */
-export type CallFailure = NotRun | OutcomeUnknown;
-
 /** A client of the fleet for one workspace. */
 export interface Caller {
   /** Calls a plain service; the work runs at most once. */
@@ -102,14 +84,6 @@
   close(): Promise<void>;
 }
 
-/** Sorts an error by what it says about the work. */
-export function toCallFailure(error: ApplicationError): CallFailure {
-  const kind = answerFor(error).runState === "not_run"
-    ? "not_run"
-    : "outcome_unknown";
-  return { kind, error };
-}
-
 /** Creates a caller. */
 export function createCaller(options: CallerOptions): Caller {
   const timers = options.timers ?? createSystemTimerService();
--- a/src/caller_chat.ts
+++ b/src/caller_chat.ts
@@ -6,7 +6,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
 import type { OpenAnswer } from "./backend_transport.ts";
-import type { CallFailure } from "./caller.ts";
+import { type CallFailure, toCallFailure } from "./call_failure.ts";
 import type { AddressBook } from "./caller_addresses.ts";
 import { type CallerHttp, readFailure, readWhole } from "./caller_http.ts";
 import {
@@ -76,13 +76,6 @@
   failure: ApplicationError | undefined;
 }
 
-function _toFailure(error: ApplicationError): CallFailure {
-  const kind = answerFor(error).runState === "not_run"
-    ? "not_run"
-    : "outcome_unknown";
-  return { kind, error };
-}
-
 function _requestOf(
   options: ChatOptions,
   progress: _Progress,
@@ -260,5 +253,5 @@
     "answer_truncated",
     `after ${progress.offset} tokens`,
   );
-  yield err(_toFailure(progress.failure ?? truncated));
+  yield err(toCallFailure(progress.failure ?? truncated));
 }
--- a/src/caller_http.ts
+++ b/src/caller_http.ts
@@ -1,5 +1,6 @@
 /** HTTP of the caller library: whole answers, JSON look-ups and open streams. */
 import { err, ok, type Result } from "neverthrow";
+import { readWhole as readBackendAnswer } from "./backend_answer.ts";
 import type { BackendTransport, OpenAnswer } from "./backend_transport.ts";
 import {
   type ApplicationError,
@@ -56,26 +57,13 @@
 export async function readWhole(
   opened: OpenAnswer,
 ): Promise<Result<CallerAnswer, ApplicationError>> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  try {
-    for await (const chunk of opened.body) {
-      bytes += (chunk as Buffer).length;
-      if (bytes > MAXIMUM_ANSWER_BYTES) {
-        throw new Error("the answer is too large");
-      }
-      chunks.push(chunk as Buffer);
-    }
-  } catch (cause) {
-    return err(createError("outcome_unknown", String(cause)));
-  } finally {
-    opened.release();
-  }
+  const answer = await readBackendAnswer(opened, MAXIMUM_ANSWER_BYTES);
+  if (answer.isErr()) return err(answer.error);
   const headers: Record<string, string> = {};
   for (const [name, value] of Object.entries(opened.headers)) {
     if (typeof value === "string") headers[name] = value;
   }
-  return ok({ status: opened.status, headers, body: Buffer.concat(chunks) });
+  return ok({ status: opened.status, headers, body: answer.value.body });
 }
 
 /**
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -9,15 +9,17 @@
   createHttpBackendClient,
   type HttpBackendClientOptions,
 } from "./backend_client.ts";
+export {
+  type CallFailure,
+  type NotRun,
+  type OutcomeUnknown,
+} from "./call_failure.ts";
 export {
   type CallAnswer,
   type Caller,
   type CallerOptions,
-  type CallFailure,
   type CallOptions,
   createCaller,
-  type NotRun,
-  type OutcomeUnknown,
 } from "./caller.ts";
 export {
   type ChatEvent,
