Add a gateway that passes requests through, and its adapter for the platform

Cause: the users' platform speaks HTTP requests of any kind, registers backend servers in its own store and tells callers through the system where to connect; the product parsed JSON bodies and knew servers only from its fleet file. Ruled out: fastify in front of the pass-through, since its router rewrites paths and the path must go out byte for byte; one undici pool a server, since a reset on an answer without a length counts as its end there (the connector keeps the socket, so the exchange can tell). Change: src/gateway*.ts and what they use: route table, registry with a time for lapsed entries to return, load and outcomes shared by all routers, placement by shared prompt part under a load bound, exchange that judges what an answer proves, relay, entry addresses, bounded log. platform/ translates names, formats and calls. deploy/ holds the deploy file and the bundler's script.

--- /dev/null
+++ b/deploy/build.js
@@ -0,0 +1,34 @@
+/**
+ * Bundles the gateway into one file, since a process that loads one file starts
+ * several times as fast as one that loads hundreds.
+ */
+import { build } from "esbuild";
+
+const result = await build({
+  entryPoints: ["platform/main.ts"],
+  outfile: "target/sapphirecart.mjs",
+  bundle: true,
+  platform: "node",
+  format: "esm",
+  target: "node20",
+  minifySyntax: true,
+  minifyWhitespace: true,
+  metafile: true,
+  logLevel: "warning",
+  // Packages in CommonJS format call require.
+  banner: {
+    js:
+      "import{createRequire as bundleRequire}from'node:module';const require=bundleRequire(import.meta.url);",
+  },
+});
+if (process.argv.includes("--sizes")) {
+  const [output] = Object.values(result.metafile.outputs);
+  const sizes = Object.entries(output.inputs)
+    .map(([path, { bytesInOutput }]) => ({ path, bytes: bytesInOutput }))
+    .sort((left, right) => right.bytes - left.bytes);
+  process.stdout.write(
+    `${
+      sizes.slice(0, 40).map(({ path, bytes }) => `${bytes} ${path}`).join("\n")
+    }\n`,
+  );
+}
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -24,12 +24,14 @@
 }];
 
 export default tseslint.config(
-  { ignores: ["dist", "node_modules"] },
+  { ignores: ["dist", "node_modules", "target"] },
   ...tseslint.configs.recommendedTypeChecked,
   {
     languageOptions: {
       parserOptions: {
-        projectService: { allowDefaultProject: ["eslint.config.js"] },
+        projectService: {
+          allowDefaultProject: ["eslint.config.js", "deploy/build.js"],
+        },
         tsconfigRootDir: import.meta.dirname,
       },
     },
@@ -76,7 +78,10 @@
     },
   },
   { files: ["**/*_test.ts"], rules: { "max-lines": "off" } },
-  { files: ["eslint.config.js"], ...tseslint.configs.disableTypeChecked },
+  {
+    files: ["eslint.config.js", "deploy/*.js"],
+    ...tseslint.configs.disableTypeChecked,
+  },
   {
     files: ["bin/**", "demo/**", "bench/**", "invariants/**"],
     rules: { "no-console": "off" },
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -41,6 +41,12 @@
     "not_run",
     false,
   ),
+  headers_too_large: answer(
+    431,
+    "the request headers are too large",
+    "not_run",
+    false,
+  ),
   malformed_frame: answer(400, "the frame is malformed", "not_run", false),
   frame_too_large: answer(413, "the frame is too large", "not_run", false),
   unsupported_version: answer(
@@ -128,6 +134,12 @@
     "unknown",
     false,
   ),
+  answer_timeout: answer(
+    504,
+    "no answer came before the deadline",
+    "unknown",
+    false,
+  ),
   answer_truncated: answer(
     502,
     "the answer ended before it was complete",
@@ -159,6 +171,12 @@
     "unknown",
     false,
   ),
+  platform_history_lost: answer(
+    410,
+    "the platform no longer has the changes since that revision",
+    "not_run",
+    true,
+  ),
   lease_lost: answer(
     409,
     "the lease is held by another process",
--- /dev/null
+++ b/src/core/event_stream.ts
@@ -0,0 +1,78 @@
+/**
+ * Splits an event stream (`text/event-stream`) into whole events, so that a
+ * stream that broke in the middle of an event can go on elsewhere without a
+ * torn or repeated event.
+ */
+
+/** Whole events that a chunk completed. */
+export interface CompletedEvents {
+  /** Bytes of the events; empty if none was completed. */
+  readonly bytes: Buffer;
+  readonly events: number;
+}
+
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const ID_FIELD = /^id:[ ]?(.*)$/;
+
+/** Holds the bytes of an event until the event is complete. */
+export class EventSplitter {
+  #pending: Buffer = Buffer.alloc(0);
+  #lastEventId: string | undefined;
+
+  /** Id of the last complete event. */
+  get lastEventId(): string | undefined {
+    return this.#lastEventId;
+  }
+
+  /** Bytes of an event that is not complete. */
+  get pendingBytes(): number {
+    return this.#pending.length;
+  }
+
+  /** Adds bytes and returns the events that are complete with them. */
+  push(chunk: Buffer): CompletedEvents {
+    const all = this.#pending.length > 0
+      ? Buffer.concat([this.#pending, chunk])
+      : chunk;
+    let start = 0;
+    let events = 0;
+    for (let end = _endOfEvent(all, 0); end > 0; end = _endOfEvent(all, end)) {
+      this.#readId(all.subarray(start, end));
+      start = end;
+      events++;
+    }
+    this.#pending = all.subarray(start);
+    return { bytes: all.subarray(0, start), events };
+  }
+
+  /** Drops an incomplete event, because its stream broke. */
+  reset(): void {
+    this.#pending = Buffer.alloc(0);
+  }
+
+  #readId(event: Buffer): void {
+    for (const line of event.toString("latin1").split(/\r\n|\r|\n/)) {
+      const id = ID_FIELD.exec(line)?.[1];
+      if (id !== undefined) this.#lastEventId = id;
+    }
+  }
+}
+
+/** Returns the position after the blank line that ends an event, or 0. */
+function _endOfEvent(bytes: Buffer, from: number): number {
+  for (let index = from; index < bytes.length; index++) {
+    if (bytes[index] !== LINE_FEED) continue;
+    const next = bytes[index + 1];
+    if (next === LINE_FEED) return index + 2;
+    if (next === CARRIAGE_RETURN && bytes[index + 2] === LINE_FEED) {
+      return index + 3;
+    }
+  }
+  return 0;
+}
+
+/** Creates a splitter for one stream. */
+export function createEventSplitter(): EventSplitter {
+  return new EventSplitter();
+}
--- /dev/null
+++ b/src/core/prompt.ts
@@ -0,0 +1,26 @@
+/**
+ * The prompt of a request as its caller describes it: parts in order, each with
+ * an id and a length. Requests with equal leading parts share a cached prefix.
+ */
+
+/** A part of a prompt. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+const MAXIMUM_PARTS = 64;
+
+/** Reads `id:tokens` entries separated by commas; a fault yields no parts. */
+export function parsePromptParts(text: string | undefined): PromptPart[] {
+  if (!text) return [];
+  const entries = text.split(",");
+  if (entries.length > MAXIMUM_PARTS) return [];
+  const parts: PromptPart[] = [];
+  for (const entry of entries) {
+    const match = /^\s*([^:\s]+):(\d+)\s*$/.exec(entry);
+    if (!match) return [];
+    parts.push({ id: match[1] as string, tokens: Number(match[2]) });
+  }
+  return parts;
+}
--- a/src/core/retry_budget.ts
+++ b/src/core/retry_budget.ts
@@ -18,6 +18,8 @@
 export interface RetryBudgetOptions {
   /** Retries allowed for each request, for example 0.1; read at each decision. */
   readonly ratio: () => number;
+  /** Retries allowed in a window besides the share; read at each decision. */
+  readonly allowance?: () => number;
   readonly random: RandomSource;
 }
 
@@ -74,7 +76,8 @@
       requests += other.requests;
       retries += other.retries;
     }
-    const budget = this.#options.ratio() * requests;
+    const allowance = this.#options.allowance?.() ?? 0;
+    const budget = this.#options.ratio() * requests + allowance;
     if (retries + 1 > Math.max(MINIMUM_RETRIES, budget)) {
       this.#refused++;
       return false;
--- /dev/null
+++ b/src/gateway.ts
@@ -0,0 +1,303 @@
+/**
+ * One gateway: a router that passes requests of any kind through to registered
+ * backend servers. Store, names of headers and formats are passed in, so that
+ * the same program runs on any platform that offers them.
+ */
+import { randomBytes } from "node:crypto";
+import type { Server } from "node:http";
+import { createBackendConnections } from "./backend_connections.ts";
+import { createFleetLoad } from "./core/fleet_load.ts";
+import {
+  brandId,
+  type DataCentreId,
+  type HostId,
+  type IncarnationId,
+  type SocketAddress,
+} from "./core/ids.ts";
+import type { LoadBound } from "./core/placement.ts";
+import { createSeededRandom } from "./core/random.ts";
+import { createRetryBudget, type RetryBudget } from "./core/retry_budget.ts";
+import { createServerOutcomes } from "./core/server_outcomes.ts";
+import {
+  createDecisionLog,
+  createStandardOutput,
+  type LogOutput,
+} from "./decision_log.ts";
+import { DefaultEntryFormat, type EntryFormat } from "./entry_format.ts";
+import type { FleetStore } from "./fleet_store.ts";
+import {
+  createEntryServer,
+  createStatusServer,
+  type GatewayInterfacesOptions,
+  listen,
+  toListenAddress,
+} from "./gateway_interfaces.ts";
+import { createGatewayMetrics } from "./gateway_metrics.ts";
+import { createGatewayPeerTask } from "./gateway_peer_task.ts";
+import {
+  createGatewayProtocol,
+  type GatewayProtocol,
+} from "./gateway_protocol.ts";
+import { applyRequestBounds, createGatewayServer } from "./gateway_server.ts";
+import { createGatewayStateTask } from "./gateway_state_task.ts";
+import { handleRequest } from "./gateway_requests.ts";
+import type { PassThroughContext } from "./pass_through.ts";
+import { createTcpPeerNetwork } from "./tcp_peer_network.ts";
+import {
+  createSystemTimerService,
+  type Subscription,
+} from "./timer_service.ts";
+
+const INCARNATION_BYTES = 8;
+const HOUSEKEEPING_MILLISECONDS = 1_000;
+/** Callers may keep entry addresses for this long. */
+const KEEP_MILLISECONDS = 2_000;
+/** Time after a stop signal during which new connections are still accepted. */
+const ACCEPT_MILLISECONDS = 3_000;
+/** Time before the end of the grace time at which the process ends in any case. */
+const END_MARGIN_MILLISECONDS = 400;
+const STOP_POLL_MILLISECONDS = 50;
+/** Part of the fleet's retry allowance that is handed out. */
+const RETRY_MARGIN = 0.8;
+
+/** Addresses of the gateway's interfaces, as `ip:port`. */
+export interface GatewayAddresses {
+  readonly callers: string;
+  readonly status: string;
+  readonly entry: string;
+  readonly peers: string;
+}
+
+/** What the fleet allows for retries, for each service. */
+export interface RetryAllowance {
+  /** Retries for each request. */
+  readonly ratio: number;
+  /** Retries in ten seconds of the whole fleet, besides the share. */
+  readonly fleetAllowance: number;
+}
+
+/** What a gateway is made of. */
+export interface GatewayOptions {
+  readonly host: string;
+  readonly dataCentre: string;
+  readonly addresses: GatewayAddresses;
+  /** Peer addresses of routers that may be running. */
+  readonly seeds: readonly string[];
+  /** Shared by all routers of the fleet. */
+  readonly fleetKey: string;
+  readonly store: FleetStore;
+  readonly protocol?: GatewayProtocol;
+  readonly entryFormat?: EntryFormat;
+  readonly retries: RetryAllowance;
+  readonly loadBound: LoadBound;
+  /** Time from a stop signal until the process is killed, in milliseconds. */
+  readonly graceMilliseconds: number;
+  readonly output?: LogOutput;
+}
+
+/** A running or stopped gateway. */
+export interface Gateway {
+  start(): Promise<void>;
+  /** Stops without cutting a request; resolves when the process may end. */
+  stop(): Promise<void>;
+  /** Notes that settings were read again; they are in force after a restart. */
+  reload(): void;
+}
+
+/** Creates a gateway; it does nothing until started. */
+export function createGateway(options: GatewayOptions): Gateway {
+  const { store, addresses } = options;
+  const timers = createSystemTimerService();
+  const { clock } = timers;
+  const random = createSeededRandom(randomBytes(4).readInt32BE());
+  const host = brandId<HostId>(options.host);
+  const dataCentre = brandId<DataCentreId>(options.dataCentre);
+  const incarnation = brandId<IncarnationId>(
+    randomBytes(INCARNATION_BYTES).toString("hex"),
+  );
+  const log = createDecisionLog({
+    clock,
+    output: options.output ?? createStandardOutput(),
+    base: { host },
+  });
+  const metrics = createGatewayMetrics();
+  const protocol = options.protocol ?? createGatewayProtocol();
+  const state = createGatewayStateTask({ store, timers, random, log });
+  const load = createFleetLoad();
+  const outcomes = createServerOutcomes();
+  const connections = createBackendConnections();
+  const network = createTcpPeerNetwork({
+    ...toListenAddress(addresses.peers),
+    fleetKey: options.fleetKey,
+    identity: { host, dataCentre, incarnation },
+  });
+  const budgets = new Map<string, RetryBudget>();
+  let isStopping = false;
+  let isListening = false;
+  let inFlight = 0;
+  let utilization = performance.eventLoopUtilization();
+  let busyShare = 0;
+  let housekeeping: Subscription | undefined;
+
+  const peers = createGatewayPeerTask({
+    network,
+    store,
+    timers,
+    log,
+    state,
+    load,
+    outcomes,
+    host,
+    dataCentre,
+    address: brandId<SocketAddress>(addresses.peers),
+    callerAddress: brandId<SocketAddress>(addresses.callers),
+    seeds: options.seeds.map((seed) => brandId<SocketAddress>(seed)),
+    isServing,
+    busyShare: () => busyShare,
+  });
+  const context: PassThroughContext = {
+    state,
+    connections,
+    protocol,
+    load,
+    outcomes,
+    retries: budgetOf,
+    timers,
+    random,
+    log,
+    metrics,
+    dataCentre,
+    loadBound: options.loadBound,
+    isStopping: () => isStopping,
+    onOver: () => inFlight--,
+  };
+  const interfaces: GatewayInterfacesOptions = {
+    isServing,
+    routers: () => peers.servingRouters(),
+    entryFormat: options.entryFormat ?? new DefaultEntryFormat(),
+    keepMilliseconds: KEEP_MILLISECONDS,
+    metricsText,
+    describe,
+  };
+  const callerServer = createGatewayServer((request, response) => {
+    inFlight++;
+    handleRequest(context, request, response);
+  });
+  const entryServer = createEntryServer(interfaces);
+  const statusServer = createStatusServer(interfaces);
+
+  function isServing(): boolean {
+    return isListening && !isStopping && state.isKnown();
+  }
+
+  function budgetOf(service: string): RetryBudget {
+    let budget = budgets.get(service);
+    if (!budget) {
+      const { ratio, fleetAllowance } = options.retries;
+      budget = createRetryBudget({
+        random,
+        ratio: () => ratio * RETRY_MARGIN,
+        allowance: () => fleetAllowance * RETRY_MARGIN / peers.liveRouters(),
+      });
+      budgets.set(service, budget);
+    }
+    return budget;
+  }
+
+  function describe(): unknown {
+    return {
+      host,
+      incarnation,
+      isServing: isServing(),
+      isStopping,
+      inFlight,
+      busyShare,
+      state: state.describe(),
+      peers: peers.describe(),
+      loads: load.ownLoads(),
+      excluded: outcomes.excludedServers(clock.monotonicMilliseconds()),
+    };
+  }
+
+  async function metricsText(): Promise<string> {
+    const { configurationVersion } = state.versions();
+    metrics.configurationVersion.set(configurationVersion);
+    for (const subject of ["configuration", "registry"] as const) {
+      const age = state.ageMilliseconds(subject);
+      metrics.stateAgeSeconds.set({ subject }, age < 0 ? -1 : age / 1_000);
+    }
+    metrics.routers.set(peers.liveRouters());
+    metrics.inFlight.set(inFlight);
+    metrics.backendConnections.set(connections.opened());
+    metrics.strayAnswers.set(connections.strayAnswers());
+    metrics.droppedLines.set(log.dropped());
+    return await metrics.registry.metrics();
+  }
+
+  function keepHouse(): void {
+    const latest = performance.eventLoopUtilization();
+    busyShare = performance.eventLoopUtilization(latest, utilization)
+      .utilization;
+    utilization = latest;
+    connections.retain((server) => state.registry.get(server) !== undefined);
+    log.flush();
+  }
+
+  function applyState(): void {
+    const table = state.table();
+    if (table) applyRequestBounds(callerServer, table.configuration.bounds);
+  }
+
+  async function start(): Promise<void> {
+    log.write("process.started", { incarnation, addresses });
+    state.onChange(applyState);
+    await network.start();
+    await state.start();
+    await peers.start();
+    await listen(statusServer, toListenAddress(addresses.status));
+    await listen(entryServer, toListenAddress(addresses.entry));
+    await listen(callerServer, toListenAddress(addresses.callers));
+    isListening = true;
+    housekeeping = timers.every(
+      HOUSEKEEPING_MILLISECONDS,
+      "housekeeping",
+      keepHouse,
+    );
+  }
+
+  function close(server: Server): void {
+    server.close();
+    server.closeIdleConnections();
+  }
+
+  async function stop(): Promise<void> {
+    if (isStopping) return;
+    const stopAt = clock.monotonicMilliseconds();
+    const endAt = stopAt + options.graceMilliseconds - END_MARGIN_MILLISECONDS;
+    isStopping = true;
+    log.write("process.stopping", { inFlight });
+    peers.announce();
+    await timers.sleep(ACCEPT_MILLISECONDS, "stop");
+    close(callerServer);
+    while (inFlight > 0 && clock.monotonicMilliseconds() < endAt) {
+      await timers.sleep(STOP_POLL_MILLISECONDS, "stop");
+    }
+    close(entryServer);
+    close(statusServer);
+    housekeeping?.cancel();
+    await peers.stop();
+    await state.stop();
+    log.write("process.stopped", {
+      inFlight,
+      milliseconds: Math.round(clock.monotonicMilliseconds() - stopAt),
+    });
+    log.flush();
+    log.end();
+  }
+
+  function reload(): void {
+    log.write("settings.reloaded", {});
+  }
+
+  return { start, stop, reload };
+}
--- /dev/null
+++ b/src/gateway_metrics.ts
@@ -0,0 +1,99 @@
+/** Counters, gauges and histograms of one gateway, in the Prometheus format. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const LATENCY_BUCKETS_SECONDS = [
+  0.01,
+  0.025,
+  0.05,
+  0.1,
+  0.2,
+  0.3,
+  0.4,
+  0.6,
+  1,
+  2,
+  5,
+  15,
+];
+
+/** The metrics of one gateway. */
+export type GatewayMetrics = ReturnType<typeof createGatewayMetrics>;
+
+/** Creates a registry of its own, so that several gateways fit into one process. */
+export function createGatewayMetrics() {
+  const registry = new Registry();
+  const registers = [registry];
+  const prefix = "sapphirecart_gateway_";
+  return {
+    registry,
+    requests: new Counter({
+      name: `${prefix}requests_total`,
+      help:
+        "Requests by route kind and outcome (ok, cancelled or an error kind)",
+      labelNames: ["kind", "outcome"],
+      registers,
+    }),
+    attempts: new Counter({
+      name: `${prefix}attempts_total`,
+      help: "Attempts at backend servers by result",
+      labelNames: ["result"],
+      registers,
+    }),
+    placements: new Counter({
+      name: `${prefix}placements_total`,
+      help: "Chosen backend servers by reason",
+      labelNames: ["reason"],
+      registers,
+    }),
+    firstByteSeconds: new Histogram({
+      name: `${prefix}first_byte_seconds`,
+      help:
+        "Time from the arrival of a request to the first byte of its answer",
+      labelNames: ["kind"],
+      buckets: LATENCY_BUCKETS_SECONDS,
+      registers,
+    }),
+    storeCalls: new Gauge({
+      name: `${prefix}store_calls`,
+      help: "Calls to the fleet's store since the start, by result",
+      labelNames: ["result"],
+      registers,
+    }),
+    configurationVersion: new Gauge({
+      name: `${prefix}configuration_version`,
+      help: "Version of the configuration in force",
+      registers,
+    }),
+    stateAgeSeconds: new Gauge({
+      name: `${prefix}state_age_seconds`,
+      help: "Time since the store last confirmed a subject; -1 if never",
+      labelNames: ["subject"],
+      registers,
+    }),
+    routers: new Gauge({
+      name: `${prefix}routers`,
+      help: "Routers that are heard, this one included",
+      registers,
+    }),
+    inFlight: new Gauge({
+      name: `${prefix}requests_in_flight`,
+      help: "Requests that are being served",
+      registers,
+    }),
+    backendConnections: new Gauge({
+      name: `${prefix}backend_connections_opened`,
+      help: "Connections to backend servers opened since the start",
+      registers,
+    }),
+    strayAnswers: new Gauge({
+      name: `${prefix}stray_answers`,
+      help: "Answers of backend servers that belonged to no request",
+      registers,
+    }),
+    droppedLines: new Gauge({
+      name: `${prefix}dropped_log_lines`,
+      help: "Log lines dropped to keep the volume bounded",
+      registers,
+    }),
+  };
+}
--- /dev/null
+++ b/src/gateway_requests.ts
@@ -0,0 +1,49 @@
+/** What happens to each request that reaches the caller port. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ApplicationError } from "./core/errors.ts";
+import { passThrough, type PassThroughContext } from "./pass_through.ts";
+import { sendRejection } from "./rejection.ts";
+import { checkRequest } from "./request_check.ts";
+import { RequestLog } from "./request_log.ts";
+
+/** Answers a request that did not pass the checks. */
+function _rejectUnchecked(
+  context: PassThroughContext,
+  request: IncomingMessage,
+  response: ServerResponse,
+  error: ApplicationError,
+): void {
+  const answer = sendRejection(response, error, {
+    cause: "starting",
+    remainingMilliseconds: undefined,
+    random: context.random,
+    isClosing: context.isStopping() || !request.complete,
+  });
+  const { requestId } = context.protocol.readTerms(request.headers);
+  new RequestLog(context).ended(
+    "request.rejected",
+    {
+      requestId,
+      route: undefined,
+      attempts: 0,
+      runs: 0,
+      milliseconds: 0,
+      firstByteMilliseconds: undefined,
+    },
+    error.kind,
+    { detail: error.detail, status: answer.status },
+  );
+  context.onOver();
+}
+
+/** Checks a request and serves it, or says why not. */
+export function handleRequest(
+  context: PassThroughContext,
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  const checked = checkRequest(request, context);
+  if (checked.isErr()) {
+    _rejectUnchecked(context, request, response, checked.error);
+  } else passThrough(context, request, response, checked.value);
+}
--- a/src/peer_network.ts
+++ b/src/peer_network.ts
@@ -38,6 +38,9 @@
   "backend.state",
   "hosts.listed",
   "network.keepalive",
+  "gateway.report",
+  "gateway.peers",
+  "gateway.state",
 ] as const;
 
 /** One of the closed list of message kinds. */
@@ -81,6 +84,8 @@
     body: unknown,
     timeoutMilliseconds: number,
   ): Promise<Result<unknown, ApplicationError>>;
+  /** Closes the connection to a peer that fell silent; the next message opens one. */
+  reset(_to: SocketAddress): void {}
   /** Registers the handler of a kind. */
   abstract handle(kind: PeerMessageKind, handler: PeerHandler): void;
   /** Calls the listener with the generation that a peer's frame carried. */
--- /dev/null
+++ b/src/request_check.ts
@@ -0,0 +1,102 @@
+/**
+ * Checks a request before anything is done for it: route, key, id and size of
+ * the headers. Until a configuration is known nothing can be judged.
+ */
+import type { IncomingMessage } from "node:http";
+import { err, ok, type Result } from "neverthrow";
+import { type ApplicationError, createError } from "./core/errors.ts";
+import type {
+  GatewayRoute,
+  GatewayWorkspace,
+  RequestBounds,
+  ServiceId,
+} from "./core/gateway_configuration.ts";
+import {
+  pickService,
+  readHostName,
+  type RouteTable,
+} from "./core/route_table.ts";
+import type { GatewayProtocol, RequestTerms } from "./gateway_protocol.ts";
+import type { GatewayStateTask } from "./gateway_state_task.ts";
+
+const MAXIMUM_REQUEST_ID_CHARACTERS = 256;
+/** Bytes of a header line beside its name and value. */
+const HEADER_LINE_BYTES = 4;
+
+/** A request that may be served. */
+export interface CheckedRequest {
+  readonly requestId: string;
+  readonly route: GatewayRoute;
+  readonly service: ServiceId;
+  readonly workspace: string | undefined;
+  /** 0 is the most urgent. */
+  readonly urgency: number;
+  readonly terms: RequestTerms;
+  readonly bounds: RequestBounds;
+  /** Time from the arrival after which the request is answered in any case. */
+  readonly limitMilliseconds: number;
+}
+
+/** What the check needs. */
+export interface CheckContext {
+  readonly state: GatewayStateTask;
+  readonly protocol: GatewayProtocol;
+}
+
+function _headerBytes(request: IncomingMessage): number {
+  const { rawHeaders, url } = request;
+  let bytes = url?.length ?? 0;
+  for (const text of rawHeaders) bytes += text.length;
+  return bytes + (rawHeaders.length / 2) * HEADER_LINE_BYTES;
+}
+
+function _authenticate(
+  table: RouteTable,
+  route: GatewayRoute,
+  key: string | undefined,
+): Result<GatewayWorkspace | undefined, ApplicationError> {
+  if (!table.configuration.workspaces) return ok(undefined);
+  const workspace = key === undefined ? undefined : table.findWorkspace(key);
+  if (workspace || route.isPublic) return ok(workspace);
+  return err(createError("unauthenticated", "the key is missing or unknown"));
+}
+
+/** Returns what is needed to serve a request, or why it is not served. */
+export function checkRequest(
+  request: IncomingMessage,
+  { state, protocol }: CheckContext,
+): Result<CheckedRequest, ApplicationError> {
+  const table = state.table();
+  if (!table || !state.isKnown()) {
+    return err(createError("not_ready", "the configuration is not known yet"));
+  }
+  const { bounds } = table.configuration;
+  if (_headerBytes(request) > bounds.maximumHeaderBytes) {
+    return err(createError("headers_too_large", "over the limit of headers"));
+  }
+  const hostName = readHostName(request.headers.host ?? "");
+  const route = table.findRoute(hostName, request.url ?? "");
+  if (!route) return err(createError("not_found", "no route matches"));
+  const terms = protocol.readTerms(request.headers);
+  const workspace = _authenticate(table, route, terms.key);
+  if (workspace.isErr()) return err(workspace.error);
+  const { requestId } = terms;
+  if (!requestId || requestId.length > MAXIMUM_REQUEST_ID_CHARACTERS) {
+    return err(createError("malformed_request", "no valid request id"));
+  }
+  const service = pickService(route, requestId);
+  if (!service) return err(createError("no_backend_server", "no service"));
+  return ok({
+    requestId,
+    route,
+    service,
+    workspace: workspace.value?.id,
+    urgency: workspace.value?.priority ?? route.priority,
+    terms,
+    bounds,
+    limitMilliseconds: Math.min(
+      terms.deadlineMilliseconds ?? route.timeoutMilliseconds,
+      route.timeoutMilliseconds,
+    ),
+  });
+}
--- a/src/tcp_peer_network.ts
+++ b/src/tcp_peer_network.ts
@@ -164,6 +164,12 @@
     });
   }
 
+  override reset(to: SocketAddress): void {
+    this.#links.get(to)?.connection?.close(
+      createError("peer_unreachable", "the peer fell silent"),
+    );
+  }
+
   override handle(kind: PeerMessageKind, handler: PeerHandler): void {
     this.#handlers.set(kind, handler);
   }
