Test the gateway against scripted backend servers; forget failures after an exclusion

Cause: the new parts had no tests of their own. Change: the exclusion outlasts the window, and a server must fail 3.5 requests more than the tolerated share of its requests. Stand-ins: a fleet store in memory and a backend server that is scripted down to single bytes. A stopped gateway closes its network, connections and store.

--- /dev/null
+++ b/src/core/entry_addresses_test.ts
@@ -0,0 +1,47 @@
+import test from "ava";
+import { chooseEntryAddresses, type EntryRouter } from "./entry_addresses.ts";
+import { brandId, type DataCentreId, type SocketAddress } from "./ids.ts";
+
+const NORTH = brandId<DataCentreId>("north");
+const SOUTH = brandId<DataCentreId>("south");
+
+function routerOf(
+  address: string,
+  dataCentre: DataCentreId,
+  busyShare = 0.1,
+): EntryRouter {
+  return {
+    callerAddress: brandId<SocketAddress>(address),
+    dataCentre,
+    busyShare,
+  };
+}
+
+test("guards against callers being sent to another data centre without need", (t) => {
+  const routers = [
+    routerOf("n1", NORTH),
+    routerOf("s1", SOUTH),
+    routerOf("n2", NORTH),
+  ];
+  t.deepEqual(chooseEntryAddresses(routers, NORTH) as string[], ["n1", "n2"]);
+});
+
+test("guards against a caller that knows one address only", (t) => {
+  const routers = [
+    routerOf("n1", NORTH),
+    routerOf("s1", SOUTH, 0.5),
+    routerOf("s2", SOUTH, 0.2),
+  ];
+  t.deepEqual(chooseEntryAddresses(routers, NORTH) as string[], ["n1", "s2"]);
+  t.is(chooseEntryAddresses(routers, undefined).length, 3);
+});
+
+test("guards against a crowded data centre while others have room, replaying a move of callers", (t) => {
+  const routers = [
+    routerOf("n1", NORTH, 0.9),
+    routerOf("n2", NORTH, 0.8),
+    routerOf("s1", SOUTH),
+    routerOf("s2", SOUTH),
+  ];
+  t.is(chooseEntryAddresses(routers, NORTH).length, 4);
+});
--- /dev/null
+++ b/src/core/fleet_load_test.ts
@@ -0,0 +1,37 @@
+import test from "ava";
+import { createFleetLoad, REPORT_LIFETIME_MILLISECONDS } from "./fleet_load.ts";
+import { type BackendServerId, brandId, type HostId } from "./ids.ts";
+
+const SERVER = brandId<BackendServerId>("s1");
+const PEER = brandId<HostId>("peer");
+
+test("guards against a repeated report being counted twice", (t) => {
+  const load = createFleetLoad();
+  load.started(SERVER);
+  load.report(PEER, [{ server: SERVER, inFlight: 3 }], 0);
+  load.report(PEER, [{ server: SERVER, inFlight: 2 }], 10);
+  t.is(load.inFlight(SERVER), 3);
+  load.ended(SERVER);
+  t.is(load.inFlight(SERVER), 2);
+  load.report(PEER, [], 20);
+  t.is(load.inFlight(SERVER), 0);
+});
+
+test("guards against the requests of a router that died counting for ever", (t) => {
+  const load = createFleetLoad();
+  load.report(PEER, [{ server: SERVER, inFlight: 5 }], 0);
+  load.expire(REPORT_LIFETIME_MILLISECONDS - 1);
+  t.is(load.inFlight(SERVER), 5);
+  load.expire(REPORT_LIFETIME_MILLISECONDS);
+  t.is(load.inFlight(SERVER), 0);
+});
+
+test("guards against reports to peers that say nothing new", (t) => {
+  const load = createFleetLoad();
+  const before = load.ownVersion;
+  load.report(PEER, [{ server: SERVER, inFlight: 5 }], 0);
+  t.is(load.ownVersion, before);
+  load.started(SERVER);
+  t.not(load.ownVersion, before);
+  t.deepEqual(load.ownLoads(), [{ server: SERVER, inFlight: 1 }]);
+});
--- a/src/core/server_outcomes.ts
+++ b/src/core/server_outcomes.ts
@@ -10,16 +10,17 @@
 import type { BackendServerId, HostId } from "./ids.ts";
 
 const BUCKET_MILLISECONDS = 1_000;
-const BUCKETS = 4;
-/** Fewer failures than this say nothing about a server. */
-const MINIMUM_FAILURES = 3;
-/** Least share of failed requests for which a server is left out. */
-const MINIMUM_FAILURE_SHARE = 0.2;
-/** A server must fail this many times as often as its service usually does. */
-const USUAL_SHARE_FACTOR = 3;
+const BUCKETS = 3;
+/** A server must fail this many requests more than it might by chance. */
+const MINIMUM_EXCESS_FAILURES = 3.5;
+/** Share of failed requests that no server is left out for. */
+const TOLERATED_FAILURE_SHARE = 0.1;
+/** A server may fail this many times as often as its service usually does. */
+const USUAL_SHARE_FACTOR = 2;
 /** Part of a service that may be left out at the same time. */
 const MAXIMUM_EXCLUDED_SHARE = 0.4;
-const FIRST_EXCLUSION_MILLISECONDS = 2_000;
+/** By then no failure from before the exclusion is within the window. */
+const FIRST_EXCLUSION_MILLISECONDS = (BUCKETS + 1) * BUCKET_MILLISECONDS;
 const MAXIMUM_EXCLUSION_MILLISECONDS = 16_000;
 /** A server that stayed in use for this long starts with the first exclusion. */
 const FORGIVENESS_MILLISECONDS = 20_000;
@@ -102,16 +103,18 @@
     const counts = servers.map(({ id }) => this.#total(id, now));
     const shares = counts.map(_shareOf).sort((left, right) => left - right);
     const usual = shares[Math.floor((shares.length - 1) / 2)] ?? 0;
-    const limit = Math.max(MINIMUM_FAILURE_SHARE, USUAL_SHARE_FACTOR * usual);
+    const tolerated = Math.max(
+      TOLERATED_FAILURE_SHARE,
+      USUAL_SHARE_FACTOR * usual,
+    );
     let free = Math.floor(servers.length * MAXIMUM_EXCLUDED_SHARE) -
       servers.filter(({ id }) => this.#isFailing(id, now)).length;
     counts.sort((left, right) => _shareOf(right) - _shareOf(left));
     for (const count of counts) {
       if (free <= 0) return;
-      if (count.failures < MINIMUM_FAILURES) continue;
-      if (_shareOf(count) < limit || this.#isFailing(count.server, now)) {
-        continue;
-      }
+      const excess = count.failures - tolerated * count.requests;
+      if (excess < MINIMUM_EXCESS_FAILURES) continue;
+      if (this.#isFailing(count.server, now)) continue;
       this.#exclude(count.server, now);
       free--;
     }
--- /dev/null
+++ b/src/core/server_outcomes_test.ts
@@ -0,0 +1,117 @@
+import test from "ava";
+import { type BackendServerId, brandId, type HostId } from "./ids.ts";
+import { createSeededRandom } from "./random.ts";
+import {
+  createServerOutcomes,
+  type ServerOutcomes,
+} from "./server_outcomes.ts";
+import {
+  type RegisteredServer,
+  registeredServerSchema,
+} from "./server_registry.ts";
+
+function serversOf(count: number): RegisteredServer[] {
+  return Array.from(
+    { length: count },
+    (_, index) =>
+      registeredServerSchema.parse({
+        id: `s${index}`,
+        service: "pool",
+        address: "10.0.0.1:80",
+        dataCentre: "north",
+        slots: 4,
+        isDraining: false,
+        started: 1,
+        warmUpMilliseconds: 0,
+      }),
+  );
+}
+
+function excluded(
+  outcomes: ServerOutcomes,
+  servers: readonly RegisteredServer[],
+  now: number,
+): string[] {
+  outcomes.evaluate("pool", servers, now);
+  return servers.map(({ id }) => id).filter((id) =>
+    outcomes.isExcluded(id, now)
+  );
+}
+
+function failAt(
+  outcomes: ServerOutcomes,
+  server: BackendServerId,
+  failures: number,
+  requests: number,
+  now: number,
+): void {
+  for (let index = 0; index < requests; index++) {
+    outcomes.record(server, index < failures, now);
+  }
+}
+
+test("guards against a server that fails part of its requests staying in use", (t) => {
+  const servers = serversOf(4);
+  const outcomes = createServerOutcomes();
+  for (const { id } of servers) failAt(outcomes, id, 0, 10, 100);
+  failAt(outcomes, servers[2]!.id, 6, 6, 100);
+  t.deepEqual(excluded(outcomes, servers, 200), ["s2"]);
+  t.deepEqual(excluded(outcomes, servers, 200 + 4_000), []);
+});
+
+test("guards against leaving out servers whose whole service fails as often", (t) => {
+  const servers = serversOf(4);
+  const outcomes = createServerOutcomes();
+  for (const { id } of servers) failAt(outcomes, id, 4, 10, 100);
+  t.deepEqual(excluded(outcomes, servers, 200), []);
+});
+
+test("guards against leaving out more servers than the rest can carry", (t) => {
+  const servers = serversOf(6);
+  const outcomes = createServerOutcomes();
+  for (const { id } of servers.slice(0, 4)) failAt(outcomes, id, 0, 10, 100);
+  for (const { id } of servers.slice(3)) failAt(outcomes, id, 9, 9, 100);
+  t.is(excluded(outcomes, servers, 200).length, 2);
+});
+
+test("guards against each router having to learn of a failing server by itself", (t) => {
+  const servers = serversOf(3);
+  const outcomes = createServerOutcomes();
+  for (const [index, peer] of ["p1", "p2", "p3"].entries()) {
+    outcomes.report(brandId<HostId>(peer), [
+      { server: servers[0]!.id, requests: 3, failures: 2 },
+    ], 100 + index);
+  }
+  t.deepEqual(excluded(outcomes, servers, 200), ["s0"]);
+});
+
+test("guards against a server that fails again soon coming back as fast as before", (t) => {
+  const servers = serversOf(3);
+  const outcomes = createServerOutcomes();
+  failAt(outcomes, servers[0]!.id, 5, 5, 0);
+  t.deepEqual(excluded(outcomes, servers, 10), ["s0"]);
+  failAt(outcomes, servers[0]!.id, 5, 5, 6_000);
+  t.deepEqual(excluded(outcomes, servers, 6_010), ["s0"]);
+  t.deepEqual(excluded(outcomes, servers, 6_010 + 7_900), ["s0"]);
+});
+
+test("guards against a server that refused one connection being left out for long", (t) => {
+  const [server] = serversOf(1) as [RegisteredServer];
+  const outcomes = createServerOutcomes();
+  outcomes.recordUnreachable(server.id, 0);
+  t.true(outcomes.isExcluded(server.id, 100));
+  t.false(outcomes.isExcluded(server.id, 1_000));
+});
+
+test("guards against random failures at the usual rate leaving servers out", (t) => {
+  const servers = serversOf(4);
+  const outcomes = createServerOutcomes();
+  const random = createSeededRandom(5);
+  let exclusions = 0;
+  for (let now = 0; now < 60_000; now += 50) {
+    const server = servers[random.integer(4)]!;
+    outcomes.record(server.id, random.next() < 0.05, now);
+    exclusions += excluded(outcomes, servers, now).length;
+  }
+  t.is(exclusions, 0);
+});
--- /dev/null
+++ b/src/core/server_registry_test.ts
@@ -0,0 +1,104 @@
+import test from "ava";
+import { serviceIdSchema } from "./gateway_configuration.ts";
+import { type BackendServerId, brandId } from "./ids.ts";
+import {
+  createServerRegistry,
+  type RegisteredServer,
+  registeredServerSchema,
+  REGISTRATION_RETURN_MILLISECONDS,
+  type ServerRegistry,
+} from "./server_registry.ts";
+
+const POOL = serviceIdSchema.parse("pool");
+
+function serverOf(id: string, options: object = {}): RegisteredServer {
+  return registeredServerSchema.parse({
+    id,
+    service: "pool",
+    address: "10.0.0.1:80",
+    dataCentre: "north",
+    slots: 4,
+    isDraining: false,
+    started: 1,
+    warmUpMilliseconds: 0,
+    ...options,
+  });
+}
+
+function idOf(id: string): BackendServerId {
+  return brandId<BackendServerId>(id);
+}
+
+function readyIds(registry: ServerRegistry): string[] {
+  return registry.readyServers(POOL).map(({ id }) => id as string).sort();
+}
+
+function listed(...ids: string[]): ServerRegistry {
+  const registry = createServerRegistry();
+  registry.replace(
+    { revision: 10, servers: ids.map((id) => serverOf(id)) },
+    0,
+  );
+  return registry;
+}
+
+test("guards against new work for a server that drains or was removed", (t) => {
+  const registry = listed("a", "b", "c");
+  registry.apply(11, [
+    { id: idOf("a"), server: serverOf("a", { isDraining: true }) },
+    { id: idOf("b"), server: undefined },
+  ], 1);
+  t.deepEqual(readyIds(registry), ["c"]);
+});
+
+test("guards against an older list or change undoing a newer one", (t) => {
+  const registry = listed("a", "b");
+  registry.apply(12, [{ id: idOf("b"), server: undefined }], 1);
+  registry.replace({ revision: 11, servers: [serverOf("b")] }, 2);
+  registry.apply(12, [{ id: idOf("b"), server: serverOf("b") }], 3);
+  t.deepEqual(readyIds(registry), ["a"]);
+  t.is(registry.revision, 12);
+});
+
+test("guards against losing every server whose registration lapsed while the store was away", (t) => {
+  const registry = listed("a", "b");
+  registry.storeLost();
+  registry.storeReturned(1_000);
+  registry.apply(13, [
+    { id: idOf("a"), server: undefined },
+    { id: idOf("b"), server: undefined },
+  ], 1_001);
+  t.deepEqual(readyIds(registry), ["a", "b"]);
+  registry.apply(14, [{ id: idOf("a"), server: serverOf("a") }], 1_500);
+  registry.expire(1_000 + REGISTRATION_RETURN_MILLISECONDS - 1);
+  t.deepEqual(readyIds(registry), ["a", "b"]);
+  registry.expire(1_000 + REGISTRATION_RETURN_MILLISECONDS);
+  t.deepEqual(readyIds(registry), ["a"]);
+});
+
+test("guards against keeping a removed server when the store was never away", (t) => {
+  const registry = listed("a");
+  registry.replace({ revision: 11, servers: [] }, 5_000);
+  t.deepEqual(readyIds(registry), []);
+});
+
+test("guards against a draining server coming back as lapsed after an outage", (t) => {
+  const registry = listed("a", "b");
+  registry.apply(11, [
+    { id: idOf("a"), server: serverOf("a", { isDraining: true }) },
+  ], 1);
+  registry.storeLost();
+  registry.storeReturned(100);
+  registry.replace({ revision: 12, servers: [] }, 101);
+  t.deepEqual(readyIds(registry), ["b"]);
+  t.is(registry.get(idOf("a")), undefined);
+});
+
+test("guards against peers fetching the state again when registrations are equal", (t) => {
+  const left = listed("a", "b");
+  const right = listed("b", "a");
+  right.apply(99, [], 1);
+  t.is(left.digest, right.digest);
+  right.apply(100, [{ id: idOf("a"), server: undefined }], 2);
+  t.not(left.digest, right.digest);
+});
--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -287,12 +287,16 @@
     housekeeping?.cancel();
     await peers.stop();
     await state.stop();
+    await network.stop();
+    await connections.close();
+    await store.close();
     log.write("process.stopped", {
       inFlight,
       milliseconds: Math.round(clock.monotonicMilliseconds() - stopAt),
     });
     log.flush();
     log.end();
+    timers.stop();
   }
 
   function reload(): void {
--- /dev/null
+++ b/src/gateway_test.ts
@@ -0,0 +1,461 @@
+import { connect, type Socket } from "node:net";
+import test from "ava";
+import { type Dispatcher, Pool, request } from "undici";
+import {
+  type GatewayInTest,
+  startGateways,
+  testConfiguration,
+  testRoute,
+} from "../stand_ins/gateway_fleet.ts";
+import { MemoryFleet } from "../stand_ins/memory_fleet_store.ts";
+import {
+  answerBytes,
+  answerHeaders,
+  type RawBackend,
+  refuse,
+  startRawBackend,
+} from "../stand_ins/raw_backend.ts";
+import { DEFAULT_HEADER_NAMES as NAMES } from "./gateway_protocol.ts";
+
+interface Bench {
+  readonly fleet: MemoryFleet;
+  readonly gateways: readonly GatewayInTest[];
+  readonly backends: readonly RawBackend[];
+}
+
+const ROUTES = [
+  testRoute("safe"),
+  testRoute("once", { kind: "non_idempotent", maximumBackendServers: 1 }),
+  testRoute("stream", { kind: "event_stream", isResumable: true }),
+  testRoute("single", { kind: "event_stream", maximumBackendServers: 1 }),
+  testRoute("short", { timeoutMilliseconds: 300, maximumBackendServers: 1 }),
+  testRoute("public", { isPublic: true }),
+];
+
+let nextId = 0;
+const running: Bench[] = [];
+const clients = new Map<string, Pool>();
+
+async function startBench(
+  { gateways = 1, backends = 2 } = {},
+): Promise<Bench> {
+  const fleet = new MemoryFleet();
+  fleet.setConfiguration(testConfiguration(1, ROUTES));
+  const servers: RawBackend[] = [];
+  for (let index = 0; index < backends; index++) {
+    const server = await startRawBackend();
+    servers.push(server);
+    fleet.setServer(server.registration(`s${index}`));
+  }
+  const bench = {
+    fleet,
+    gateways: await startGateways(fleet, gateways),
+    backends: servers,
+  };
+  running.push(bench);
+  await until(() => bench.gateways.every(isKnown), "gateways are ready");
+  return bench;
+}
+
+function isKnown({ lines }: GatewayInTest): boolean {
+  const text = lines.join("");
+  return text.includes("configuration.in_force") &&
+    text.includes("registry.changed");
+}
+
+async function until(isTrue: () => boolean, what: string): Promise<void> {
+  const end = Date.now() + 10_000;
+  while (!isTrue()) {
+    if (Date.now() > end) throw new Error(`${what}: not within 10 s`);
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
+
+test.after.always(async () => {
+  await Promise.all([...clients.values()].map((client) => client.destroy()));
+  await Promise.all(running.flatMap(({ gateways, backends }) => [
+    ...gateways.map(({ gateway }) => gateway.stop()),
+    ...backends.map((backend) => backend.close()),
+  ]));
+});
+
+interface Call {
+  readonly path?: string;
+  readonly method?: Dispatcher.HttpMethod;
+  readonly body?: string;
+  readonly headers?: Record<string, string>;
+  readonly id?: string;
+  readonly gateway?: number;
+}
+
+function clientOf({ callers }: GatewayInTest): Pool {
+  let client = clients.get(callers);
+  if (!client) {
+    client = new Pool(`http://${callers}`);
+    clients.set(callers, client);
+  }
+  return client;
+}
+
+async function call(bench: Bench, options: Call = {}) {
+  const { path = "/safe/x", method = "GET", body, headers, gateway = 0 } =
+    options;
+  const id = options.id ?? `id-${nextId++}`;
+  const client = clientOf(bench.gateways[gateway]!);
+  const response = await client.request({
+    path,
+    method,
+    headers: {
+      host: "shop.example",
+      authorization: "Bearer temple-key",
+      [NAMES.requestId]: id,
+      [NAMES.deadline]: "3000",
+      ...headers,
+    },
+    ...(body === undefined ? {} : { body }),
+  });
+  return {
+    id,
+    status: response.statusCode,
+    headers: response.headers,
+    text: await response.body.text(),
+  };
+}
+
+function received(bench: Bench) {
+  return bench.backends.flatMap((backend) => backend.received);
+}
+
+/** Sends bytes as they are and returns everything that comes back. */
+function sendRaw(
+  bench: Bench,
+  text: string,
+  onSocket: (socket: Socket) => void = () => {},
+): Promise<string> {
+  const [host, port] = bench.gateways[0]!.callers.split(":") as [
+    string,
+    string,
+  ];
+  return new Promise((resolve) => {
+    const socket = connect(Number(port), host, () => socket.write(text));
+    let answer = "";
+    socket.on("data", (chunk) => (answer += chunk.toString()));
+    socket.on("error", () => undefined);
+    socket.on("close", () => resolve(answer));
+    onSocket(socket);
+  });
+}
+
+test.serial("guards against a changed method, path, query, body or id on the way", async (t) => {
+  const bench = await startBench();
+  const path = "/once/a%2Fb/../c//d?x=1&y=%20&z";
+  const { status, text, id } = await call(bench, {
+    path,
+    method: "POST",
+    body: "the body",
+  });
+  t.is(status, 200);
+  t.is(text, `POST ${path} the body`);
+  const [seen] = received(bench);
+  t.is(seen?.id, id);
+  t.true(Number(seen?.headers[NAMES.deadline]) <= 3_000);
+  t.is(seen?.headers[NAMES.workspace], "temple");
+  t.is(seen?.headers.authorization, undefined);
+});
+
+test.serial("guards against headers of the system that a caller forges, and against headers of its connection", async (t) => {
+  const bench = await startBench();
+  const forged = [
+    `${NAMES.workspace}: market`,
+    `${NAMES.expectedServer}: s9`,
+    `${NAMES.urgency}: 0`,
+    "x-kept: yes",
+    "x-hop: 1",
+    "Connection: close, x-hop",
+  ];
+  await sendRaw(
+    bench,
+    `GET /safe/x HTTP/1.1\r\nHost: shop.example\r\n${NAMES.requestId}: a\r\n` +
+      `Authorization: Bearer temple-key\r\n${forged.join("\r\n")}\r\n\r\n`,
+  );
+  const [seen] = received(bench);
+  t.is(seen?.headers[NAMES.workspace], "temple");
+  t.true(["s0", "s1"].includes(String(seen?.headers[NAMES.expectedServer])));
+  t.is(seen?.headers[NAMES.urgency], "1");
+  t.is(seen?.headers["x-kept"], "yes");
+  t.is(seen?.headers["x-hop"], undefined);
+});
+
+test.serial("guards against requests without a route, a key or an id reaching a server", async (t) => {
+  const bench = await startBench();
+  t.is((await call(bench, { path: "/none/x" })).status, 404);
+  const wrong = await call(bench, { headers: { authorization: "Bearer x" } });
+  t.is(wrong.status, 401);
+  t.is((await call(bench, { id: "" })).status, 400);
+  t.is(received(bench).length, 0);
+  const open = await call(bench, {
+    path: "/public/x",
+    headers: { authorization: "" },
+  });
+  t.is(open.status, 200);
+});
+
+test.serial("guards against a second request hidden in the framing of the first", async (t) => {
+  const bench = await startBench();
+  const hidden = "GET /safe/hidden HTTP/1.1\r\nHost: shop.example\r\n\r\n";
+  const heads = [
+    `Content-Length: ${hidden.length}\r\nTransfer-Encoding: chunked\r\n`,
+    "Content-Length: 5\r\nContent-Length: 6\r\n",
+    "Transfer-Encoding: chunked, identity\r\n",
+    "Content-Length: +5\r\n",
+  ];
+  for (const head of heads) {
+    const answer = await sendRaw(
+      bench,
+      `POST /once/x HTTP/1.1\r\nHost: shop.example\r\n${NAMES.requestId}: a\r\n` +
+        `Authorization: Bearer temple-key\r\n${head}\r\n${hidden}`,
+    );
+    t.regex(answer, /^HTTP\/1.1 400 /, head);
+  }
+  t.is(received(bench).length, 0);
+});
+
+test.serial("guards against a torn request reaching a server", async (t) => {
+  const bench = await startBench();
+  await sendRaw(
+    bench,
+    `POST /once/x HTTP/1.1\r\nHost: shop.example\r\n${NAMES.requestId}: a\r\n` +
+      `Authorization: Bearer temple-key\r\nContent-Length: 10\r\n\r\nhalf`,
+    (socket) => setTimeout(() => socket.destroy(), 100),
+  );
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  t.is(received(bench).length, 0);
+});
+
+test.serial("guards against a second run of work that may not be repeated", async (t) => {
+  const bench = await startBench();
+  for (const backend of bench.backends) {
+    backend.script((_, response) => response.destroy());
+  }
+  const { status, id } = await call(bench, {
+    path: "/once/x",
+    method: "POST",
+    body: "b",
+  });
+  t.is(status, 502);
+  t.is(received(bench).filter((entry) => entry.id === id).length, 1);
+});
+
+test.serial("guards against giving up work that a server refused or another can repeat", async (t) => {
+  const bench = await startBench();
+  let calls = 0;
+  for (const backend of bench.backends) {
+    backend.script((entry, response) => {
+      if (calls++ === 0) refuse(entry, response);
+      else response.writeHead(200, answerHeaders(entry.id)).end("done");
+    });
+  }
+  const refused = await call(bench, { path: "/once/x", method: "POST" });
+  t.is(refused.text, "done");
+  for (const backend of bench.backends) {
+    backend.script((entry, response) => {
+      if (calls++ === 2) {
+        response.writeHead(500, answerHeaders(entry.id)).end("error");
+      } else response.writeHead(200, answerHeaders(entry.id)).end("done");
+    });
+  }
+  t.is((await call(bench)).text, "done");
+});
+
+test.serial("guards against a refusal by every server being called anything but not run", async (t) => {
+  const bench = await startBench();
+  for (const backend of bench.backends) backend.script(refuse);
+  const { status, headers } = await call(bench, { path: "/once/x" });
+  t.is(status, 503);
+  t.true(Number(headers["retry-after"]) > 0);
+});
+
+test.serial("guards against a promise that work has not run on a status alone", async (t) => {
+  const bench = await startBench();
+  for (const status of [408, 429, 503]) {
+    for (const backend of bench.backends) {
+      backend.script(({ id }, response) => {
+        response.writeHead(status, answerHeaders(id)).end();
+      });
+    }
+    const answer = await call(bench, { path: "/once/x", method: "POST" });
+    t.is(answer.status, 502, `${status}`);
+    t.is(answer.headers[NAMES.signature], undefined);
+  }
+});
+
+test.serial("guards against a stray answer reaching the next request of a connection", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  const [backend] = bench.backends as [RawBackend];
+  let late: (() => void) | undefined;
+  backend.script(({ id }, response) => {
+    const { socket } = response;
+    // The second answer to a request arrives where the next one's is due.
+    if (late) late();
+    else response.writeHead(200, answerHeaders(id)).end("first");
+    late ??= () => socket?.write(answerBytes(id, "stray"));
+  });
+  t.is((await call(bench, { path: "/once/x" })).text, "first");
+  const second = await call(bench, { path: "/once/x" });
+  t.is(second.status, 502);
+  t.not(second.text, "stray");
+  backend.script(undefined);
+  t.is((await call(bench, { path: "/once/x" })).status, 200);
+});
+
+test.serial("guards against an answer without a length that was reset looking complete", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  const [backend] = bench.backends as [RawBackend];
+  const head = (id: string) =>
+    `HTTP/1.1 200 OK\r\n${NAMES.requestId}: ${id}\r\n${NAMES.signature}: s\r\n` +
+    "Connection: close\r\n\r\n";
+  backend.script(({ id }, { socket }) => {
+    socket?.write(`${head(id)}part`);
+    setTimeout(() => socket?.resetAndDestroy(), 50);
+  });
+  await t.throwsAsync(call(bench, { path: "/once/x" }));
+  backend.script(({ id }, { socket }) => socket?.end(`${head(id)}whole`));
+  t.is((await call(bench, { path: "/once/x" })).text, "whole");
+});
+
+test.serial("guards against a cut answer looking complete", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  const [backend] = bench.backends as [RawBackend];
+  backend.script(({ id }, { socket }) => {
+    socket?.end(answerBytes(id, "0123456789").slice(0, -4));
+  });
+  await t.throwsAsync(call(bench, { path: "/once/x" }));
+});
+
+test.serial("guards against a success without a signature reaching a caller", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  bench.backends[0]!.script(({ id }, response) => {
+    response.writeHead(200, { [NAMES.requestId]: id }).end("forged");
+  });
+  const { status, text } = await call(bench, { path: "/once/x" });
+  t.is(status, 502);
+  t.false(text.includes("forged"));
+});
+
+test.serial("guards against a broken stream that is not resumed, or with a lost or repeated event", async (t) => {
+  const bench = await startBench();
+  const lastIds: unknown[] = [];
+  for (const backend of bench.backends) {
+    backend.script((entry, response) => {
+      const last = Number(entry.headers["last-event-id"] ?? 0);
+      lastIds.push(entry.headers["last-event-id"]);
+      response.writeHead(200, answerHeaders(entry.id));
+      if (last > 0) {
+        response.end(`id: ${last + 1}\ndata: rest\n\n`);
+        return;
+      }
+      response.write("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+      setTimeout(() => response.destroy(), 50);
+    });
+  }
+  const { text } = await call(bench, { path: "/stream/x", method: "POST" });
+  t.is(text, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: rest\n\n");
+  t.deepEqual(lastIds, [undefined, "2"]);
+});
+
+test.serial("guards against a broken stream that may not be resumed looking complete", async (t) => {
+  const bench = await startBench();
+  for (const backend of bench.backends) {
+    backend.script((entry, response) => {
+      response.writeHead(200, answerHeaders(entry.id));
+      response.write("id: 1\ndata: a\n\n");
+      setTimeout(() => response.destroy(), 50);
+    });
+  }
+  await t.throwsAsync(call(bench, { path: "/single/x", method: "POST" }));
+  t.is(received(bench).length, 1);
+});
+
+test.serial("guards against a server working on after its caller has left", async (t) => {
+  const bench = await startBench();
+  for (const backend of bench.backends) backend.script(() => undefined);
+  await sendRaw(
+    bench,
+    `POST /once/x HTTP/1.1\r\nHost: shop.example\r\n${NAMES.requestId}: left\r\n` +
+      "Authorization: Bearer temple-key\r\nContent-Length: 0\r\n\r\n",
+    (socket) => setTimeout(() => socket.destroy(), 200),
+  );
+  const cancelled = () => bench.backends.flatMap((entry) => entry.cancelled);
+  const start = Date.now();
+  await until(() => cancelled().includes("left"), "the request is cancelled");
+  t.true(Date.now() - start < 500);
+});
+
+test.serial("guards against a request without an answer at its time limit", async (t) => {
+  const bench = await startBench();
+  for (const backend of bench.backends) backend.script(() => undefined);
+  const start = Date.now();
+  const { status } = await call(bench, { path: "/short/x" });
+  t.is(status, 504);
+  t.true(Date.now() - start < 800);
+});
+
+test.serial("guards against work for a server that drains, and against an unknown router state being called 404", async (t) => {
+  const bench = await startBench();
+  const [first] = bench.backends as [RawBackend];
+  bench.fleet.setServer(first.registration("s0", { isDraining: true }));
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  for (let index = 0; index < 10; index++) await call(bench);
+  t.is(first.received.length, 0);
+  const empty = await startGateways(new MemoryFleet(), 1);
+  const lone: Bench = { fleet: bench.fleet, gateways: empty, backends: [] };
+  running.push(lone);
+  t.is((await call(lone, { path: "/none/x" })).status, 503);
+});
+
+test.serial("guards against a router that the store refuses staying on old routes and servers", async (t) => {
+  const bench = await startBench({ gateways: 2 });
+  bench.gateways[1]!.store.setFailing(true);
+  bench.fleet.setConfiguration(
+    testConfiguration(2, [...ROUTES, testRoute("added")]),
+  );
+  bench.fleet.removeServer(bench.backends[0]!.registration("s0").id);
+  const start = Date.now();
+  let status = 0;
+  while (status !== 200 && Date.now() - start < 5_000) {
+    ({ status } = await call(bench, { path: "/added/x", gateway: 1 }));
+  }
+  t.true(Date.now() - start < 2_000, `${Date.now() - start} ms`);
+  const before = bench.backends[0]!.received.length;
+  for (let index = 0; index < 10; index++) await call(bench, { gateway: 1 });
+  t.is(bench.backends[0]!.received.length, before);
+});
+
+test.serial("guards against a planned stop that cuts a request or is announced late", async (t) => {
+  const bench = await startBench({ gateways: 2 });
+  const [leaving, staying] = bench.gateways as [GatewayInTest, GatewayInTest];
+  const addresses = async (entry: string) => {
+    const answer = await request(`http://${entry}/v1/entry-addresses`);
+    return await answer.body.json() as { addresses: string[] };
+  };
+  const start = Date.now();
+  while ((await addresses(staying.entry)).addresses.length < 2) {
+    if (Date.now() - start > 5_000) return t.fail("the routers never met");
+  }
+  for (const backend of bench.backends) {
+    backend.script((entry, response) => {
+      response.writeHead(200, answerHeaders(entry.id));
+      response.write("id: 1\ndata: a\n\n");
+      setTimeout(() => response.end("id: 2\ndata: b\n\n"), 3_200);
+    });
+  }
+  const slow = call(bench, { path: "/single/x", method: "POST" });
+  await until(() => received(bench).length > 0, "the request was sent");
+  const stopped = leaving.gateway.stop();
+  await new Promise((resolve) => setTimeout(resolve, 300));
+  t.deepEqual((await addresses(staying.entry)).addresses, [staying.callers]);
+  const ready = await request(`http://${leaving.status}/ready`);
+  t.is(ready.statusCode, 503);
+  t.is((await slow).text, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  await stopped;
+});
--- /dev/null
+++ b/stand_ins/gateway_fleet.ts
@@ -0,0 +1,100 @@
+/** Gateways in one process with a store in memory, for tests. */
+import {
+  type GatewayConfiguration,
+  gatewayConfigurationSchema,
+} from "../src/core/gateway_configuration.ts";
+import { createGateway, type Gateway } from "../src/gateway.ts";
+import type { LogOutput } from "../src/decision_log.ts";
+import { MemoryFleet, MemoryFleetStore } from "./memory_fleet_store.ts";
+import { findFreePorts } from "./processes.ts";
+
+/** A gateway with its store's view and what it logged. */
+export interface GatewayInTest {
+  readonly gateway: Gateway;
+  readonly store: MemoryFleetStore;
+  readonly callers: string;
+  readonly entry: string;
+  readonly status: string;
+  readonly peers: string;
+  readonly lines: string[];
+}
+
+/** Lines are kept in memory. */
+function _createOutput(lines: string[]): LogOutput {
+  return {
+    write: (line) => void lines.push(line),
+    flush: () => undefined,
+    end: () => undefined,
+    dropped: () => 0,
+  };
+}
+
+/** The route of a test, with what differs from a plain idempotent one. */
+export function testRoute(name: string, options: object = {}): object {
+  return {
+    name,
+    hostName: "shop.example",
+    pathPrefix: `/${name}/`,
+    kind: "idempotent",
+    targets: [{ service: "pool", weight: 1 }],
+    maximumBackendServers: 2,
+    timeoutMilliseconds: 4_000,
+    latencyObjectiveMilliseconds: 300,
+    priority: 1,
+    isPublic: false,
+    hasPromptParts: false,
+    isResumable: false,
+    ...options,
+  };
+}
+
+/** A configuration with one workspace whose key is `temple-key`. */
+export function testConfiguration(
+  version: number,
+  routes: readonly object[],
+): GatewayConfiguration {
+  return gatewayConfigurationSchema.parse({
+    version,
+    routes,
+    services: [{ id: "pool", engineSlots: 0 }],
+    workspaces: [{ id: "temple", keys: ["temple-key"] }],
+    bounds: {
+      maximumHeaderBytes: 16_384,
+      maximumBodyBytes: 4_194_304,
+      headerTimeoutMilliseconds: 3_000,
+      idleTimeoutMilliseconds: 15_000,
+    },
+  });
+}
+
+/** Starts gateways that know each other through the first one's address. */
+export async function startGateways(
+  fleet: MemoryFleet,
+  count: number,
+  graceMilliseconds = 4_000,
+): Promise<GatewayInTest[]> {
+  const ports = await findFreePorts(count * 4);
+  const gateways: GatewayInTest[] = [];
+  for (let index = 0; index < count; index++) {
+    const [callers, entry, status, peers] = ports
+      .slice(index * 4, index * 4 + 4)
+      .map((port) => `127.0.0.1:${port}`) as [string, string, string, string];
+    const store = new MemoryFleetStore(fleet);
+    const lines: string[] = [];
+    const gateway = createGateway({
+      host: `entry-${index}`,
+      dataCentre: "north",
+      addresses: { callers, entry, status, peers },
+      seeds: [gateways[0]?.peers ?? peers],
+      fleetKey: "a-fleet-key-for-tests",
+      store,
+      retries: { ratio: 0.2, fleetAllowance: 100 },
+      loadBound: { factor: 1.5, slack: 2 },
+      graceMilliseconds,
+      output: _createOutput(lines),
+    });
+    gateways.push({ gateway, store, callers, entry, status, peers, lines });
+  }
+  for (const { gateway } of gateways) await gateway.start();
+  return gateways;
+}
