--- a/src/core/next_attempt_test.ts
+++ b/src/core/next_attempt_test.ts
@@ -97,7 +97,7 @@
     hasBegun: false,
     isResumable: false,
     remainingMilliseconds: 1_000,
-    takeRetry: () => t.fail("the budget was asked") as never,
+    takeRetry: () => t.fail("the budget was asked"),
   });
   t.is(step, "retry");
 });
--- a/src/core/placement_test.ts
+++ b/src/core/placement_test.ts
@@ -130,7 +130,9 @@
 
 test("guards against an excluded server being used while others are left, and against none being used", (t) => {
   const servers = serversOf(2);
-  const isExcluded = (id: BackendServerId) => id === servers[0]!.id;
+  function isExcluded(id: BackendServerId): boolean {
+    return id === servers[0]!.id;
+  }
   for (let index = 0; index < 20; index++) {
     const promptParts = partsOf(`subject-${index}`);
     const placement = choosePlacement(
@@ -148,10 +150,11 @@
     serverOf("far"),
     serverOf("other"),
   ];
-  const choose = (near: number) =>
-    choosePlacement(
+  function choose(near: number): string | undefined {
+    return choosePlacement(
       inputOf(servers, { inFlight: (id) => id === "near" ? near : 1 }),
-    )?.server.id as string;
+    )?.server.id;
+  }
   t.is(choose(1), "near");
   t.is(choose(2), "near");
   t.not(choose(5), "near");
--- a/src/core/route_table_test.ts
+++ b/src/core/route_table_test.ts
@@ -45,7 +45,9 @@
     routeOf("a"),
     routeOf("ab", { pathPrefix: "/a/b/" }),
   ]));
-  const find = (path: string) => table.findRoute("shop.example", path)?.name;
+  function find(path: string): string | undefined {
+    return table.findRoute("shop.example", path)?.name;
+  }
   t.is(find("/a/b/c"), "ab");
   t.is(find("/a/b"), "a");
   t.is(find("/a/bc/d"), "a");
--- a/src/gateway_test.ts
+++ b/src/gateway_test.ts
@@ -311,9 +311,10 @@
 test.serial("guards against an answer without a length that was reset looking complete", async (t) => {
   const bench = await startBench({ backends: 1 });
   const [backend] = bench.backends as [RawBackend];
-  const head = (id: string) =>
-    `HTTP/1.1 200 OK\r\n${NAMES.requestId}: ${id}\r\n${NAMES.signature}: s\r\n` +
-    "Connection: close\r\n\r\n";
+  function head(id: string): string {
+    return `HTTP/1.1 200 OK\r\n${NAMES.requestId}: ${id}\r\n${NAMES.signature}: s\r\n` +
+      "Connection: close\r\n\r\n";
+  }
   backend.script(({ id }, { socket }) => {
     socket?.write(`${head(id)}part`);
     setTimeout(() => socket?.resetAndDestroy(), 50);
@@ -385,7 +386,9 @@
       "Authorization: Bearer temple-key\r\nContent-Length: 0\r\n\r\n",
     (socket) => setTimeout(() => socket.destroy(), 200),
   );
-  const cancelled = () => bench.backends.flatMap((entry) => entry.cancelled);
+  function cancelled(): string[] {
+    return bench.backends.flatMap((entry) => entry.cancelled);
+  }
   const start = Date.now();
   await until(() => cancelled().includes("left"), "the request is cancelled");
   t.true(Date.now() - start < 500);
@@ -434,10 +437,10 @@
 test.serial("guards against a planned stop that cuts a request or is announced late", async (t) => {
   const bench = await startBench({ gateways: 2 });
   const [leaving, staying] = bench.gateways as [GatewayInTest, GatewayInTest];
-  const addresses = async (entry: string) => {
+  async function addresses(entry: string): Promise<{ addresses: string[] }> {
     const answer = await request(`http://${entry}/v1/entry-addresses`);
     return await answer.body.json() as { addresses: string[] };
-  };
+  }
   const start = Date.now();
   while ((await addresses(staying.entry)).addresses.length < 2) {
     if (Date.now() - start > 5_000) return t.fail("the routers never met");
--- a/stand_ins/gateway_fleet.ts
+++ b/stand_ins/gateway_fleet.ts
@@ -5,7 +5,8 @@
 } from "../src/core/gateway_configuration.ts";
 import { createGateway, type Gateway } from "../src/gateway.ts";
 import type { LogOutput } from "../src/decision_log.ts";
-import { MemoryFleet, MemoryFleetStore } from "./memory_fleet_store.ts";
+import type { MemoryFleet } from "./memory_fleet_store.ts";
+import { MemoryFleetStore } from "./memory_fleet_store.ts";
 import { findFreePorts } from "./processes.ts";
 
 /** A gateway with its store's view and what it logged. */
