Remember which servers have read a part; copy caches; bundle only what is used

Each server that joined took its share of the parts at once and read them anew, and each that left handed its own over. A start took 190 ms of processor time, 130 more than Node's own. Ruled out: homes by hash alone, however bounded: a change of servers moves parts in use in any case; grouping subjects by their first part, which saves a quarter of what copies save. Change: routers tell each other which server has read which shared part; requests stay with such a server while it has room, and another one is told where to copy the part from. The bundle holds four parts of undici and English schema texts. What is left are first parts that each server reads once, and machines.

--- a/deploy/build.js
+++ b/deploy/build.js
@@ -4,6 +4,17 @@
  */
 import { build } from "esbuild";
 
+/** Error texts of schemas in languages other than English are not used. */
+const englishOnly = {
+  name: "english only",
+  setup(pipeline) {
+    pipeline.onLoad({ filter: /zod\/v4\/locales\/index\.js$/ }, () => ({
+      contents: 'export { default as en } from "./en.js";',
+      loader: "js",
+    }));
+  },
+};
+
 const result = await build({
   entryPoints: ["platform/main.ts"],
   outfile: "target/sapphirecart.mjs",
@@ -14,6 +25,8 @@
   minifySyntax: true,
   minifyWhitespace: true,
   metafile: true,
+  alias: { undici: "./deploy/undici_parts.js" },
+  plugins: [englishOnly],
   logLevel: "warning",
   // Packages in CommonJS format call require.
   banner: {
--- a/src/core/gateway_configuration.ts
+++ b/src/core/gateway_configuration.ts
@@ -56,6 +56,8 @@
   id: serviceIdSchema,
   /** Requests that an engine runs at once; 0 for plain services. */
   engineSlots: z.number().min(0),
+  /** Its servers can copy the cache of a prompt from each other. */
+  canCopyCache: z.boolean(),
 });
 
 const _workspace = z.object({
@@ -87,6 +89,8 @@
 export type GatewayConfiguration = z.infer<typeof gatewayConfigurationSchema>;
 /** Which requests match, and how they are treated. */
 export type GatewayRoute = z.infer<typeof _route>;
+/** A service as the configuration describes it. */
+export type GatewayService = z.infer<typeof _service>;
 /** A workspace with the keys that identify it. */
 export type GatewayWorkspace = z.infer<typeof _workspace>;
 /** What callers may send. */
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -1,16 +1,18 @@
 /**
  * Chooses the backend server of a request.
  *
- * Load patterns: requests that share a long part of their prompt go to the
- * server that has this part in its cache, until that server holds more than a
- * multiple of the mean load; then the next server in the part's rendezvous
- * order takes the rest, so that a hot part spreads over as few servers as its
- * load needs. Requests without shared parts go to a server of the same data
- * centre while its load is near the least.
+ * Load patterns: requests that share a long part of their prompt go to a server
+ * that has read this part, until every such server holds more than a multiple
+ * of the mean load; then the next server in the part's rendezvous order takes
+ * the rest, so that a hot part spreads over as few servers as its load needs.
+ * That server copies the part from one that has it instead of reading it again.
+ * Requests without shared parts go to a server of the same data centre while
+ * its load is near the least.
  */
 import type { PromptPart } from "./prompt.ts";
-import { rankByRendezvous } from "./rendezvous.ts";
+import { type PartKey, partKeyOf, sharedPartsOf } from "./prompt_directory.ts";
 import type { RandomSource } from "./random.ts";
+import { rankByRendezvous } from "./rendezvous.ts";
 import type { RegisteredServer } from "./server_registry.ts";
 import type { BackendServerId, DataCentreId } from "./ids.ts";
 
@@ -33,6 +35,8 @@
   /** Servers that this request was already sent to. */
   readonly tried: ReadonlySet<BackendServerId>;
   readonly promptParts: readonly PromptPart[];
+  /** Servers that have read a part. */
+  readonly holders: (part: PartKey) => ReadonlySet<BackendServerId>;
   readonly dataCentre: DataCentreId;
   readonly bound: LoadBound;
   readonly random: RandomSource;
@@ -40,7 +44,8 @@
 
 /** Why a server was chosen. */
 export type PlacementReason =
-  | "cached_part"
+  | "has_read_part"
+  | "first_in_order"
   | "next_in_order"
   | "same_data_centre"
   | "least_loaded"
@@ -52,37 +57,27 @@
   readonly reason: PlacementReason;
   readonly inFlight: number;
   readonly meanInFlight: number;
+  /** A server with a part that the chosen one lacks. */
+  readonly cacheSource: BackendServerId | undefined;
 }
 
 /** Load above the least at which a server of the same data centre is still preferred. */
 const NEAR_LOAD = 1;
 
-/** Returns the part whose cache decides: the last one that requests share. */
-export function sharedPartOf(
-  parts: readonly PromptPart[],
-): string | undefined {
-  return (parts[parts.length - 2] ?? parts[0])?.id;
+interface _Candidates {
+  readonly servers: readonly RegisteredServer[];
+  readonly mean: number;
+  readonly input: PlacementInput;
 }
 
-function _meanInFlight(input: PlacementInput): number {
-  const { servers, inFlight } = input;
+function _meanInFlight({ servers, inFlight }: PlacementInput): number {
   const sum = servers.reduce((total, { id }) => total + inFlight(id), 0);
   return servers.length > 0 ? sum / servers.length : 0;
 }
 
-function _candidates(
-  input: PlacementInput,
-): { servers: readonly RegisteredServer[]; isLastResort: boolean } {
-  const untried = input.servers.filter(({ id }) => !input.tried.has(id));
-  const healthy = untried.filter(({ id }) => !input.isExcluded(id));
-  if (healthy.length > 0) return { servers: healthy, isLastResort: false };
-  return { servers: untried, isLastResort: true };
-}
-
 function _hasRoom(
   server: RegisteredServer,
-  input: PlacementInput,
-  mean: number,
+  { mean, input }: _Candidates,
 ): boolean {
   const { factor, slack } = input.bound;
   const next = input.inFlight(server.id) + 1;
@@ -106,17 +101,20 @@
   return best;
 }
 
-function _chooseByPart(
-  part: string,
-  servers: readonly RegisteredServer[],
-  input: PlacementInput,
-  mean: number,
-): Placement | undefined {
-  const ranked = rankByRendezvous(part, servers, ({ id }) => id);
-  for (const [rank, server] of ranked.entries()) {
-    if (!_hasRoom(server, input, mean)) continue;
-    const reason = rank === 0 ? "cached_part" : "next_in_order";
-    return _placement(server, reason, input, mean);
+/**
+ * Returns a server that holds the longest known start of the prompt, unless
+ * the chosen one holds as much.
+ */
+function _cacheSource(
+  chosen: BackendServerId,
+  { promptParts, holders, isExcluded }: PlacementInput,
+): BackendServerId | undefined {
+  for (const part of [...sharedPartsOf(promptParts)].reverse()) {
+    const known = holders(partKeyOf(part));
+    if (known.has(chosen)) return undefined;
+    for (const holder of known) {
+      if (!isExcluded(holder)) return holder;
+    }
   }
   return undefined;
 }
@@ -124,40 +122,62 @@
 function _placement(
   server: RegisteredServer,
   reason: PlacementReason,
-  input: PlacementInput,
-  meanInFlight: number,
+  { mean, input }: _Candidates,
 ): Placement {
-  const inFlight = input.inFlight(server.id);
-  return { server, reason, inFlight, meanInFlight };
+  return {
+    server,
+    reason,
+    inFlight: input.inFlight(server.id),
+    meanInFlight: mean,
+    cacheSource: _cacheSource(server.id, input),
+  };
+}
+
+function _chooseByPart(candidates: _Candidates): Placement | undefined {
+  const { servers, input } = candidates;
+  const part = sharedPartsOf(input.promptParts).at(-1);
+  if (!part) return undefined;
+  const known = input.holders(partKeyOf(part));
+  const holder = _leastLoaded(
+    servers.filter((server) =>
+      known.has(server.id) && _hasRoom(server, candidates)
+    ),
+    input,
+  );
+  if (holder) return _placement(holder, "has_read_part", candidates);
+  const ranked = rankByRendezvous(part.id, servers, ({ id }) => id);
+  const next = ranked.find((server) => _hasRoom(server, candidates));
+  if (!next) return undefined;
+  const reason = known.size === 0 ? "first_in_order" : "next_in_order";
+  return _placement(next, reason, candidates);
 }
 
 function _chooseNear(
   least: RegisteredServer,
-  servers: readonly RegisteredServer[],
-  input: PlacementInput,
-  mean: number,
+  candidates: _Candidates,
 ): Placement {
+  const { servers, input } = candidates;
   const limit = input.inFlight(least.id) + NEAR_LOAD;
   const near = servers.filter((server) =>
     server.dataCentre === input.dataCentre &&
-    input.inFlight(server.id) <= limit && _hasRoom(server, input, mean)
+    input.inFlight(server.id) <= limit && _hasRoom(server, candidates)
   );
   const chosen = _leastLoaded(near, input);
   return chosen
-    ? _placement(chosen, "same_data_centre", input, mean)
-    : _placement(least, "least_loaded", input, mean);
+    ? _placement(chosen, "same_data_centre", candidates)
+    : _placement(least, "least_loaded", candidates);
 }
 
 /** Chooses a server, or nothing if every server was tried or none is left. */
 export function choosePlacement(input: PlacementInput): Placement | undefined {
-  const { servers, isLastResort } = _candidates(input);
   const mean = _meanInFlight(input);
+  const untried = input.servers.filter(({ id }) => !input.tried.has(id));
+  const healthy = untried.filter(({ id }) => !input.isExcluded(id));
+  const isLastResort = healthy.length === 0;
+  const servers = isLastResort ? untried : healthy;
+  const candidates = { servers, mean, input };
   const least = _leastLoaded(servers, input);
   if (!least) return undefined;
-  if (isLastResort) return _placement(least, "last_resort", input, mean);
-  const part = sharedPartOf(input.promptParts);
-  const byPart = part === undefined
-    ? undefined
-    : _chooseByPart(part, servers, input, mean);
-  return byPart ?? _chooseNear(least, servers, input, mean);
+  if (isLastResort) return _placement(least, "last_resort", candidates);
+  return _chooseByPart(candidates) ?? _chooseNear(least, candidates);
 }
--- a/src/core/placement_test.ts
+++ b/src/core/placement_test.ts
@@ -2,6 +2,7 @@
 import { type BackendServerId, brandId, type DataCentreId } from "./ids.ts";
 import { choosePlacement, type PlacementInput } from "./placement.ts";
 import type { PromptPart } from "./prompt.ts";
+import { createPromptDirectory, partKeyOf } from "./prompt_directory.ts";
 import { createSeededRandom } from "./random.ts";
 import {
   type RegisteredServer,
@@ -46,6 +47,7 @@
     isExcluded: () => false,
     tried: new Set(),
     promptParts: [],
+    holders: () => new Set(),
     dataCentre: NORTH,
     bound: { factor: 1.5, slack: 2 },
     random: createSeededRandom(1),
@@ -60,6 +62,7 @@
   const ends: { at: number; server: BackendServerId }[] = [];
   const readAt = new Map<string, Set<BackendServerId>>();
   const random = createSeededRandom(3);
+  const directory = createPromptDirectory();
   let worst = 0;
   for (let index = 0; index < count; index++) {
     const now = index * 10;
@@ -68,12 +71,15 @@
       ends.splice(ends.indexOf(end), 1);
     }
     const subject = subjectOf(index);
+    const promptParts = partsOf(subject);
     const placement = choosePlacement(inputOf(servers, {
       inFlight: (id) => loads.get(id) ?? 0,
-      promptParts: partsOf(subject),
+      promptParts,
+      holders: (part) => directory.holders(part),
       random,
     }))!;
     const { id } = placement.server;
+    directory.record(promptParts, id);
     const mean = [...loads.values()].reduce((sum, load) => sum + load, 0) / 6;
     worst = Math.max(worst, (loads.get(id) ?? 0) + 1 - (2 * mean + 3));
     loads.set(id, (loads.get(id) ?? 0) + 1);
@@ -104,6 +110,52 @@
   t.true(readAt.get("hot")!.size >= 2);
 });
 
+test("guards against parts that are read again because servers join and leave", (t) => {
+  const directory = createPromptDirectory();
+  const random = createSeededRandom(4);
+  let servers = serversOf(6);
+  let copied = 0;
+  let readAgain = 0;
+  for (let index = 0; index < 3_000; index++) {
+    // Every 500 requests a server joins and the oldest one leaves.
+    if (index % 500 === 499) {
+      servers = [...servers.slice(1), serverOf(`joined-${index}`)];
+    }
+    const promptParts = partsOf(`subject-${random.integer(60)}`);
+    const subject = partKeyOf(promptParts[1]!);
+    const isKnown = directory.holders(subject).size > 0;
+    const { server, cacheSource } = choosePlacement(inputOf(servers, {
+      promptParts,
+      holders: (part) => directory.holders(part),
+      random,
+    }))!;
+    if (isKnown && !directory.holders(subject).has(server.id)) {
+      if (cacheSource) copied++;
+      else readAgain++;
+    }
+    directory.record(promptParts, server.id);
+  }
+  t.is(readAgain, 0);
+  t.true(copied > 0 && copied < 120, `${copied} copied in 6 changes`);
+});
+
+test("guards against a cache that is copied from an excluded server, or without need", (t) => {
+  const servers = serversOf(3);
+  const promptParts = partsOf("subject");
+  const subject = partKeyOf(promptParts[1]!);
+  function sourceOf(options: Partial<PlacementInput>): string | undefined {
+    return choosePlacement(inputOf(servers, { promptParts, ...options }))
+      ?.cacheSource;
+  }
+  const gone = brandId<BackendServerId>("gone");
+  function holders(part: number): ReadonlySet<BackendServerId> {
+    return new Set(part === subject ? [gone] : []);
+  }
+  t.is(sourceOf({ holders }), "gone");
+  t.is(sourceOf({ holders, isExcluded: (id) => id === gone }), undefined);
+  t.is(sourceOf({ holders: () => new Set([servers[0]!.id]) }), undefined);
+});
+
 test("guards against a subject that moves when another server joins", (t) => {
   const few = serversOf(9);
   const many = serversOf(10);
--- /dev/null
+++ b/src/core/prompt_directory_test.ts
@@ -0,0 +1,43 @@
+import test from "ava";
+import { type BackendServerId, brandId } from "./ids.ts";
+import type { PromptPart } from "./prompt.ts";
+import { createPromptDirectory, partKeyOf } from "./prompt_directory.ts";
+
+const FIRST = brandId<BackendServerId>("s1");
+const SECOND = brandId<BackendServerId>("s2");
+
+function partsOf(...ids: string[]): PromptPart[] {
+  return ids.map((id) => ({ id, tokens: 10 }));
+}
+
+test("guards against announcing what is known, or parts that no other request shares", (t) => {
+  const directory = createPromptDirectory();
+  directory.record(partsOf("system", "subject", "own-1"), FIRST);
+  directory.record(partsOf("system", "subject", "own-2"), FIRST);
+  t.is(directory.announced, 2);
+  t.is(directory.holders(partKeyOf({ id: "own-1", tokens: 10 })).size, 0);
+  directory.record(partsOf("system", "subject", "own-3"), SECOND);
+  t.is(directory.announcementsSince(2).length, 2);
+  directory.learn({ part: 7, server: FIRST });
+  t.is(directory.announced, 4);
+});
+
+test("guards against a server that is gone being asked for its cache", (t) => {
+  const directory = createPromptDirectory();
+  directory.record(partsOf("system", "own"), FIRST);
+  directory.record(partsOf("system", "own"), SECOND);
+  directory.forget(FIRST);
+  const key = partKeyOf({ id: "system", tokens: 10 });
+  t.deepEqual([...directory.holders(key)], [SECOND]);
+});
+
+test("guards against growth without a limit", (t) => {
+  const directory = createPromptDirectory();
+  for (let index = 0; index < 50_000; index++) {
+    directory.record(partsOf(`part-${index}`, "own"), FIRST);
+  }
+  t.true(directory.readings().length <= 20_000);
+  t.true(directory.announcementsSince(0).length <= 4_096);
+  const newest = partKeyOf({ id: "part-49999", tokens: 10 });
+  t.true(directory.holders(newest).has(FIRST));
+});
--- a/src/core/route_table.ts
+++ b/src/core/route_table.ts
@@ -5,6 +5,7 @@
 import type {
   GatewayConfiguration,
   GatewayRoute,
+  GatewayService,
   GatewayWorkspace,
   ServiceId,
 } from "./gateway_configuration.ts";
@@ -17,6 +18,7 @@
   findRoute(hostName: string, path: string): GatewayRoute | undefined;
   /** Returns the workspace that holds a key. */
   findWorkspace(key: string): GatewayWorkspace | undefined;
+  findService(id: ServiceId): GatewayService | undefined;
 }
 
 /** Returns the host name of a Host header: without port and in lower case. */
@@ -56,6 +58,9 @@
 ): RouteTable {
   const hosts = _routesByHost(configuration.routes);
   const keys = _workspacesByKey(configuration.workspaces);
+  const services = new Map(
+    configuration.services.map((service) => [service.id, service]),
+  );
   return {
     configuration,
     findRoute(hostName, path) {
@@ -73,6 +78,7 @@
       return undefined;
     },
     findWorkspace: (key) => keys.get(key),
+    findService: (id) => services.get(id),
   };
 }
 
--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -14,9 +14,11 @@
   type IncarnationId,
   type SocketAddress,
 } from "./core/ids.ts";
+import { createPromptDirectory } from "./core/prompt_directory.ts";
 import type { LoadBound } from "./core/placement.ts";
 import { createSeededRandom } from "./core/random.ts";
 import { createRetryBudget, type RetryBudget } from "./core/retry_budget.ts";
+import { createServerIncarnations } from "./core/server_incarnations.ts";
 import { createServerOutcomes } from "./core/server_outcomes.ts";
 import {
   createDecisionLog,
@@ -125,6 +127,8 @@
   const state = createGatewayStateTask({ store, timers, random, log });
   const load = createFleetLoad();
   const outcomes = createServerOutcomes();
+  const directory = createPromptDirectory();
+  const incarnations = createServerIncarnations();
   const connections = createBackendConnections();
   const network = createTcpPeerNetwork({
     ...toListenAddress(addresses.peers),
@@ -147,6 +151,7 @@
     state,
     load,
     outcomes,
+    directory,
     host,
     dataCentre,
     address: brandId<SocketAddress>(addresses.peers),
@@ -164,6 +169,7 @@
     retries: budgetOf,
     timers,
     random,
+    directory,
     log,
     metrics,
     dataCentre,
@@ -244,6 +250,11 @@
   }
 
   function applyState(): void {
+    const { servers } = state.registry.list();
+    for (const lost of incarnations.update(servers)) {
+      directory.forget(lost);
+      outcomes.forget(lost);
+    }
     const table = state.table();
     if (table) applyRequestBounds(callerServer, table.configuration.bounds);
   }
--- a/src/gateway_peer_messages.ts
+++ b/src/gateway_peer_messages.ts
@@ -9,6 +9,7 @@
   brandId,
   type SocketAddress,
 } from "./core/ids.ts";
+import type { PartReading } from "./core/prompt_directory.ts";
 import { hash32 } from "./core/rendezvous.ts";
 import type { OutcomeCount } from "./core/server_outcomes.ts";
 
@@ -25,6 +26,8 @@
   readonly registryDigest: number;
   readonly loads: readonly ServerLoad[];
   readonly outcomes: readonly OutcomeCount[];
+  /** Parts of prompts that were read at a further server. */
+  readonly readings: readonly PartReading[];
 }
 
 const _address = z.string().min(1).max(64).transform((text) =>
@@ -40,6 +43,7 @@
   _number,
   z.array(_number),
   z.array(_number),
+  z.array(_number),
 ]);
 
 /** A report as it travels. */
@@ -63,6 +67,7 @@
       requests,
       failures,
     ]),
+    report.readings.flatMap(({ part, server }) => [part, hash32(server)]),
   ];
 }
 
@@ -104,6 +109,18 @@
   return outcomes;
 }
 
+function _unpackReadings(
+  packed: readonly number[],
+  names: ServerNames,
+): PartReading[] {
+  const readings: PartReading[] = [];
+  for (let index = 0; index + 1 < packed.length; index += 2) {
+    const server = names.get(packed[index + 1] as number);
+    if (server) readings.push({ part: packed[index] as number, server });
+  }
+  return readings;
+}
+
 /** Reads a packed report; servers that are not known here are left out. */
 export function safeUnpackReport(
   body: unknown,
@@ -122,5 +139,6 @@
     registryDigest: digest,
     loads: _unpackLoads(packed.data[6], names),
     outcomes: _unpackOutcomes(packed.data[7], names),
+    readings: _unpackReadings(packed.data[8], names),
   };
 }
--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -5,6 +5,7 @@
  */
 import type { FleetLoad } from "./core/fleet_load.ts";
 import type { DataCentreId, HostId, SocketAddress } from "./core/ids.ts";
+import type { PromptDirectory } from "./core/prompt_directory.ts";
 import type { ServerOutcomes } from "./core/server_outcomes.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { FleetStore } from "./fleet_store.ts";
@@ -12,6 +13,7 @@
   gatewayPeersSchema,
   type GatewayReport,
   nameServers,
+  type PackedReport,
   packReport,
   safeUnpackReport,
   type ServerNames,
@@ -62,6 +64,7 @@
   readonly state: GatewayStateTask;
   readonly load: FleetLoad;
   readonly outcomes: ServerOutcomes;
+  readonly directory: PromptDirectory;
   readonly host: HostId;
   readonly dataCentre: DataCentreId;
   /** Where other routers connect to this one. */
@@ -83,6 +86,8 @@
   triedAt: number;
   sentTick: number;
   sentVersion: number;
+  /** Number after the last announcement of readings that was sent. */
+  sentReadings: number;
   behindSince: number | undefined;
 }
 
@@ -197,6 +202,7 @@
       triedAt: Number.NEGATIVE_INFINITY,
       sentTick: Number.NEGATIVE_INFINITY,
       sentVersion: -1,
+      sentReadings: 0,
       behindSince: undefined,
     });
   }
@@ -214,22 +220,28 @@
     const serving = isServing();
     const isUrgent = serving !== this.#wasServing;
     this.#wasServing = serving;
-    let body: unknown;
+    const bodies = new Map<number, PackedReport>();
     for (const peer of [...this.#peers.values()]) {
       this.#watchSilence(peer, now);
       if (!isUrgent && !this.#isDue(peer, now)) continue;
-      body ??= packReport(this.#report(now));
+      const body = bodies.get(peer.sentReadings) ??
+        packReport(this.#report(now, peer.sentReadings));
+      bodies.set(peer.sentReadings, body);
       peer.sentTick = this.#tick;
       peer.sentVersion = load.ownVersion;
       peer.triedAt = now;
+      if (!this.#isSilent(peer, now)) {
+        peer.sentReadings = this.#options.directory.announced;
+      }
       this.#options.network.send(peer.address, "gateway.report", body);
     }
     this.#catchUp(now);
   }
 
-  #report(now: number): GatewayReport {
+  #report(now: number, sentReadings: number): GatewayReport {
     const { state, load, outcomes, callerAddress, isServing, busyShare } =
       this.#options;
+    const { directory } = this.#options;
     const { configurationVersion, registryRevision } = state.versions();
     return {
       callerAddress,
@@ -240,6 +252,7 @@
       registryDigest: state.registry.digest,
       loads: load.ownLoads(),
       outcomes: outcomes.ownFailures(now),
+      readings: directory.announcementsSince(sentReadings),
     };
   }
 
@@ -288,6 +301,9 @@
     peer.heardAt = now;
     this.#options.load.report(from.host, report.loads, now);
     this.#options.outcomes.report(from.host, report.outcomes, now);
+    for (const reading of report.readings) {
+      this.#options.directory.learn(reading);
+    }
     if (isNew) this.#welcome(peer);
   }
 
@@ -297,6 +313,8 @@
       address: peer.address,
     });
     peer.sentVersion = -1;
+    // A peer that has just joined knows nothing; what is kept is sent again.
+    peer.sentReadings = 0;
     const now = this.#now();
     const addresses = [...this.#peers.values()]
       .filter((other) => !this.#isSilent(other, now))
--- a/src/gateway_protocol.ts
+++ b/src/gateway_protocol.ts
@@ -19,6 +19,8 @@
   readonly urgency: string;
   /** Parts of the prompt. */
   readonly promptParts: string;
+  /** Address of a server from which to copy the cache of the prompt. */
+  readonly cacheSource: string;
   /** Present on answers of backend servers that did not run the request. */
   readonly notRun: string;
   /** Present on every answer that a backend server made by running the request. */
@@ -37,6 +39,7 @@
   workspace: "x-workspace",
   urgency: "x-urgency",
   promptParts: "x-prompt-parts",
+  cacheSource: "x-cache-source",
   notRun: "x-not-run",
   signature: "x-answer-signature",
   serverLoad: "x-server-load",
@@ -73,6 +76,7 @@
   readonly remainingMilliseconds: number;
   readonly workspace: string | undefined;
   readonly urgency: number | undefined;
+  readonly cacheSource: string | undefined;
   /** Resumes an event stream after this event. */
   readonly lastEventId: string | undefined;
 }
@@ -134,6 +138,7 @@
     names.expectedServer,
     names.workspace,
     names.urgency,
+    names.cacheSource,
     names.notRun,
     names.signature,
     names.serverLoad,
@@ -157,6 +162,9 @@
       const urgency = Math.min(MAXIMUM_URGENCY, Math.max(0, terms.urgency));
       headers.push(names.urgency, String(urgency));
     }
+    if (terms.cacheSource !== undefined) {
+      headers.push(names.cacheSource, terms.cacheSource);
+    }
     if (terms.lastEventId !== undefined) {
       headers.push(LAST_EVENT_ID, terms.lastEventId);
     }
--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -15,22 +15,16 @@
 } from "./backend_exchange.ts";
 import { createError, type ErrorKind } from "./core/errors.ts";
 import { isRepeatable } from "./core/gateway_configuration.ts";
-import type { BackendServerId, DataCentreId } from "./core/ids.ts";
+import type { BackendServerId } from "./core/ids.ts";
 import {
   type AttemptFailure,
   decideNextStep,
   type NextStep,
   silenceLimit,
 } from "./core/next_attempt.ts";
-import {
-  choosePlacement,
-  type LoadBound,
-  type Placement,
-} from "./core/placement.ts";
-import type { RandomSource } from "./core/random.ts";
+import type { Placement } from "./core/placement.ts";
 import type { RejectionCause } from "./core/retry_after.ts";
 import type { RetryBudget } from "./core/retry_budget.ts";
-import type { GatewayStateTask } from "./gateway_state_task.ts";
 import { sendRejection } from "./rejection.ts";
 import { type AttemptContext, RequestAttempt } from "./request_attempt.ts";
 import {
@@ -46,6 +40,11 @@
   RequestLog,
   type RequestLogContext,
 } from "./request_log.ts";
+import {
+  cacheSourceAddress,
+  chooseServer,
+  type ServerChoiceContext,
+} from "./server_choice.ts";
 import type { Subscription } from "./timer_service.ts";
 
 /** An answer that is due within this time of the limit is still waited for. */
@@ -55,12 +54,9 @@
 const SERVER_ERROR = 500;
 
 /** The parts that requests share. */
-export interface PassThroughContext extends AttemptContext, RequestLogContext {
-  readonly state: GatewayStateTask;
+export interface PassThroughContext
+  extends AttemptContext, RequestLogContext, ServerChoiceContext {
   readonly retries: (service: string) => RetryBudget;
-  readonly random: RandomSource;
-  readonly dataCentre: DataCentreId;
-  readonly loadBound: LoadBound;
   /** Whether this router is about to stop. */
   readonly isStopping: () => boolean;
   /** Called when the request is over, whatever came of it. */
@@ -152,22 +148,7 @@
   }
 
   #choose(): Placement | undefined {
-    const { state, load, outcomes, dataCentre, loadBound, random } =
-      this.#context;
-    const { service, terms } = this.#checked;
-    const now = this.#now();
-    const servers = state.registry.readyServers(service);
-    outcomes.evaluate(service, servers, now);
-    return choosePlacement({
-      servers,
-      inFlight: (server) => load.inFlight(server),
-      isExcluded: (server) => outcomes.isExcluded(server, now),
-      tried: this.#tried,
-      promptParts: terms.promptParts,
-      dataCentre,
-      bound: loadBound,
-      random,
-    });
+    return chooseServer(this.#context, this.#checked, this.#tried);
   }
 
   #place(): void {
@@ -180,8 +161,10 @@
     this.#send(placement);
   }
 
-  #send({ server }: Placement): void {
-    const { requestId, route, workspace, urgency } = this.#checked;
+  #send(placement: Placement): void {
+    const { server } = placement;
+    const { requestId, route, workspace, urgency, terms } = this.#checked;
+    this.#context.directory.record(terms.promptParts, server.id);
     this.#attempts++;
     this.#tried.add(server.id);
     this.#attempt = new RequestAttempt(this.#context, {
@@ -196,6 +179,11 @@
           remainingMilliseconds: this.#remaining(),
           workspace,
           urgency,
+          cacheSource: cacheSourceAddress(
+            this.#context,
+            this.#checked,
+            placement,
+          ),
           lastEventId: this.#relay?.lastEventId,
         },
       ),
--- a/src/request_check.ts
+++ b/src/request_check.ts
@@ -32,6 +32,8 @@
   /** 0 is the most urgent. */
   readonly urgency: number;
   readonly terms: RequestTerms;
+  /** Servers of the service can copy caches from each other. */
+  readonly canCopyCache: boolean;
   readonly bounds: RequestBounds;
   /** Time from the arrival after which the request is answered in any case. */
   readonly limitMilliseconds: number;
@@ -93,6 +95,7 @@
     workspace: workspace.value?.id,
     urgency: workspace.value?.priority ?? route.priority,
     terms,
+    canCopyCache: table.findService(service)?.canCopyCache ?? false,
     bounds,
     limitMilliseconds: Math.min(
       terms.deadlineMilliseconds ?? route.timeoutMilliseconds,
--- a/src/request_log.ts
+++ b/src/request_log.ts
@@ -59,13 +59,14 @@
   /** A server was chosen. */
   placed(facts: RequestFacts, placement: Placement): void {
     const { log, metrics, state, load, timers } = this.#context;
-    const { server, reason, inFlight, meanInFlight } = placement;
+    const { server, reason, inFlight, meanInFlight, cacheSource } = placement;
     metrics.placements.inc({ reason });
     log.write("request.placed", {
       ..._base(facts),
       server: server.id,
       reason,
       inFlight,
+      ...(cacheSource === undefined ? {} : { cacheSource }),
       meanInFlight: Math.round(meanInFlight * 100) / 100,
       loadAge: Math.round(
         load.ageMilliseconds(timers.clock.monotonicMilliseconds()),
--- a/stand_ins/gateway_fleet.ts
+++ b/stand_ins/gateway_fleet.ts
@@ -57,7 +57,7 @@
   return gatewayConfigurationSchema.parse({
     version,
     routes,
-    services: [{ id: "pool", engineSlots: 0 }],
+    services: [{ id: "pool", engineSlots: 0, canCopyCache: true }],
     workspaces: [{ id: "temple", keys: ["temple-key"] }],
     bounds: {
       maximumHeaderBytes: 16_384,
