--- a/src/command_line.ts
+++ b/src/command_line.ts
@@ -1,13 +1,20 @@
 /** The command line: parses arguments, prints results and chooses exit codes. */
-import { readFile } from "node:fs/promises";
 import { type CAC, cac } from "cac";
-import type { Result } from "neverthrow";
 import {
   toDifferenceText,
   toErrorLine,
   toStatusText,
 } from "./command_output.ts";
-import type { ApplicationError } from "./core/errors.ts";
+import {
+  CommandFailure,
+  EXIT_CODES,
+  exitCodeOf,
+  readNamedFile,
+  unwrapOrFail,
+  UsageError,
+} from "./command_failure.ts";
+import { explainRequest, toExplanationText } from "./core/log_explanation.ts";
+import { createError } from "./core/errors.ts";
 import { safeParseFleet } from "./core/fleet_file.ts";
 import type { Fleet } from "./core/fleet_schema.ts";
 import {
@@ -26,15 +33,6 @@
   type OperatorClient,
 } from "./operator_client.ts";
 
-/** Exit codes of the command line. */
-export const EXIT_CODES = {
-  done: 0,
-  failed: 1,
-  usage: 2,
-  conflict: 3,
-  notInForceYet: 4,
-} as const;
-
 const DEFAULT_WAIT_SECONDS = 15;
 
 /** What the command line needs from its process. */
@@ -55,44 +53,6 @@
   readonly undo?: boolean;
 }
 
-/** Ends a command with a list of errors. */
-class _CommandFailure extends Error {
-  readonly errors: readonly ApplicationError[];
-  readonly file: string | undefined;
-
-  constructor(errors: readonly ApplicationError[], file?: string) {
-    super("command failed");
-    this.errors = errors;
-    this.file = file;
-  }
-}
-
-class _UsageError extends Error {}
-
-function _unwrap<T>(
-  result: Result<T, ApplicationError | ApplicationError[]>,
-  file?: string,
-): T {
-  if (result.isOk()) return result.value;
-  const errors = Array.isArray(result.error) ? result.error : [result.error];
-  throw new _CommandFailure(errors, file);
-}
-
-async function _read(path: string): Promise<string> {
-  try {
-    return await readFile(path, "utf8");
-  } catch (cause) {
-    throw new _UsageError(`cannot read ${path}: ${(cause as Error).message}`);
-  }
-}
-
-function _exitCodeOf(errors: readonly ApplicationError[]): number {
-  const lostRace = errors.some(({ kind, path }) =>
-    kind === "configuration_conflict" && path[0] === "head"
-  );
-  return lostRace ? EXIT_CODES.conflict : EXIT_CODES.failed;
-}
-
 class _CommandLine {
   readonly #options: CommandLineOptions;
   #exitCode: number = EXIT_CODES.done;
@@ -110,7 +70,7 @@
       if (!cli.matchedCommand) {
         const [word] = words;
         if (word === undefined) cli.outputHelp();
-        throw new _UsageError(
+        throw new UsageError(
           word === undefined
             ? "give a command"
             : `unknown command ${word}; see --help`,
@@ -125,13 +85,13 @@
 
   #fail(cause: unknown, json: boolean): number {
     const { writeError, writeOutput } = this.#options;
-    if (cause instanceof _CommandFailure) {
+    if (cause instanceof CommandFailure) {
       const { errors, file } = cause;
       if (json) writeOutput(JSON.stringify({ errors }));
       else for (const error of errors) writeError(toErrorLine(error, file));
-      return _exitCodeOf(errors);
+      return exitCodeOf(errors);
     }
-    const isUsage = cause instanceof _UsageError ||
+    const isUsage = cause instanceof UsageError ||
       (cause as Error).name === "CACError";
     writeError((cause as Error).message);
     return isUsage ? EXIT_CODES.usage : EXIT_CODES.failed;
@@ -205,6 +165,13 @@
           hashKey(String(key)),
         )
       );
+    cli.command(
+      "explain <id> [...files]",
+      "Show the way of one request from the log files of routers",
+    )
+      .action((id: string | number, files: string[], flags: _Flags) =>
+        this.#explain(String(id), files, flags)
+      );
     cli.command(
       "router <settings>",
       "Run one router with a settings file until it is stopped",
@@ -218,7 +185,7 @@
   }
 
   async #fleetOf(file: string): Promise<Fleet> {
-    return _unwrap(safeParseFleet(await _read(file)), file);
+    return unwrapOrFail(safeParseFleet(await readNamedFile(file)), file);
   }
 
   async #withClient(
@@ -227,12 +194,12 @@
   ): Promise<void> {
     const file = flags.settings;
     if (file === undefined) {
-      throw new _UsageError(
+      throw new UsageError(
         "give the operator's settings with --settings FILE",
       );
     }
-    const settings = _unwrap(
-      safeParseOperatorSettings(await _read(file)),
+    const settings = unwrapOrFail(
+      safeParseOperatorSettings(await readNamedFile(file)),
       file,
     );
     const platform: HttpPlatformClient = createHttpPlatformClient(
@@ -263,15 +230,15 @@
     const wait = Number(flags.wait ?? DEFAULT_WAIT_SECONDS);
     const { generation } = flags;
     if (!Number.isFinite(wait) || wait < 0) {
-      throw new _UsageError("--wait expects a number of seconds");
+      throw new UsageError("--wait expects a number of seconds");
     }
     if (
       generation !== undefined &&
       !(Number.isSafeInteger(generation) && generation > 0)
-    ) throw new _UsageError("--generation expects a whole number above 0");
+    ) throw new UsageError("--generation expects a whole number above 0");
     const fleet = await this.#fleetOf(file);
     await this.#withClient(flags, async (client) => {
-      const { changed, head } = _unwrap(
+      const { changed, head } = unwrapOrFail(
         await client.apply(
           fleet,
           generation === undefined ? {} : { generation },
@@ -328,7 +295,7 @@
     const fleet = await this.#fleetOf(file);
     await this.#withClient(flags, async (client) => {
       const differences = diffFleets(
-        _unwrap(await client.currentFleet()),
+        unwrapOrFail(await client.currentFleet()),
         fleet,
       );
       const text = differences.map(toDifferenceText).join("\n");
@@ -338,7 +305,7 @@
 
   async #status(flags: _Flags): Promise<void> {
     await this.#withClient(flags, async (client) => {
-      const lines = _unwrap(await client.routers());
+      const lines = unwrapOrFail(await client.routers());
       this.#print(flags, {
         routers: lines.map(({ address, dataCentre, host, status }) => ({
           host,
@@ -352,7 +319,7 @@
 
   async #dump(address: string, flags: _Flags): Promise<void> {
     await this.#withClient(flags, async (client) => {
-      const dump = _unwrap(await client.dump(address));
+      const dump = unwrapOrFail(await client.dump(address));
       this.#print(flags, dump, JSON.stringify(dump, undefined, 2));
     });
   }
@@ -360,7 +327,7 @@
   async #drain(name: string, flags: _Flags): Promise<void> {
     await this.#withClient(flags, async (client) => {
       const undo = flags.undo ?? false;
-      const { changed, head } = _unwrap(
+      const { changed, head } = unwrapOrFail(
         await client.drain(String(name), { undo }),
       );
       const what = undo ? "is back in service" : "is being drained";
@@ -374,8 +341,37 @@
     });
   }
 
+  async #explain(
+    id: string,
+    files: readonly string[],
+    flags: _Flags,
+  ): Promise<void> {
+    if (files.length === 0) throw new UsageError("give one or more log files");
+    const texts: string[] = [];
+    for (const file of files) {
+      for (const text of (await readNamedFile(file)).split("\n")) {
+        texts.push(text);
+      }
+    }
+    const explanation = explainRequest(texts, id);
+    if (explanation.skipped > 0) {
+      this.#options.writeError(
+        `${explanation.skipped} lines could not be read`,
+      );
+    }
+    if (explanation.lines.length > 0) {
+      return this.#print(flags, explanation, toExplanationText(explanation));
+    }
+    throw new CommandFailure([
+      createError("not_found", `no line names request ${id}`),
+    ]);
+  }
+
   async #router(file: string): Promise<void> {
-    const settings = _unwrap(safeParseSettings(await _read(file)), file);
+    const settings = unwrapOrFail(
+      safeParseSettings(await readNamedFile(file)),
+      file,
+    );
     const { runRouter } = this.#options;
     if (!runRouter) throw new Error("this build has no router daemon");
     await runRouter(settings);
--- a/src/command_line_test.ts
+++ b/src/command_line_test.ts
@@ -8,7 +8,8 @@
   createPlatformStandIn,
   type PlatformStandIn,
 } from "../stand_ins/platform.ts";
-import { EXIT_CODES, runCommandLine } from "./command_line.ts";
+import { EXIT_CODES } from "./command_failure.ts";
+import { runCommandLine } from "./command_line.ts";
 import { safeParseFleet } from "./core/fleet_file.ts";
 import {
   safeParseOperatorSettings,
@@ -231,6 +232,28 @@
   );
 });
 
+test("guards against an unknown request, or a file that cannot be read, looking explained", async (t) => {
+  const { fileOf } = await setUp(t);
+  const file = await fileOf(
+    `${
+      JSON.stringify({
+        time: 5,
+        host: "entry-1",
+        request: "r1",
+        outcome: "overloaded",
+        msg: "request.rejected",
+      })
+    }\n{"cut`,
+  );
+  const known = await run("explain", "r1", file);
+  t.is(known.code, EXIT_CODES.done);
+  t.regex(known.output, /entry-1 {2}request.rejected {2}outcome=overloaded/);
+  t.is(known.errors, "1 lines could not be read");
+  t.is((await run("explain", "r2", file)).code, EXIT_CODES.failed);
+  t.is((await run("explain", "r1")).code, EXIT_CODES.usage);
+  t.is((await run("explain", "r1", "no-such-file")).code, EXIT_CODES.usage);
+});
+
 for (const site of ["kamikawa", "carbon_andino"]) {
   test(`guards against example files that check refuses: ${site}`, async (t) => {
     const directory = join("examples", site);
