Let four routers watch the registry and tell the others what changed

Ruled out: sharing the configuration's watch too; a configuration of 500 routes pushed to 100 peers is too much for a host with 7 Mbit/s. Change: registry_task.ts watches only while fewer than four live routers of lower rank do; changes go to all peers with the revision after which they are complete, so a peer notices a gap and fetches. Half of a service's servers that vanish at once without a notice get 1.5 s to return, since an outage of the store may pass unseen while a call waits. A router whose record was removed registers again. gateway_state_task.ts and gateway_peer_task.ts are split by what they do. Conclusion: calls to the store no longer grow with routers times changes.

--- a/src/core/server_registry.ts
+++ b/src/core/server_registry.ts
@@ -18,6 +18,14 @@
 
 /** Time that servers get to register again after an outage of the store. */
 export const REGISTRATION_RETURN_MILLISECONDS = 2_000;
+/**
+ * Time that servers get which vanish together without a notice, because an
+ * outage may pass unseen while a watch waits.
+ */
+export const MASS_REMOVAL_MILLISECONDS = 1_500;
+/** Part of a service's servers that vanish together only in an outage. */
+const MASS_REMOVAL_SHARE = 0.5;
+const MINIMUM_MASS_REMOVAL = 2;
 
 const _text = z.string().min(1).max(256);
 
@@ -48,11 +56,23 @@
 /** All registrations as of a revision of the store. */
 export type RegistrationList = z.infer<typeof registrationListSchema>;
 
+const _changeSchema = z.object({
+  id: _text.transform((text) => brandId<BackendServerId>(text)),
+  server: registeredServerSchema.optional(),
+});
+
+/** Changes that a router tells its peers. */
+export const registryChangesSchema = z.object({
+  /** Whoever knows this revision lacks nothing but these changes. */
+  afterRevision: z.number(),
+  revision: z.number(),
+  changes: z.array(_changeSchema),
+});
+
 /** A change of one registration; without a server it was removed. */
-export interface RegistrationChange {
-  readonly id: BackendServerId;
-  readonly server: RegisteredServer | undefined;
-}
+export type RegistrationChange = z.infer<typeof _changeSchema>;
+/** Changes that a router tells its peers. */
+export type RegistryChanges = z.infer<typeof registryChangesSchema>;
 
 function _digestOf(server: RegisteredServer): number {
   const { id, service, address, isDraining, started } = server;
@@ -68,6 +88,9 @@
   #revision = 0;
   #version = 0;
   #digest = 0;
+  #changes = new Map<BackendServerId, RegistrationChange>();
+  /** Revision of the last change that was handed out. */
+  #publishedRevision = 0;
   #returnedAt = Number.NEGATIVE_INFINITY;
   #storeIsAway = false;
 
@@ -103,9 +126,8 @@
     if (revision < this.#revision) return;
     this.#revision = revision;
     const listed = new Set(servers.map(({ id }) => id));
-    for (const id of [...this.#servers.keys()]) {
-      if (!listed.has(id)) this.#remove(id, now);
-    }
+    const missing = [...this.#servers.keys()].filter((id) => !listed.has(id));
+    this.#removeAll(missing, now);
     for (const server of servers) this.#set(server);
     this.#rebuild();
   }
@@ -118,20 +140,42 @@
   ): void {
     if (revision <= this.#revision) return;
     this.#revision = revision;
+    // Only the last change of an id counts; it may have come back since.
+    const latest = new Map(changes.map((change) => [change.id, change]));
+    const removed = [...latest.values()].filter(({ server }) => !server);
+    this.#removeAll(removed.map(({ id }) => id), now);
+    for (const { server } of latest.values()) if (server) this.#set(server);
+    this.#rebuild();
+  }
+
+  /** Applies changes of a peer, which has already judged removals. */
+  follow({ revision, changes }: RegistryChanges): void {
+    this.#revision = Math.max(this.#revision, revision);
     for (const { id, server } of changes) {
       if (server) this.#set(server);
-      else this.#remove(id, now);
+      else this.#drop(id);
     }
     this.#rebuild();
   }
 
+  /** Returns what changed since the last call. */
+  takeChanges(): RegistryChanges {
+    const taken = {
+      afterRevision: this.#publishedRevision,
+      revision: this.#revision,
+      changes: [...this.#changes.values()],
+    };
+    if (taken.changes.length > 0) this.#publishedRevision = this.#revision;
+    this.#changes.clear();
+    return taken;
+  }
+
   /** Drops lapsed registrations whose time to return is over. */
   expire(now: number): void {
     let changed = false;
     for (const [id, dropAt] of this.#lapsed) {
       if (now < dropAt) continue;
-      this.#lapsed.delete(id);
-      this.#servers.delete(id);
+      this.#drop(id);
       changed = true;
     }
     if (changed) this.#rebuild();
@@ -142,6 +186,11 @@
     return this.#byService.get(service) ?? [];
   }
 
+  /** Number of registrations. */
+  get size(): number {
+    return this.#servers.size;
+  }
+
   get(id: BackendServerId): RegisteredServer | undefined {
     return this.#servers.get(id);
   }
@@ -153,20 +202,49 @@
 
   #set(server: RegisteredServer): void {
     this.#lapsed.delete(server.id);
+    const known = this.#servers.get(server.id);
     this.#servers.set(server.id, server);
+    if (known && _digestOf(known) === _digestOf(server)) return;
+    this.#changes.set(server.id, { id: server.id, server });
   }
 
-  #remove(id: BackendServerId, now: number): void {
+  #drop(id: BackendServerId): void {
+    this.#lapsed.delete(id);
+    if (this.#servers.delete(id)) this.#changes.set(id, { id });
+  }
+
+  #removeAll(ids: readonly BackendServerId[], now: number): void {
+    const lapsing = this.#lapsingServices(ids);
     const returnEnds = this.#returnedAt + REGISTRATION_RETURN_MILLISECONDS;
-    if (now >= returnEnds) {
-      this.#servers.delete(id);
-      return;
+    for (const id of ids) {
+      const server = this.#servers.get(id);
+      if (!server || this.#lapsed.has(id)) continue;
+      const mayReturn = now < returnEnds || lapsing.has(server.service);
+      // A draining server left on purpose; only others can have lapsed.
+      if (server.isDraining || !mayReturn) this.#drop(id);
+      else {
+        const dropAt = Math.max(returnEnds, now + MASS_REMOVAL_MILLISECONDS);
+        this.#lapsed.set(id, now < returnEnds ? returnEnds : dropAt);
+      }
+    }
+  }
+
+  /** Services of which so many servers vanish together that it is an outage. */
+  #lapsingServices(ids: readonly BackendServerId[]): Set<ServiceId> {
+    const removed = new Map<ServiceId, number>();
+    for (const id of ids) {
+      const server = this.#servers.get(id);
+      if (!server || server.isDraining) continue;
+      removed.set(server.service, (removed.get(server.service) ?? 0) + 1);
+    }
+    const lapsing = new Set<ServiceId>();
+    for (const [service, count] of removed) {
+      const total = this.readyServers(service).length;
+      const isMass = count >= MINIMUM_MASS_REMOVAL &&
+        count >= total * MASS_REMOVAL_SHARE;
+      if (isMass) lapsing.add(service);
     }
-    const server = this.#servers.get(id);
-    if (!server) return;
-    // A draining server left on purpose; only others can have lapsed.
-    if (server.isDraining) this.#servers.delete(id);
-    else if (!this.#lapsed.has(id)) this.#lapsed.set(id, returnEnds);
+    return lapsing;
   }
 
   #rebuild(): void {
--- a/src/core/server_registry_test.ts
+++ b/src/core/server_registry_test.ts
@@ -3,6 +3,7 @@
 import { type BackendServerId, brandId } from "./ids.ts";
 import {
   createServerRegistry,
+  MASS_REMOVAL_MILLISECONDS,
   type RegisteredServer,
   registeredServerSchema,
   REGISTRATION_RETURN_MILLISECONDS,
@@ -94,6 +95,41 @@
   t.is(registry.get(idOf("a")), undefined);
 });
 
+test("guards against an outage that passed unseen emptying a service, and against keeping one server that left", (t) => {
+  const registry = listed("a", "b", "c", "d");
+  registry.apply(11, [
+    { id: idOf("a"), server: undefined },
+    { id: idOf("b"), server: undefined },
+    { id: idOf("c"), server: undefined },
+  ], 1_000);
+  t.is(readyIds(registry).length, 4);
+  registry.apply(12, [{ id: idOf("a"), server: serverOf("a") }], 1_200);
+  registry.expire(1_000 + MASS_REMOVAL_MILLISECONDS);
+  t.deepEqual(readyIds(registry), ["a", "d"]);
+  registry.apply(13, [{ id: idOf("d"), server: undefined }], 9_000);
+  t.deepEqual(readyIds(registry), ["a"]);
+});
+
+test("guards against a peer that misses changes believing that it is level", (t) => {
+  const watcher = listed("a", "b", "c");
+  const peer = createServerRegistry();
+  peer.replace(watcher.list(), 0);
+  watcher.takeChanges();
+  watcher.apply(11, [{ id: idOf("a"), server: undefined }], 1_000);
+  const first = watcher.takeChanges();
+  // Waiting calls that end without a change raise the revision.
+  watcher.apply(15, [], 2_000);
+  watcher.apply(16, [{ id: idOf("b"), server: undefined }], 3_000);
+  const second = watcher.takeChanges();
+  t.true(second.afterRevision > peer.revision);
+  peer.follow(first);
+  t.true(second.afterRevision <= peer.revision);
+  peer.follow(second);
+  t.deepEqual(readyIds(peer), ["c"]);
+  t.is(peer.digest, watcher.digest);
+  t.is(watcher.takeChanges().changes.length, 0);
+});
+
 test("guards against peers fetching the state again when registrations are equal", (t) => {
   const left = listed("a", "b");
   const right = listed("b", "a");
--- a/src/gateway_peer_messages.ts
+++ b/src/gateway_peer_messages.ts
@@ -19,6 +19,8 @@
   readonly callerAddress: SocketAddress;
   /** Whether callers may be sent to this router. */
   readonly isServing: boolean;
+  /** Whether this router follows the registry in the store and tells others. */
+  readonly isWatching: boolean;
   /** Share of its time that the router was busy, 0 to 1. */
   readonly busyShare: number;
   readonly configurationVersion: number;
@@ -34,9 +36,11 @@
   brandId<SocketAddress>(text)
 );
 const _number = z.number();
+const SERVING_FLAG = 1;
+const WATCHING_FLAG = 2;
 const _packedReport = z.tuple([
   _address,
-  z.boolean(),
+  _number,
   _number,
   _number,
   _number,
@@ -56,7 +60,8 @@
 export function packReport(report: GatewayReport): PackedReport {
   return [
     report.callerAddress,
-    report.isServing,
+    (report.isServing ? SERVING_FLAG : 0) |
+    (report.isWatching ? WATCHING_FLAG : 0),
     Math.round(report.busyShare * 100),
     report.configurationVersion,
     report.registryRevision,
@@ -128,11 +133,11 @@
 ): GatewayReport | undefined {
   const packed = _packedReport.safeParse(body);
   if (!packed.success) return undefined;
-  const [callerAddress, isServing, busy, version, revision, digest] =
-    packed.data;
+  const [callerAddress, flags, busy, version, revision, digest] = packed.data;
   return {
     callerAddress,
-    isServing,
+    isServing: (flags & SERVING_FLAG) !== 0,
+    isWatching: (flags & WATCHING_FLAG) !== 0,
     busyShare: busy / 100,
     configurationVersion: version,
     registryRevision: revision,
--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -9,6 +9,7 @@
 import type { ServerOutcomes } from "./core/server_outcomes.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { FleetStore } from "./fleet_store.ts";
+import { createGatewayPeer, type GatewayPeer } from "./gateway_peer.ts";
 import {
   gatewayPeersSchema,
   type GatewayReport,
@@ -18,11 +19,10 @@
   safeUnpackReport,
   type ServerNames,
 } from "./gateway_peer_messages.ts";
-import {
-  gatewayStateSchema,
-  type GatewayStateTask,
-} from "./gateway_state_task.ts";
+import type { GatewayStateTask } from "./gateway_state_task.ts";
 import type { PeerIdentity, PeerNetwork } from "./peer_network.ts";
+import { RouterDiscovery } from "./router_discovery.ts";
+import { StateCatchUp } from "./state_catch_up.ts";
 import { Task } from "./task.ts";
 import type { Subscription, TimerService } from "./timer_service.ts";
 
@@ -41,12 +41,6 @@
 const RETRY_MILLISECONDS = 1_000;
 /** An address without an answer for this long is forgotten, unless it is listed. */
 const FORGET_MILLISECONDS = 30_000;
-/** Being behind a peer for this long means that the own watch does not work. */
-const BEHIND_MILLISECONDS = 300;
-const STATE_TIMEOUT_MILLISECONDS = 1_000;
-/** Routers are listed again this often; peers name new ones in between. */
-const LIST_MILLISECONDS = 30_000;
-const FIRST_LIST_RETRY_MILLISECONDS = 500;
 
 /** A router that callers may be sent to. */
 export interface ServingRouter {
@@ -77,36 +71,38 @@
   readonly busyShare: () => number;
 }
 
-interface _Peer {
-  readonly address: SocketAddress;
-  identity: PeerIdentity | undefined;
-  report: GatewayReport | undefined;
-  heardAt: number;
-  knownSince: number;
-  triedAt: number;
-  sentTick: number;
-  sentVersion: number;
-  /** Number after the last announcement of readings that was sent. */
-  sentReadings: number;
-  behindSince: number | undefined;
-}
-
 /** Talks to the other gateways. */
 export class GatewayPeerTask extends Task {
   override readonly name = "gateway peers";
   readonly #options: GatewayPeerTaskOptions;
-  readonly #peers = new Map<SocketAddress, _Peer>();
+  readonly #peers = new Map<SocketAddress, GatewayPeer>();
   readonly #subscriptions: Subscription[] = [];
+  readonly #catchUp: StateCatchUp;
+  readonly #discovery: RouterDiscovery;
   #names: ServerNames = new Map();
   #tick = 0;
   #wasServing = false;
-  #isFetching = false;
   #running = false;
-  #registered = false;
 
   constructor(options: GatewayPeerTaskOptions) {
     super();
     this.#options = options;
+    const { network, state, store, timers, host, dataCentre, address } =
+      options;
+    this.#catchUp = new StateCatchUp({
+      network,
+      state,
+      host,
+      peers: () => this.#peers.values(),
+      liveAddresses: () => this.#liveAddresses(),
+      now: () => this.#now(),
+    });
+    this.#discovery = new RouterDiscovery({
+      store,
+      timers,
+      self: { host, dataCentre, address },
+      onFound: (found) => this.#know(found),
+    });
   }
 
   override async start(): Promise<void> {
@@ -115,16 +111,17 @@
     state.onChange(() => this.#renameServers());
     network.handle("gateway.report", (body, from) => this.#receive(body, from));
     network.handle("gateway.peers", (body) => this.#learn(body));
-    network.handle("gateway.state", () => state.state());
     for (const seed of seeds) this.#know(seed);
     this.#subscriptions.push(
       timers.every(TICK_MILLISECONDS, "gateway reports", () => this.#onTick()),
     );
-    void this.#discover();
+    await this.#discovery.start();
   }
 
   override async stop(): Promise<void> {
     this.#running = false;
+    this.#catchUp.stop();
+    await this.#discovery.stop();
     for (const subscription of this.#subscriptions) subscription.cancel();
   }
 
@@ -186,25 +183,13 @@
       this.#stretch();
   }
 
-  #isSilent(peer: _Peer, now: number): boolean {
+  #isSilent(peer: GatewayPeer, now: number): boolean {
     return now - peer.heardAt > this.#silenceMilliseconds();
   }
 
   #know(address: SocketAddress): void {
     if (address === this.#options.address || this.#peers.has(address)) return;
-    const now = this.#now();
-    this.#peers.set(address, {
-      address,
-      identity: undefined,
-      report: undefined,
-      heardAt: Number.NEGATIVE_INFINITY,
-      knownSince: now,
-      triedAt: Number.NEGATIVE_INFINITY,
-      sentTick: Number.NEGATIVE_INFINITY,
-      sentVersion: -1,
-      sentReadings: 0,
-      behindSince: undefined,
-    });
+    this.#peers.set(address, createGatewayPeer(address, this.#now()));
   }
 
   #renameServers(): void {
@@ -235,7 +220,7 @@
       }
       this.#options.network.send(peer.address, "gateway.report", body);
     }
-    this.#catchUp(now);
+    this.#catchUp.check();
   }
 
   #report(now: number, sentReadings: number): GatewayReport {
@@ -246,6 +231,7 @@
     return {
       callerAddress,
       isServing: isServing(),
+      isWatching: state.registryTask.isWatching,
       busyShare: busyShare(),
       configurationVersion,
       registryRevision,
@@ -256,19 +242,21 @@
     };
   }
 
-  #isDue(peer: _Peer, now: number): boolean {
+  #isDue(peer: GatewayPeer, now: number): boolean {
     if (this.#isSilent(peer, now)) {
       return now - peer.triedAt >= RETRY_MILLISECONDS;
     }
     const stretch = this.#stretch();
     const ticks = this.#tick - peer.sentTick;
-    if (ticks >= HEARTBEAT_TICKS * stretch) return true;
+    // Others rely on a watching router, so its silence must show soon.
+    const isWatching = this.#options.state.registryTask.isWatching;
+    if (ticks >= HEARTBEAT_TICKS * (isWatching ? 1 : stretch)) return true;
     const isNear = peer.identity?.dataCentre === this.#options.dataCentre;
     return peer.sentVersion !== this.#options.load.ownVersion &&
       ticks >= (isNear ? NEAR_TICKS : FAR_TICKS) * stretch;
   }
 
-  #watchSilence(peer: _Peer, now: number): void {
+  #watchSilence(peer: GatewayPeer, now: number): void {
     if (!this.#isSilent(peer, now)) return;
     if (peer.report) {
       peer.report = undefined;
@@ -283,6 +271,9 @@
     const isSeed = this.#options.seeds.includes(peer.address);
     if (now - since > FORGET_MILLISECONDS && !isSeed) {
       this.#peers.delete(peer.address);
+      // A router that hears few others is more likely cut off itself.
+      const hearsMost = this.liveRouters() * 2 > this.#peers.size;
+      if (hearsMost) this.#discovery.remove(peer.address);
     }
   }
 
@@ -307,7 +298,7 @@
     if (isNew) this.#welcome(peer);
   }
 
-  #welcome(peer: _Peer): void {
+  #welcome(peer: GatewayPeer): void {
     this.#options.log.write("peer.connected", {
       peer: peer.identity?.host,
       address: peer.address,
@@ -315,11 +306,16 @@
     peer.sentVersion = -1;
     // A peer that has just joined knows nothing; what is kept is sent again.
     peer.sentReadings = 0;
+    this.#options.network.send(peer.address, "gateway.peers", {
+      addresses: this.#liveAddresses(),
+    });
+  }
+
+  #liveAddresses(): SocketAddress[] {
     const now = this.#now();
-    const addresses = [...this.#peers.values()]
-      .filter((other) => !this.#isSilent(other, now))
+    return [...this.#peers.values()]
+      .filter((peer) => !this.#isSilent(peer, now))
       .map(({ address }) => address);
-    this.#options.network.send(peer.address, "gateway.peers", { addresses });
   }
 
   #learn(body: unknown): void {
@@ -327,68 +323,6 @@
     if (!message.success) return;
     for (const address of message.data.addresses) this.#know(address);
   }
-
-  /** Fetches the state from a peer that is ahead for longer than a watch needs. */
-  #catchUp(now: number): void {
-    const { state } = this.#options;
-    const own = state.versions();
-    for (const peer of this.#peers.values()) {
-      const report = peer.report;
-      const isBehind = report !== undefined && (
-        report.configurationVersion > own.configurationVersion ||
-        (report.registryRevision > own.registryRevision &&
-          report.registryDigest !== state.registry.digest)
-      );
-      if (!isBehind) {
-        peer.behindSince = undefined;
-        continue;
-      }
-      peer.behindSince ??= now;
-      const isLate = now - peer.behindSince >= BEHIND_MILLISECONDS;
-      if (isLate || !state.isKnown()) void this.#fetch(peer);
-    }
-  }
-
-  async #fetch(peer: _Peer): Promise<void> {
-    if (this.#isFetching) return;
-    this.#isFetching = true;
-    const { network, state } = this.#options;
-    const answer = await network.request(
-      peer.address,
-      "gateway.state",
-      {},
-      STATE_TIMEOUT_MILLISECONDS,
-    );
-    this.#isFetching = false;
-    peer.behindSince = undefined;
-    if (answer.isErr() || !this.#running) return;
-    const parsed = gatewayStateSchema.safeParse(answer.value);
-    if (parsed.success) state.adopt(parsed.data, peer.identity?.host ?? "peer");
-  }
-
-  /** Registers this router once and looks for others until the store answered. */
-  async #discover(): Promise<void> {
-    const { store, timers, host, dataCentre, address } = this.#options;
-    while (this.#running) {
-      if (!this.#registered) {
-        const registered = await store.registerRouter({
-          host,
-          dataCentre,
-          address,
-        });
-        this.#registered = registered.isOk();
-      }
-      const listed = await store.listRouters();
-      if (listed.isOk()) {
-        for (const record of listed.value) this.#know(record.address);
-      }
-      const isDone = this.#registered && listed.isOk();
-      await timers.sleep(
-        isDone ? LIST_MILLISECONDS : FIRST_LIST_RETRY_MILLISECONDS,
-        "router discovery",
-      );
-    }
-  }
 }
 
 /** Creates the peer task of one gateway. */
--- a/src/gateway_test.ts
+++ b/src/gateway_test.ts
@@ -457,6 +457,35 @@
   t.is(bench.backends[0]!.received.length, before);
 });
 
+test.serial("guards against every router watching the registry, and against nobody taking over from routers that the store refuses", async (t) => {
+  const bench = await startBench({ gateways: 8, backends: 3 });
+  function watching(): GatewayInTest[] {
+    return bench.gateways.filter(({ store }) => store.waitingServerWatches > 0);
+  }
+  async function routesAround(index: number, gone: RawBackend) {
+    const before = gone.received.length;
+    for (let count = 0; count < 6; count++) {
+      await call(bench, { gateway: index });
+    }
+    return gone.received.length === before;
+  }
+  // Watches end at a change or after their time; then only four go on.
+  await until(() => watching().length <= 4, "watches are shared");
+  const [first, second] = bench.backends as [RawBackend, RawBackend];
+  bench.fleet.setServer(first.registration("s0", { isDraining: true }));
+  await new Promise((resolve) => setTimeout(resolve, 500));
+  for (let index = 0; index < 8; index++) {
+    t.true(await routesAround(index, first), `router ${index}`);
+  }
+  for (const { store } of watching()) store.setFailing(true);
+  // The failed watches end at the next change, which nobody reports.
+  bench.fleet.setServer(second.registration("s1", { isDraining: true }));
+  await new Promise((resolve) => setTimeout(resolve, 2_000));
+  for (let index = 0; index < 8; index++) {
+    t.true(await routesAround(index, second), `router ${index}`);
+  }
+});
+
 test.serial("guards against a planned stop that cuts a request or is announced late", async (t) => {
   const bench = await startBench({ gateways: 2 });
   const [leaving, staying] = bench.gateways as [GatewayInTest, GatewayInTest];
--- a/src/peer_network.ts
+++ b/src/peer_network.ts
@@ -41,6 +41,7 @@
   "gateway.report",
   "gateway.peers",
   "gateway.state",
+  "gateway.registry",
 ] as const;
 
 /** One of the closed list of message kinds. */
--- /dev/null
+++ b/src/registry_task.ts
@@ -0,0 +1,190 @@
+/**
+ * Follows the registrations of backend servers. A few routers watch the store
+ * and tell the others what changed, because every waiting call is paid for and
+ * every change would wake a call of every router.
+ */
+import type { ApplicationError } from "./core/errors.ts";
+import type { RandomSource } from "./core/random.ts";
+import {
+  createServerRegistry,
+  type RegistrationList,
+  type RegistryChanges,
+  type ServerRegistry,
+} from "./core/server_registry.ts";
+import type { DecisionLog } from "./decision_log.ts";
+import type { FleetStore } from "./fleet_store.ts";
+import { StoreContact } from "./store_contact.ts";
+import { Task } from "./task.ts";
+import type { Subscription, TimerService } from "./timer_service.ts";
+
+/** Longest wait of one watch; a watch that died is noticed at its end. */
+const WATCH_MILLISECONDS = 6_000;
+/** The first wait is random, so that the watches of a fleet end at different times. */
+const MINIMUM_FIRST_WATCH_MILLISECONDS = 1_000;
+/** A router that leaves watching to others looks this often whether it should start. */
+const IDLE_MILLISECONDS = 100;
+const EXPIRY_PERIOD_MILLISECONDS = 250;
+
+/** What the registry task needs. */
+export interface RegistryTaskOptions {
+  readonly store: FleetStore;
+  readonly timers: TimerService;
+  readonly random: RandomSource;
+  readonly log: DecisionLog;
+}
+
+/** Keeps the registered servers of one gateway up to date. */
+export class RegistryTask extends Task {
+  override readonly name = "registry";
+  readonly registry: ServerRegistry = createServerRegistry();
+  readonly contact: StoreContact;
+  readonly #options: RegistryTaskOptions;
+  readonly #listeners: ((changes: RegistryChanges) => void)[] = [];
+  #shouldWatch: () => boolean = () => true;
+  #isListed = false;
+  #isWatching = false;
+  #running = false;
+  #expiry: Subscription | undefined;
+
+  constructor(options: RegistryTaskOptions) {
+    super();
+    this.#options = options;
+    this.contact = new StoreContact({ ...options, subject: "registry" });
+  }
+
+  /** Whether this router watches the store and the store answers. */
+  get isWatching(): boolean {
+    return this.#isWatching && !this.contact.isLost;
+  }
+
+  /** Sets who decides whether this router watches the store. */
+  setWatchDecision(shouldWatch: () => boolean): void {
+    this.#shouldWatch = shouldWatch;
+  }
+
+  /** Calls the listener with every change of the registered servers. */
+  onChange(listener: (changes: RegistryChanges) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  override async start(): Promise<void> {
+    this.#running = true;
+    void this.#follow();
+    this.#expiry = this.#options.timers.every(
+      EXPIRY_PERIOD_MILLISECONDS,
+      "registration expiry",
+      () => {
+        this.registry.expire(this.#now());
+        this.#publish("expiry");
+      },
+    );
+  }
+
+  override async stop(): Promise<void> {
+    this.#running = false;
+    this.#expiry?.cancel();
+  }
+
+  /** Takes over a peer's list if it is newer. */
+  adopt(list: RegistrationList, peer: string): void {
+    if (list.revision <= this.registry.revision) return;
+    this.registry.replace(list, this.#now());
+    this.#publish(peer);
+  }
+
+  /** Takes over a peer's changes; false if changes before them are missing. */
+  receive(changes: RegistryChanges, peer: string): boolean {
+    const known = this.registry.revision;
+    if (changes.revision < known) return true;
+    if (changes.afterRevision > known) return false;
+    this.registry.follow(changes);
+    this.#publish(peer);
+    return true;
+  }
+
+  override describe(): unknown {
+    return {
+      revision: this.registry.revision,
+      isWatching: this.isWatching,
+      isLost: this.contact.isLost,
+      ageMilliseconds: this.contact.ageMilliseconds(),
+      servers: this.registry.list().servers,
+    };
+  }
+
+  #now(): number {
+    return this.#options.timers.clock.monotonicMilliseconds();
+  }
+
+  async #follow(): Promise<void> {
+    const { random, timers } = this.#options;
+    let wait = MINIMUM_FIRST_WATCH_MILLISECONDS +
+      random.integer(WATCH_MILLISECONDS - MINIMUM_FIRST_WATCH_MILLISECONDS);
+    while (this.#running) {
+      const isKnown = this.registry.revision > 0;
+      if (isKnown && !this.#shouldWatch()) {
+        this.#isWatching = false;
+        await timers.sleep(IDLE_MILLISECONDS, "registry idle");
+        continue;
+      }
+      const failure: ApplicationError | undefined = this.#isListed
+        ? await this.#watch(wait)
+        : await this.#list();
+      if (!this.#running) return;
+      if (!failure) {
+        this.contact.confirm();
+        this.registry.storeReturned(this.#now());
+        this.#isWatching = true;
+        if (this.#isListed) wait = WATCH_MILLISECONDS;
+        this.#isListed = true;
+        this.#publish("store");
+      } else if (failure.kind === "platform_history_lost") {
+        this.#isListed = false;
+      } else {
+        this.registry.storeLost();
+        await this.contact.fail(failure);
+      }
+    }
+  }
+
+  async #list(): Promise<ApplicationError | undefined> {
+    const listed = await this.#options.store.listServers();
+    if (listed.isErr()) return listed.error;
+    // Removals are judged with the store back in mind.
+    this.registry.storeReturned(this.#now());
+    this.registry.replace(listed.value, this.#now());
+    return undefined;
+  }
+
+  async #watch(wait: number): Promise<ApplicationError | undefined> {
+    const watched = await this.#options.store.watchServers(
+      this.registry.revision,
+      wait,
+    );
+    if (watched.isErr()) return watched.error;
+    const { revision, changes } = watched.value;
+    this.registry.storeReturned(this.#now());
+    this.registry.apply(revision, changes, this.#now());
+    return undefined;
+  }
+
+  #publish(source: string): void {
+    const changes = this.registry.takeChanges();
+    if (changes.changes.length === 0) return;
+    this.#options.log.write("registry.changed", {
+      revision: changes.revision,
+      source,
+      changes: changes.changes.slice(0, 8).map(({ id, server }) => ({
+        id,
+        state: server ? (server.isDraining ? "draining" : "ready") : "gone",
+      })),
+      servers: this.registry.size,
+    });
+    for (const listener of this.#listeners) listener(changes);
+  }
+}
+
+/** Creates the registry task of one gateway. */
+export function createRegistryTask(options: RegistryTaskOptions): RegistryTask {
+  return new RegistryTask(options);
+}
--- a/stand_ins/memory_fleet_store.ts
+++ b/stand_ins/memory_fleet_store.ts
@@ -77,6 +77,8 @@
   readonly #fleet: MemoryFleet;
   #failure: ApplicationError | undefined;
   #isSilent = false;
+  /** Watches of servers that wait now. */
+  waitingServerWatches = 0;
 
   constructor(fleet: MemoryFleet) {
     super();
@@ -134,7 +136,9 @@
     if (afterRevision < this.#fleet.forgottenRevision) {
       return err(createError("platform_history_lost", "forgotten"));
     }
+    this.waitingServerWatches++;
     await this.#waitUntil(() => since().length > 0, waitMilliseconds);
+    this.waitingServerWatches--;
     return this.#answer(() => ({
       revision: this.#fleet.revision,
       changes: since(),
