--- a/deploy/build.js
+++ b/deploy/build.js
@@ -15,9 +15,14 @@
   },
 };
 
+const outIndex = process.argv.indexOf("--out");
+const outfile = outIndex < 0
+  ? "target/sapphirecart.mjs"
+  : process.argv[outIndex + 1];
+
 const result = await build({
   entryPoints: ["platform/main.ts"],
-  outfile: "target/sapphirecart.mjs",
+  outfile,
   bundle: true,
   platform: "node",
   format: "esm",
--- a/src/core/server_outcomes.ts
+++ b/src/core/server_outcomes.ts
@@ -55,14 +55,32 @@
   return requests > 0 ? failures / requests : 0;
 }
 
+/** A server that is left out, and why. */
+export interface ServerExclusion extends OutcomeCount {
+  /** Share of failures that the other servers of its service make usual. */
+  readonly toleratedShare: number;
+  readonly milliseconds: number;
+}
+
+/** Options of the outcomes of one router. */
+export interface ServerOutcomesOptions {
+  /** Called when a server is left out. */
+  readonly onExcluded?: (exclusion: ServerExclusion) => void;
+}
+
 /** The outcomes at all servers as one router knows them. */
 export class ServerOutcomes {
+  readonly #options: ServerOutcomesOptions;
   readonly #own = new Map<BackendServerId, _Bucket[]>();
   readonly #peers = new Map<HostId, _PeerOutcomes>();
   readonly #excluded = new Map<BackendServerId, _Exclusion>();
   readonly #unreachable = new Map<BackendServerId, number>();
   readonly #evaluatedAt = new Map<string, number>();
 
+  constructor(options: ServerOutcomesOptions = {}) {
+    this.#options = options;
+  }
+
   /** Counts the outcome of a request. */
   record(server: BackendServerId, failed: boolean, now: number): void {
     const bucket = this.#bucket(server, now);
@@ -115,7 +133,12 @@
       const excess = count.failures - tolerated * count.requests;
       if (excess < MINIMUM_EXCESS_FAILURES) continue;
       if (this.#isFailing(count.server, now)) continue;
-      this.#exclude(count.server, now);
+      const milliseconds = this.#exclude(count.server, now);
+      this.#options.onExcluded?.({
+        ...count,
+        toleratedShare: tolerated,
+        milliseconds,
+      });
       free--;
     }
   }
@@ -153,13 +176,14 @@
     return exclusion !== undefined && now < exclusion.until;
   }
 
-  #exclude(server: BackendServerId, now: number): void {
+  #exclude(server: BackendServerId, now: number): number {
     const last = this.#excluded.get(server);
     const again = last && now - last.until < FORGIVENESS_MILLISECONDS;
     const milliseconds = again
       ? Math.min(MAXIMUM_EXCLUSION_MILLISECONDS, 2 * last.milliseconds)
       : FIRST_EXCLUSION_MILLISECONDS;
     this.#excluded.set(server, { until: now + milliseconds, milliseconds });
+    return milliseconds;
   }
 
   #bucket(server: BackendServerId, now: number): _Bucket {
@@ -208,6 +232,8 @@
 }
 
 /** Creates a view without any outcome. */
-export function createServerOutcomes(): ServerOutcomes {
-  return new ServerOutcomes();
+export function createServerOutcomes(
+  options: ServerOutcomesOptions = {},
+): ServerOutcomes {
+  return new ServerOutcomes(options);
 }
--- a/src/core/server_outcomes_test.ts
+++ b/src/core/server_outcomes_test.ts
@@ -3,6 +3,7 @@
 import { createSeededRandom } from "./random.ts";
 import {
   createServerOutcomes,
+  type ServerExclusion,
   type ServerOutcomes,
 } from "./server_outcomes.ts";
 import {
@@ -52,10 +53,14 @@
 
 test("guards against a server that fails part of its requests staying in use", (t) => {
   const servers = serversOf(4);
-  const outcomes = createServerOutcomes();
+  const exclusions: ServerExclusion[] = [];
+  const outcomes = createServerOutcomes({
+    onExcluded: (exclusion) => exclusions.push(exclusion),
+  });
   for (const { id } of servers) failAt(outcomes, id, 0, 10, 100);
   failAt(outcomes, servers[2]!.id, 6, 6, 100);
   t.deepEqual(excluded(outcomes, servers, 200), ["s2"]);
+  t.like(exclusions, [{ server: servers[2]!.id, requests: 16, failures: 6 }]);
   t.deepEqual(excluded(outcomes, servers, 200 + 4_000), []);
 });
 
--- a/src/decision_log.ts
+++ b/src/decision_log.ts
@@ -11,7 +11,6 @@
 /** Every event, with how long its lines are kept when the budget runs short. */
 export const LOG_EVENTS = {
   "process.started": "state",
-  "process.ready": "state",
   "process.stopping": "state",
   "process.stopped": "state",
   "settings.reloaded": "state",
--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -5,7 +5,9 @@
  */
 import { randomBytes } from "node:crypto";
 import type { Server } from "node:http";
+import type { Result } from "neverthrow";
 import { createBackendConnections } from "./backend_connections.ts";
+import type { ApplicationError } from "./core/errors.ts";
 import { createFleetLoad } from "./core/fleet_load.ts";
 import {
   brandId,
@@ -80,8 +82,16 @@
   readonly fleetAllowance: number;
 }
 
+/** Settings that may change while a gateway runs. */
+export interface GatewayTuning {
+  readonly retries: RetryAllowance;
+  readonly loadBound: LoadBound;
+  /** Time from a stop signal until the process is killed, in milliseconds. */
+  readonly graceMilliseconds: number;
+}
+
 /** What a gateway is made of. */
-export interface GatewayOptions {
+export interface GatewayOptions extends GatewayTuning {
   readonly host: string;
   readonly dataCentre: string;
   readonly addresses: GatewayAddresses;
@@ -92,10 +102,6 @@
   readonly store: FleetStore;
   readonly protocol?: GatewayProtocol;
   readonly entryFormat?: EntryFormat;
-  readonly retries: RetryAllowance;
-  readonly loadBound: LoadBound;
-  /** Time from a stop signal until the process is killed, in milliseconds. */
-  readonly graceMilliseconds: number;
   readonly output?: LogOutput;
 }
 
@@ -104,13 +110,14 @@
   start(): Promise<void>;
   /** Stops without cutting a request; resolves when the process may end. */
   stop(): Promise<void>;
-  /** Notes that settings were read again; they are in force after a restart. */
-  reload(): void;
+  /** Takes over settings that were read again; unusable ones change nothing. */
+  reload(settings: Result<GatewayTuning, ApplicationError>): void;
 }
 
 /** Creates a gateway; it does nothing until started. */
 export function createGateway(options: GatewayOptions): Gateway {
   const { store, addresses } = options;
+  let tuning: GatewayTuning = options;
   const timers = createSystemTimerService();
   const { clock } = timers;
   const random = createSeededRandom(randomBytes(4).readInt32BE());
@@ -128,7 +135,9 @@
   const protocol = options.protocol ?? createGatewayProtocol();
   const state = createGatewayStateTask({ store, timers, random, log });
   const load = createFleetLoad();
-  const outcomes = createServerOutcomes();
+  const outcomes = createServerOutcomes({
+    onExcluded: (exclusion) => log.write("server.excluded", { ...exclusion }),
+  });
   const directory = createPromptDirectory();
   const incarnations = createServerIncarnations();
   const connections = createBackendConnections();
@@ -175,7 +184,7 @@
     log,
     metrics,
     dataCentre,
-    loadBound: options.loadBound,
+    loadBound: () => tuning.loadBound,
     isStopping: () => isStopping,
     onOver: () => inFlight--,
   };
@@ -201,11 +210,11 @@
   function budgetOf(service: string): RetryBudget {
     let budget = budgets.get(service);
     if (!budget) {
-      const { ratio, fleetAllowance } = options.retries;
       budget = createRetryBudget({
         random,
-        ratio: () => ratio * RETRY_MARGIN,
-        allowance: () => fleetAllowance * RETRY_MARGIN / peers.liveRouters(),
+        ratio: () => tuning.retries.ratio * RETRY_MARGIN,
+        allowance: () =>
+          tuning.retries.fleetAllowance * RETRY_MARGIN / peers.liveRouters(),
       });
       budgets.set(service, budget);
     }
@@ -284,7 +293,7 @@
   async function stop(): Promise<void> {
     if (isStopping) return;
     const stopAt = clock.monotonicMilliseconds();
-    const endAt = stopAt + options.graceMilliseconds - END_MARGIN_MILLISECONDS;
+    const endAt = stopAt + tuning.graceMilliseconds - END_MARGIN_MILLISECONDS;
     isStopping = true;
     log.write("process.stopping", { inFlight });
     peers.announce();
@@ -310,8 +319,15 @@
     timers.stop();
   }
 
-  function reload(): void {
-    log.write("settings.reloaded", {});
+  function reload(settings: Result<GatewayTuning, ApplicationError>): void {
+    if (settings.isErr()) {
+      const { kind, detail } = settings.error;
+      log.write("settings.rejected", { error: kind, detail });
+      return;
+    }
+    const { retries, loadBound, graceMilliseconds } = settings.value;
+    tuning = { retries, loadBound, graceMilliseconds };
+    log.write("settings.reloaded", { ...tuning });
   }
 
   return { start, stop, reload };
--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -100,6 +100,7 @@
     this.#discovery = new RouterDiscovery({
       store,
       timers,
+      log: options.log,
       self: { host, dataCentre, address },
       onFound: (found) => this.#know(found),
     });
--- a/src/gateway_test.ts
+++ b/src/gateway_test.ts
@@ -1,5 +1,6 @@
 import { connect, type Socket } from "node:net";
 import test from "ava";
+import { err, ok } from "neverthrow";
 import { type Dispatcher, Pool, request } from "undici";
 import {
   type GatewayInTest,
@@ -15,6 +16,7 @@
   refuse,
   startRawBackend,
 } from "../stand_ins/raw_backend.ts";
+import { createError } from "./core/errors.ts";
 import { DEFAULT_HEADER_NAMES as NAMES } from "./gateway_protocol.ts";
 
 interface Bench {
@@ -486,6 +488,23 @@
   }
 });
 
+test.serial("guards against unusable settings changing a running router, or usable ones being ignored", async (t) => {
+  const bench = await startBench();
+  const [{ gateway, lines }] = bench.gateways as [GatewayInTest];
+  gateway.reload(err(createError("invalid_settings", "not JSON")));
+  t.regex(lines.join(""), /"detail":"not JSON".*settings.rejected/);
+  for (const backend of bench.backends) backend.script(refuse);
+  gateway.reload(ok({
+    retries: { ratio: 0, fleetAllowance: 0 },
+    loadBound: { factor: 1.5, slack: 2 },
+    graceMilliseconds: 1_000,
+  }));
+  t.true(lines.join("").includes("settings.reloaded"));
+  for (let index = 0; index < 10; index++) await call(bench);
+  // Ten requests and the one retry that a router always has in a window.
+  t.true(received(bench).length <= 11, `${received(bench).length}`);
+});
+
 test.serial("guards against a planned stop that cuts a request or is announced late", async (t) => {
   const bench = await startBench({ gateways: 2 });
   const [leaving, staying] = bench.gateways as [GatewayInTest, GatewayInTest];
--- /dev/null
+++ b/src/operations_page_test.ts
@@ -0,0 +1,35 @@
+import { readFileSync } from "node:fs";
+import test from "ava";
+import { LOG_EVENTS } from "./decision_log.ts";
+import { createGatewayMetrics } from "./gateway_metrics.ts";
+
+const PAGE = readFileSync(
+  new URL("../../docs/OPERATIONS.md", import.meta.url),
+  "utf8",
+);
+
+test("guards against a log event that the operators' page omits, invents or puts into another class", (t) => {
+  const documented: Record<string, string> = {};
+  const rows = PAGE.matchAll(/^\| `([a-z_]+\.[a-z_]+)` \| (\w+) \|/gm);
+  for (const [, event = "", logClass = ""] of rows) {
+    documented[event] = logClass;
+  }
+  t.deepEqual(documented, { ...LOG_EVENTS });
+});
+
+test("guards against the operators' page naming a metric that does not exist", async (t) => {
+  const text = await createGatewayMetrics().registry.metrics();
+  for (
+    const name of [
+      "requests_total",
+      "first_byte_seconds",
+      "state_age_seconds",
+      "routers",
+      "stray_answers",
+      "dropped_log_lines",
+    ]
+  ) {
+    t.true(PAGE.includes(`\`${name}\``), name);
+    t.true(text.includes(`sapphirecart_gateway_${name}`), name);
+  }
+});
--- a/src/router_discovery.ts
+++ b/src/router_discovery.ts
@@ -4,6 +4,7 @@
  * since peers name new routers to each other.
  */
 import type { SocketAddress } from "./core/ids.ts";
+import type { DecisionLog } from "./decision_log.ts";
 import type { FleetStore, RouterRecord } from "./fleet_store.ts";
 import { Task } from "./task.ts";
 import type { TimerService } from "./timer_service.ts";
@@ -16,6 +17,7 @@
   readonly store: FleetStore;
   readonly timers: TimerService;
   readonly self: RouterRecord;
+  readonly log: DecisionLog;
   /** Called with every address that is listed. */
   readonly onFound: (address: SocketAddress) => void;
 }
@@ -46,14 +48,23 @@
   remove(address: SocketAddress): void {
     const record = this.#listed.get(address);
     this.#listed.delete(address);
-    // A failure is repaired by the next router that forgets the same address.
-    if (record) void this.#options.store.removeRouter(record.host);
+    if (record) void this.#removeRecord(record);
   }
 
   override describe(): unknown {
     return { isRegistered: this.#isRegistered, listed: this.#listed.size };
   }
 
+  async #removeRecord({ host, address }: RouterRecord): Promise<void> {
+    const removed = await this.#options.store.removeRouter(host);
+    this.#options.log.write("router.removed", {
+      router: host,
+      address,
+      // The next router that forgets the address repairs a failure.
+      error: removed.isErr() ? removed.error.kind : undefined,
+    });
+  }
+
   async #discover(): Promise<void> {
     const { store, timers, self, onFound } = this.#options;
     while (this.#running) {
--- a/src/server_choice.ts
+++ b/src/server_choice.ts
@@ -22,7 +22,7 @@
   readonly random: RandomSource;
   readonly timers: TimerService;
   readonly dataCentre: DataCentreId;
-  readonly loadBound: LoadBound;
+  readonly loadBound: () => LoadBound;
 }
 
 /** Chooses a server for a request that was already sent to some. */
@@ -43,7 +43,7 @@
     promptParts: terms.promptParts,
     holders: (part) => directory.holders(part),
     dataCentre: context.dataCentre,
-    bound: context.loadBound,
+    bound: context.loadBound(),
     random: context.random,
   });
 }
