--- a/src/core/placement_test.ts
+++ b/src/core/placement_test.ts
@@ -1,32 +1,20 @@
 import test from "ava";
+import { testServer, testServers } from "../../stand_ins/registered_servers.ts";
 import { type BackendServerId, brandId, type DataCentreId } from "./ids.ts";
 import { choosePlacement, type PlacementInput } from "./placement.ts";
 import type { PromptPart } from "./prompt.ts";
 import { createPromptDirectory, partKeyOf } from "./prompt_directory.ts";
 import { createSeededRandom } from "./random.ts";
-import {
-  type RegisteredServer,
-  registeredServerSchema,
-} from "./server_registry.ts";
+import type { RegisteredServer } from "./server_registry.ts";
 
 const NORTH = brandId<DataCentreId>("north");
 
 function serverOf(id: string, options: object = {}): RegisteredServer {
-  return registeredServerSchema.parse({
-    id,
-    service: "pool",
-    address: "10.0.0.1:80",
-    dataCentre: "south",
-    slots: 100,
-    isDraining: false,
-    started: 1,
-    warmUpMilliseconds: 0,
-    ...options,
-  });
+  return testServer(id, { dataCentre: "south", slots: 100, ...options });
 }
 
 function serversOf(count: number): RegisteredServer[] {
-  return Array.from({ length: count }, (_, index) => serverOf(`s${index}`));
+  return testServers(count, { dataCentre: "south", slots: 100 });
 }
 
 function partsOf(subject: string, own = "own"): PromptPart[] {
--- a/src/core/route_table_test.ts
+++ b/src/core/route_table_test.ts
@@ -1,49 +1,13 @@
 import test from "ava";
-import {
-  type GatewayConfiguration,
-  gatewayConfigurationSchema,
-  type GatewayRoute,
-} from "./gateway_configuration.ts";
+import { testConfiguration, testRoute } from "../../stand_ins/gateway_fleet.ts";
+import type { GatewayRoute } from "./gateway_configuration.ts";
 import { createRouteTable, pickService, readHostName } from "./route_table.ts";
 
-function routeOf(name: string, options: object = {}): object {
-  return {
-    name,
-    hostName: "shop.example",
-    pathPrefix: `/${name}/`,
-    kind: "idempotent",
-    targets: [{ service: "pool", weight: 1 }],
-    maximumBackendServers: 1,
-    timeoutMilliseconds: 1_000,
-    latencyObjectiveMilliseconds: 300,
-    priority: 1,
-    isPublic: false,
-    hasPromptParts: false,
-    isResumable: false,
-    ...options,
-  };
-}
-
-function configurationOf(routes: object[]): GatewayConfiguration {
-  return gatewayConfigurationSchema.parse({
-    version: 1,
-    routes,
-    services: [],
-    workspaces: [{ id: "temple", keys: ["k1", "k2"] }],
-    bounds: {
-      maximumHeaderBytes: 1_024,
-      maximumBodyBytes: 1_024,
-      headerTimeoutMilliseconds: 1_000,
-      idleTimeoutMilliseconds: 1_000,
-    },
-  });
-}
-
 test("guards against a shorter prefix winning, and against a prefix of half a segment", (t) => {
-  const table = createRouteTable(configurationOf([
-    routeOf("root", { pathPrefix: "/" }),
-    routeOf("a"),
-    routeOf("ab", { pathPrefix: "/a/b/" }),
+  const table = createRouteTable(testConfiguration(1, [
+    testRoute("root", { pathPrefix: "/" }),
+    testRoute("a"),
+    testRoute("ab", { pathPrefix: "/a/b/" }),
   ]));
   function find(path: string): string | undefined {
     return table.findRoute("shop.example", path)?.name;
@@ -57,7 +21,7 @@
 });
 
 test("guards against a path that is normalised before it is matched", (t) => {
-  const table = createRouteTable(configurationOf([routeOf("a")]));
+  const table = createRouteTable(testConfiguration(1, [testRoute("a")]));
   t.is(table.findRoute("shop.example", "/x/../a/y"), undefined);
   t.is(table.findRoute("shop.example", "*"), undefined);
   t.is(table.findRoute("shop.example", ""), undefined);
@@ -70,13 +34,14 @@
 });
 
 test("guards against a workspace with several keys being found by one only", (t) => {
-  const table = createRouteTable(configurationOf([]));
-  t.is(table.findWorkspace("k1")?.id, table.findWorkspace("k2")?.id);
-  t.is(table.findWorkspace("k3"), undefined);
+  const table = createRouteTable(testConfiguration(1, []));
+  t.is(table.findWorkspace("temple-key")?.id as string, "temple");
+  t.is(table.findWorkspace("new-temple-key")?.id as string, "temple");
+  t.is(table.findWorkspace("other-key"), undefined);
 });
 
 test("guards against shares of services that differ from the weights of a route", (t) => {
-  const [route] = configurationOf([routeOf("a", {
+  const [route] = testConfiguration(1, [testRoute("a", {
     targets: [
       { service: "old", weight: 90 },
       { service: "new", weight: 10 },
--- a/src/core/server_incarnations_test.ts
+++ b/src/core/server_incarnations_test.ts
@@ -1,18 +1,9 @@
 import test from "ava";
+import { testServer } from "../../stand_ins/registered_servers.ts";
 import { createServerIncarnations } from "./server_incarnations.ts";
-import { registeredServerSchema } from "./server_registry.ts";
 
 function serverOf(id: string, started: number) {
-  return registeredServerSchema.parse({
-    id,
-    service: "pool",
-    address: "10.0.0.1:80",
-    dataCentre: "north",
-    slots: 4,
-    isDraining: false,
-    started,
-    warmUpMilliseconds: 0,
-  });
+  return testServer(id, { started });
 }
 
 test("guards against what was known of a server being believed after its restart", (t) => {
--- a/src/core/server_outcomes_test.ts
+++ b/src/core/server_outcomes_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { testServers } from "../../stand_ins/registered_servers.ts";
 import { type BackendServerId, brandId, type HostId } from "./ids.ts";
 import { createSeededRandom } from "./random.ts";
 import {
@@ -6,27 +7,7 @@
   type ServerExclusion,
   type ServerOutcomes,
 } from "./server_outcomes.ts";
-import {
-  type RegisteredServer,
-  registeredServerSchema,
-} from "./server_registry.ts";
-
-function serversOf(count: number): RegisteredServer[] {
-  return Array.from(
-    { length: count },
-    (_, index) =>
-      registeredServerSchema.parse({
-        id: `s${index}`,
-        service: "pool",
-        address: "10.0.0.1:80",
-        dataCentre: "north",
-        slots: 4,
-        isDraining: false,
-        started: 1,
-        warmUpMilliseconds: 0,
-      }),
-  );
-}
+import type { RegisteredServer } from "./server_registry.ts";
 
 function excluded(
   outcomes: ServerOutcomes,
@@ -52,7 +33,7 @@
 }
 
 test("guards against a server that fails part of its requests staying in use", (t) => {
-  const servers = serversOf(4);
+  const servers = testServers(4);
   const exclusions: ServerExclusion[] = [];
   const outcomes = createServerOutcomes({
     onExcluded: (exclusion) => exclusions.push(exclusion),
@@ -65,14 +46,14 @@
 });
 
 test("guards against leaving out servers whose whole service fails as often", (t) => {
-  const servers = serversOf(4);
+  const servers = testServers(4);
   const outcomes = createServerOutcomes();
   for (const { id } of servers) failAt(outcomes, id, 4, 10, 100);
   t.deepEqual(excluded(outcomes, servers, 200), []);
 });
 
 test("guards against leaving out more servers than the rest can carry", (t) => {
-  const servers = serversOf(6);
+  const servers = testServers(6);
   const outcomes = createServerOutcomes();
   for (const { id } of servers.slice(0, 4)) failAt(outcomes, id, 0, 10, 100);
   for (const { id } of servers.slice(3)) failAt(outcomes, id, 9, 9, 100);
@@ -80,7 +61,7 @@
 });
 
 test("guards against each router having to learn of a failing server by itself", (t) => {
-  const servers = serversOf(3);
+  const servers = testServers(3);
   const outcomes = createServerOutcomes();
   for (const [index, peer] of ["p1", "p2", "p3"].entries()) {
     outcomes.report(brandId<HostId>(peer), [
@@ -91,7 +72,7 @@
 });
 
 test("guards against a server that fails again soon coming back as fast as before", (t) => {
-  const servers = serversOf(3);
+  const servers = testServers(3);
   const outcomes = createServerOutcomes();
   failAt(outcomes, servers[0]!.id, 5, 5, 0);
   t.deepEqual(excluded(outcomes, servers, 10), ["s0"]);
@@ -101,7 +82,7 @@
 });
 
 test("guards against a server that refused one connection being left out for long", (t) => {
-  const [server] = serversOf(1) as [RegisteredServer];
+  const [server] = testServers(1) as [RegisteredServer];
   const outcomes = createServerOutcomes();
   outcomes.recordUnreachable(server.id, 0);
   t.true(outcomes.isExcluded(server.id, 100));
@@ -109,7 +90,7 @@
 });
 
 test("guards against random failures at the usual rate leaving servers out", (t) => {
-  const servers = serversOf(4);
+  const servers = testServers(4);
   const outcomes = createServerOutcomes();
   const random = createSeededRandom(5);
   let exclusions = 0;
--- a/src/core/server_registry_test.ts
+++ b/src/core/server_registry_test.ts
@@ -1,31 +1,16 @@
 import test from "ava";
+import { testServer } from "../../stand_ins/registered_servers.ts";
 import { serviceIdSchema } from "./gateway_configuration.ts";
 import { type BackendServerId, brandId } from "./ids.ts";
 import {
   createServerRegistry,
   MASS_REMOVAL_MILLISECONDS,
-  type RegisteredServer,
-  registeredServerSchema,
   REGISTRATION_RETURN_MILLISECONDS,
   type ServerRegistry,
 } from "./server_registry.ts";
 
 const POOL = serviceIdSchema.parse("pool");
 
-function serverOf(id: string, options: object = {}): RegisteredServer {
-  return registeredServerSchema.parse({
-    id,
-    service: "pool",
-    address: "10.0.0.1:80",
-    dataCentre: "north",
-    slots: 4,
-    isDraining: false,
-    started: 1,
-    warmUpMilliseconds: 0,
-    ...options,
-  });
-}
-
 function idOf(id: string): BackendServerId {
   return brandId<BackendServerId>(id);
 }
@@ -37,7 +22,7 @@
 function listed(...ids: string[]): ServerRegistry {
   const registry = createServerRegistry();
   registry.replace(
-    { revision: 10, servers: ids.map((id) => serverOf(id)) },
+    { revision: 10, servers: ids.map((id) => testServer(id)) },
     0,
   );
   return registry;
@@ -46,7 +31,7 @@
 test("guards against new work for a server that drains or was removed", (t) => {
   const registry = listed("a", "b", "c");
   registry.apply(11, [
-    { id: idOf("a"), server: serverOf("a", { isDraining: true }) },
+    { id: idOf("a"), server: testServer("a", { isDraining: true }) },
     { id: idOf("b"), server: undefined },
   ], 1);
   t.deepEqual(readyIds(registry), ["c"]);
@@ -55,8 +40,8 @@
 test("guards against an older list or change undoing a newer one", (t) => {
   const registry = listed("a", "b");
   registry.apply(12, [{ id: idOf("b"), server: undefined }], 1);
-  registry.replace({ revision: 11, servers: [serverOf("b")] }, 2);
-  registry.apply(12, [{ id: idOf("b"), server: serverOf("b") }], 3);
+  registry.replace({ revision: 11, servers: [testServer("b")] }, 2);
+  registry.apply(12, [{ id: idOf("b"), server: testServer("b") }], 3);
   t.deepEqual(readyIds(registry), ["a"]);
   t.is(registry.revision, 12);
 });
@@ -70,7 +55,7 @@
     { id: idOf("b"), server: undefined },
   ], 1_001);
   t.deepEqual(readyIds(registry), ["a", "b"]);
-  registry.apply(14, [{ id: idOf("a"), server: serverOf("a") }], 1_500);
+  registry.apply(14, [{ id: idOf("a"), server: testServer("a") }], 1_500);
   registry.expire(1_000 + REGISTRATION_RETURN_MILLISECONDS - 1);
   t.deepEqual(readyIds(registry), ["a", "b"]);
   registry.expire(1_000 + REGISTRATION_RETURN_MILLISECONDS);
@@ -86,7 +71,7 @@
 test("guards against a draining server coming back as lapsed after an outage", (t) => {
   const registry = listed("a", "b");
   registry.apply(11, [
-    { id: idOf("a"), server: serverOf("a", { isDraining: true }) },
+    { id: idOf("a"), server: testServer("a", { isDraining: true }) },
   ], 1);
   registry.storeLost();
   registry.storeReturned(100);
@@ -103,7 +88,7 @@
     { id: idOf("c"), server: undefined },
   ], 1_000);
   t.is(readyIds(registry).length, 4);
-  registry.apply(12, [{ id: idOf("a"), server: serverOf("a") }], 1_200);
+  registry.apply(12, [{ id: idOf("a"), server: testServer("a") }], 1_200);
   registry.expire(1_000 + MASS_REMOVAL_MILLISECONDS);
   t.deepEqual(readyIds(registry), ["a", "d"]);
   registry.apply(13, [{ id: idOf("d"), server: undefined }], 9_000);
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -48,6 +48,38 @@
   toErrorBody,
 } from "./core/errors.ts";
 export { safeParseFleet } from "./core/fleet_file.ts";
+export {
+  type GatewayConfiguration,
+  gatewayConfigurationSchema,
+} from "./core/gateway_configuration.ts";
+export {
+  type RegisteredServer,
+  registeredServerSchema,
+} from "./core/server_registry.ts";
+export {
+  DefaultEntryFormat,
+  type EntryAnswer,
+  EntryFormat,
+  type EntryQuestion,
+} from "./entry_format.ts";
+export {
+  FleetStore,
+  type RouterRecord,
+  type StoreResult,
+} from "./fleet_store.ts";
+export {
+  createGateway,
+  type Gateway,
+  type GatewayAddresses,
+  type GatewayOptions,
+  type GatewayTuning,
+} from "./gateway.ts";
+export {
+  createGatewayProtocol,
+  DEFAULT_HEADER_NAMES,
+  type GatewayHeaderNames,
+  type GatewayProtocol,
+} from "./gateway_protocol.ts";
 export {
   type ConfigurationSnapshot,
   type Fleet,
--- a/stand_ins/gateway_fleet.ts
+++ b/stand_ins/gateway_fleet.ts
@@ -49,7 +49,7 @@
   };
 }
 
-/** A configuration with one workspace whose key is `temple-key`. */
+/** A configuration with one workspace whose keys are `temple-key` and `new-temple-key`. */
 export function testConfiguration(
   version: number,
   routes: readonly object[],
@@ -58,7 +58,7 @@
     version,
     routes,
     services: [{ id: "pool", engineSlots: 0, canCopyCache: true }],
-    workspaces: [{ id: "temple", keys: ["temple-key"] }],
+    workspaces: [{ id: "temple", keys: ["temple-key", "new-temple-key"] }],
     bounds: {
       maximumHeaderBytes: 16_384,
       maximumBodyBytes: 4_194_304,
--- a/stand_ins/raw_backend.ts
+++ b/stand_ins/raw_backend.ts
@@ -9,10 +9,8 @@
 } from "node:http";
 import type { AddressInfo } from "node:net";
 import { brandId, type SocketAddress } from "../src/core/ids.ts";
-import {
-  type RegisteredServer,
-  registeredServerSchema,
-} from "../src/core/server_registry.ts";
+import type { RegisteredServer } from "../src/core/server_registry.ts";
+import { testServer } from "./registered_servers.ts";
 import { DEFAULT_HEADER_NAMES as NAMES } from "../src/gateway_protocol.ts";
 
 /** A request as the server received it. */
@@ -110,17 +108,7 @@
       script = next;
     },
     registration: (id, options = {}) =>
-      registeredServerSchema.parse({
-        id,
-        service: "pool",
-        address,
-        dataCentre: "north",
-        slots: 8,
-        isDraining: false,
-        started: 1,
-        warmUpMilliseconds: 0,
-        ...options,
-      }),
+      testServer(id, { address, slots: 8, ...options }),
     close: () =>
       new Promise((resolve) => {
         server.close(() => resolve());
--- /dev/null
+++ b/stand_ins/registered_servers.ts
@@ -0,0 +1,31 @@
+/** Registered backend servers for tests. */
+import {
+  type RegisteredServer,
+  registeredServerSchema,
+} from "../src/core/server_registry.ts";
+
+/** Returns a server of the service `pool` with what differs from the usual. */
+export function testServer(id: string, options: object = {}): RegisteredServer {
+  return registeredServerSchema.parse({
+    id,
+    service: "pool",
+    address: "10.0.0.1:80",
+    dataCentre: "north",
+    slots: 4,
+    isDraining: false,
+    started: 1,
+    warmUpMilliseconds: 0,
+    ...options,
+  });
+}
+
+/** Returns servers `s0`, `s1` and so on. */
+export function testServers(
+  count: number,
+  options: object = {},
+): RegisteredServer[] {
+  return Array.from(
+    { length: count },
+    (_, index) => testServer(`s${index}`, options),
+  );
+}
