Log malformed requests, ignored peer messages and a lost router list

Cause: requests that the parser refuses, messages of peers that cannot be read and failed calls of the router discovery left no line in the logs. Ruled out: a line for each failed call to the store; an outage would fill the log. Change: request.malformed and peer.message_ignored; the discovery uses the same contact as the other callers of the store, which logs a loss and a return once and pauses longer each time. Conclusion: no failure is passed over without a line.

--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -158,6 +158,7 @@
     network,
     store,
     timers,
+    random,
     log,
     state,
     load,
@@ -199,6 +200,8 @@
   const callerServer = createGatewayServer((request, response) => {
     inFlight++;
     handleRequest(context, request, response);
+  }, (error, caller) => {
+    log.write("request.malformed", { error, caller });
   });
   const entryServer = createEntryServer(interfaces);
   const statusServer = createStatusServer(interfaces);
--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -3,9 +3,11 @@
  * server, readiness, and the versions they know. Whoever is behind fetches the
  * state from a peer, so a router that the store refuses stays up to date.
  */
+import type { EntryRouter } from "./core/entry_addresses.ts";
 import type { FleetLoad } from "./core/fleet_load.ts";
 import type { DataCentreId, HostId, SocketAddress } from "./core/ids.ts";
 import type { PromptDirectory } from "./core/prompt_directory.ts";
+import type { RandomSource } from "./core/random.ts";
 import type { ServerOutcomes } from "./core/server_outcomes.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { FleetStore } from "./fleet_store.ts";
@@ -20,7 +22,11 @@
   type ServerNames,
 } from "./gateway_peer_messages.ts";
 import type { GatewayStateTask } from "./gateway_state_task.ts";
-import type { PeerIdentity, PeerNetwork } from "./peer_network.ts";
+import type {
+  PeerIdentity,
+  PeerMessageKind,
+  PeerNetwork,
+} from "./peer_network.ts";
 import { RouterDiscovery } from "./router_discovery.ts";
 import { StateCatchUp } from "./state_catch_up.ts";
 import { Task } from "./task.ts";
@@ -39,21 +45,15 @@
 const SILENT_HEARTBEATS = 3;
 /** A silent peer is tried this often. */
 const RETRY_MILLISECONDS = 1_000;
-/** An address without an answer for this long is forgotten, unless it is listed. */
+/** An address without an answer for this long is forgotten, unless it is a seed. */
 const FORGET_MILLISECONDS = 30_000;
 
-/** A router that callers may be sent to. */
-export interface ServingRouter {
-  readonly callerAddress: SocketAddress;
-  readonly dataCentre: DataCentreId;
-  readonly busyShare: number;
-}
-
 /** What the peer task needs. */
 export interface GatewayPeerTaskOptions {
   readonly network: PeerNetwork;
   readonly store: FleetStore;
   readonly timers: TimerService;
+  readonly random: RandomSource;
   readonly log: DecisionLog;
   readonly state: GatewayStateTask;
   readonly load: FleetLoad;
@@ -92,6 +92,7 @@
     this.#catchUp = new StateCatchUp({
       network,
       state,
+      log: options.log,
       host,
       peers: () => this.#peers.values(),
       liveAddresses: () => this.#liveAddresses(),
@@ -101,6 +102,7 @@
       store,
       timers,
       log: options.log,
+      random: options.random,
       self: { host, dataCentre, address },
       onFound: (found) => this.#know(found),
     });
@@ -111,7 +113,7 @@
     this.#running = true;
     state.onChange(() => this.#renameServers());
     network.handle("gateway.report", (body, from) => this.#receive(body, from));
-    network.handle("gateway.peers", (body) => this.#learn(body));
+    network.handle("gateway.peers", (body, from) => this.#learn(body, from));
     for (const seed of seeds) this.#know(seed);
     this.#subscriptions.push(
       timers.every(TICK_MILLISECONDS, "gateway reports", () => this.#onTick()),
@@ -132,10 +134,10 @@
   }
 
   /** Routers that callers may be sent to, this one included if it serves. */
-  servingRouters(): ServingRouter[] {
+  servingRouters(): EntryRouter[] {
     const { callerAddress, dataCentre, isServing, busyShare } = this.#options;
     const now = this.#now();
-    const routers: ServingRouter[] = [];
+    const routers: EntryRouter[] = [];
     if (isServing()) {
       routers.push({ callerAddress, dataCentre, busyShare: busyShare() });
     }
@@ -281,7 +283,7 @@
   #receive(body: unknown, from: PeerIdentity): void {
     if (!this.#running) return;
     const report = safeUnpackReport(body, this.#names);
-    if (!report) return;
+    if (!report) return this.#ignore(from, "gateway.report");
     const now = this.#now();
     this.#know(from.address);
     const peer = this.#peers.get(from.address);
@@ -319,9 +321,17 @@
       .map(({ address }) => address);
   }
 
-  #learn(body: unknown): void {
+  #ignore(from: PeerIdentity, kind: PeerMessageKind): void {
+    this.#options.log.write("peer.message_ignored", {
+      peer: from.host,
+      kind,
+      detail: "the body is malformed",
+    });
+  }
+
+  #learn(body: unknown, from: PeerIdentity): void {
     const message = gatewayPeersSchema.safeParse(body);
-    if (!message.success) return;
+    if (!message.success) return this.#ignore(from, "gateway.peers");
     for (const address of message.data.addresses) this.#know(address);
   }
 }
--- a/src/gateway_server.ts
+++ b/src/gateway_server.ts
@@ -30,12 +30,20 @@
   }
 }
 
-function _refuse(error: Error, socket: Socket): void {
+/** Reports a request that the parser refused. */
+export type RefusalListener = (error: string, caller: string) => void;
+
+function _refuse(
+  error: Error,
+  socket: Socket,
+  onRefused: RefusalListener,
+): void {
   const { code } = error as { code?: string };
   if (code === "ECONNRESET" || !socket.writable) {
     socket.destroy();
     return;
   }
+  onRefused(code ?? error.message, socket.remoteAddress ?? "");
   // An answer after another one on the same connection would be misread.
   const hasAnswered = socket.bytesWritten > 0;
   if (hasAnswered) socket.destroy();
@@ -49,7 +57,10 @@
 }
 
 /** Creates the server; it does not listen yet. */
-export function createGatewayServer(handler: RequestHandler): Server {
+export function createGatewayServer(
+  handler: RequestHandler,
+  onRefused: RefusalListener,
+): Server {
   const server = createServer({
     maxHeaderSize: MAXIMUM_PARSED_HEADER_BYTES,
     headersTimeout: DEFAULT_HEADER_TIMEOUT_MILLISECONDS,
@@ -57,7 +68,10 @@
     keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MILLISECONDS,
     connectionsCheckingInterval: CHECK_MILLISECONDS,
   }, handler);
-  server.on("clientError", _refuse);
+  server.on(
+    "clientError",
+    (error, socket) => _refuse(error, socket as Socket, onRefused),
+  );
   return server;
 }
 
--- a/src/gateway_state_task.ts
+++ b/src/gateway_state_task.ts
@@ -17,7 +17,7 @@
 import type { DecisionLog } from "./decision_log.ts";
 import type { FleetStore } from "./fleet_store.ts";
 import { createRegistryTask, type RegistryTask } from "./registry_task.ts";
-import { StoreContact, type StoreSubject } from "./store_contact.ts";
+import { StoreContact } from "./store_contact.ts";
 import { Task } from "./task.ts";
 import type { TimerService } from "./timer_service.ts";
 
@@ -91,7 +91,7 @@
   }
 
   /** Time since the store last confirmed a subject, in milliseconds. */
-  ageMilliseconds(subject: StoreSubject): number {
+  ageMilliseconds(subject: "configuration" | "registry"): number {
     const contact = subject === "configuration"
       ? this.#contact
       : this.registryTask.contact;
--- a/src/gateway_test.ts
+++ b/src/gateway_test.ts
@@ -220,6 +220,10 @@
     t.regex(answer, /^HTTP\/1.1 400 /, head);
   }
   t.is(received(bench).length, 0);
+  const malformed = bench.gateways[0]!.lines.filter((line) =>
+    line.includes("request.malformed")
+  );
+  t.is(malformed.length, heads.length);
 });
 
 test.serial("guards against a torn request reaching a server", async (t) => {
--- a/src/router_discovery.ts
+++ b/src/router_discovery.ts
@@ -3,19 +3,22 @@
  * once a life and lists the others until both worked, and seldom afterwards,
  * since peers name new routers to each other.
  */
+import type { ApplicationError } from "./core/errors.ts";
 import type { SocketAddress } from "./core/ids.ts";
+import type { RandomSource } from "./core/random.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { FleetStore, RouterRecord } from "./fleet_store.ts";
+import { StoreContact } from "./store_contact.ts";
 import { Task } from "./task.ts";
 import type { TimerService } from "./timer_service.ts";
 
 const LIST_MILLISECONDS = 30_000;
-const RETRY_MILLISECONDS = 500;
 
 /** What the discovery needs. */
 export interface RouterDiscoveryOptions {
   readonly store: FleetStore;
   readonly timers: TimerService;
+  readonly random: RandomSource;
   readonly self: RouterRecord;
   readonly log: DecisionLog;
   /** Called with every address that is listed. */
@@ -26,13 +29,16 @@
 export class RouterDiscovery extends Task {
   override readonly name = "router discovery";
   readonly #options: RouterDiscoveryOptions;
+  readonly #contact: StoreContact;
   readonly #listed = new Map<SocketAddress, RouterRecord>();
   #isRegistered = false;
+  #isListed = false;
   #running = false;
 
   constructor(options: RouterDiscoveryOptions) {
     super();
     this.#options = options;
+    this.#contact = new StoreContact({ ...options, subject: "routers" });
   }
 
   override async start(): Promise<void> {
@@ -66,28 +72,42 @@
   }
 
   async #discover(): Promise<void> {
-    const { store, timers, self, onFound } = this.#options;
+    const { timers } = this.#options;
     while (this.#running) {
-      if (!this.#isRegistered) {
-        const registered = await store.registerRouter(self);
-        this.#isRegistered = registered.isOk();
-      }
-      const listed = await store.listRouters();
+      const wasRegistered = this.#isRegistered;
+      const failure = await this.#register() ?? await this.#list();
       if (!this.#running) return;
-      const records = listed.unwrapOr([]);
-      for (const record of records) {
-        if (record.address === self.address) continue;
-        this.#listed.set(record.address, record);
-        onFound(record.address);
+      if (failure) {
+        await this.#contact.fail(failure);
+        continue;
       }
-      // A peer may have removed the record while this router was cut off.
-      const isListed = records.some(({ host }) => host === self.host);
-      if (listed.isOk() && !isListed) this.#isRegistered = false;
-      const isDone = this.#isRegistered && listed.isOk();
-      await timers.sleep(
-        isDone ? LIST_MILLISECONDS : RETRY_MILLISECONDS,
-        "router discovery",
-      );
+      this.#contact.confirm();
+      // A peer may have removed the record while this router was cut off. A
+      // list may lack a record that is only seconds old.
+      if (wasRegistered && !this.#isListed) this.#isRegistered = false;
+      await timers.sleep(LIST_MILLISECONDS, "router discovery");
+    }
+  }
+
+  async #register(): Promise<ApplicationError | undefined> {
+    if (this.#isRegistered) return undefined;
+    const { store, self } = this.#options;
+    const registered = await store.registerRouter(self);
+    if (registered.isErr()) return registered.error;
+    this.#isRegistered = true;
+    return undefined;
+  }
+
+  async #list(): Promise<ApplicationError | undefined> {
+    const { store, self, onFound } = this.#options;
+    const listed = await store.listRouters();
+    if (listed.isErr()) return listed.error;
+    this.#isListed = listed.value.some(({ host }) => host === self.host);
+    for (const record of listed.value) {
+      if (record.address === self.address) continue;
+      this.#listed.set(record.address, record);
+      onFound(record.address);
     }
+    return undefined;
   }
 }
--- a/src/state_catch_up.ts
+++ b/src/state_catch_up.ts
@@ -3,18 +3,24 @@
  * peer when this router stays behind it: its own watch may be dead, or the
  * store may refuse it.
  */
+import { z } from "zod";
 import type { SocketAddress } from "./core/ids.ts";
 import { hash32 } from "./core/rendezvous.ts";
 import {
   type RegistryChanges,
   registryChangesSchema,
 } from "./core/server_registry.ts";
+import type { DecisionLog } from "./decision_log.ts";
 import type { GatewayPeer } from "./gateway_peer.ts";
 import {
   gatewayStateSchema,
   type GatewayStateTask,
 } from "./gateway_state_task.ts";
-import type { PeerIdentity, PeerNetwork } from "./peer_network.ts";
+import type {
+  PeerIdentity,
+  PeerMessageKind,
+  PeerNetwork,
+} from "./peer_network.ts";
 
 /** Being behind a peer for this long means that no change is on its way. */
 const BEHIND_MILLISECONDS = 300;
@@ -28,6 +34,7 @@
 export interface StateCatchUpOptions {
   readonly network: PeerNetwork;
   readonly state: GatewayStateTask;
+  readonly log: DecisionLog;
   readonly host: string;
   /** All peers that are known. */
   readonly peers: () => Iterable<GatewayPeer>;
@@ -106,7 +113,9 @@
   #receive(body: unknown, from: PeerIdentity): void {
     if (this.#isStopped) return;
     const changes = registryChangesSchema.safeParse(body);
-    if (!changes.success) return;
+    if (!changes.success) {
+      return this.#ignore(from.host, "gateway.registry", "malformed");
+    }
     const { state } = this.#options;
     if (state.registryTask.receive(changes.data, from.host)) return;
     for (const peer of this.#options.peers()) {
@@ -126,8 +135,17 @@
     );
     this.#isFetching = false;
     peer.behindSince = undefined;
-    if (answer.isErr() || this.#isStopped) return;
+    if (this.#isStopped) return;
+    const host = peer.identity?.host ?? peer.address;
+    if (answer.isErr()) {
+      return this.#ignore(host, "gateway.state", answer.error.detail);
+    }
     const parsed = gatewayStateSchema.safeParse(answer.value);
-    if (parsed.success) state.adopt(parsed.data, peer.identity?.host ?? "peer");
+    if (parsed.success) state.adopt(parsed.data, host);
+    else this.#ignore(host, "gateway.state", z.prettifyError(parsed.error));
+  }
+
+  #ignore(peer: string, kind: PeerMessageKind, detail: string): void {
+    this.#options.log.write("peer.message_ignored", { peer, kind, detail });
   }
 }
--- a/src/store_contact.ts
+++ b/src/store_contact.ts
@@ -11,7 +11,7 @@
 const MAXIMUM_RETRY_MILLISECONDS = 1_000;
 
 /** What the store is asked about. */
-export type StoreSubject = "configuration" | "registry";
+export type StoreSubject = "configuration" | "registry" | "routers";
 
 /** What a contact needs. */
 export interface StoreContactOptions {
