Remove fields and a metric of the gateway that nothing reads

Cause: reading the change showed a gauge of store calls that was never set, and fields of routes, services and answers that no decision uses. Ruled out: setting the gauge; counting calls belongs to the store client and is left to the issue on logs and metrics. Change: they are gone. Figures: gateway_test, route_table_test, operations_page_test and the tests of the adapter pass. Conclusion: behaviour is unchanged.

--- a/src/backend_exchange.ts
+++ b/src/backend_exchange.ts
@@ -29,7 +29,6 @@
   readonly status: number;
   /** Names and values for the caller, as a flat list. */
   readonly headers: readonly string[];
-  readonly isSigned: boolean;
   /** The body has no length: it ends when the server closes the connection. */
   readonly endsWithConnection: boolean;
 }
@@ -191,7 +190,7 @@
     if (judgement === "not_run") {
       this.#settle(() => this.#options.listener.onNotRun(status));
     } else if (judgement === "answer") {
-      this.#begin(controller, status, headers, terms);
+      this.#begin(controller, status, headers);
     } else {
       this.#refuse(judgement, status);
     }
@@ -235,7 +234,6 @@
     controller: Dispatcher.DispatchController,
     status: number,
     headers: AnswerHeaders,
-    { isSigned }: AnswerTerms,
   ): void {
     const { protocol, listener } = this.#options;
     const rawHeaders = (controller.rawHeaders ?? []) as readonly Buffer[];
@@ -244,7 +242,6 @@
     const head: AnswerHead = {
       status: isFalsePromise ? BAD_GATEWAY : status,
       headers: isFalsePromise ? [] : protocol.answerHeaders(rawHeaders),
-      isSigned: isSigned && !isFalsePromise,
       endsWithConnection: this.#endsWithConnection(status, headers),
     };
     this.#settle(() => {
--- a/src/core/gateway_configuration.ts
+++ b/src/core/gateway_configuration.ts
@@ -46,16 +46,12 @@
   priority: z.number().min(0),
   /** Public routes need no key. */
   isPublic: z.boolean(),
-  /** Requests name the parts of their prompt. */
-  hasPromptParts: z.boolean(),
   /** A broken event stream may go on at another backend server. */
   isResumable: z.boolean(),
 });
 
 const _service = z.object({
   id: serviceIdSchema,
-  /** Requests that an engine runs at once; 0 for plain services. */
-  engineSlots: z.number().min(0),
   /** Its servers can copy the cache of a prompt from each other. */
   canCopyCache: z.boolean(),
 });
--- a/src/gateway_metrics.ts
+++ b/src/gateway_metrics.ts
@@ -53,12 +53,6 @@
       buckets: LATENCY_BUCKETS_SECONDS,
       registers,
     }),
-    storeCalls: new Gauge({
-      name: `${prefix}store_calls`,
-      help: "Calls to the fleet's store since the start, by result",
-      labelNames: ["result"],
-      registers,
-    }),
     configurationVersion: new Gauge({
       name: `${prefix}configuration_version`,
       help: "Version of the configuration in force",
--- a/stand_ins/gateway_fleet.ts
+++ b/stand_ins/gateway_fleet.ts
@@ -43,7 +43,6 @@
     latencyObjectiveMilliseconds: 300,
     priority: 1,
     isPublic: false,
-    hasPromptParts: false,
     isResumable: false,
     ...options,
   };
@@ -57,7 +56,7 @@
   return gatewayConfigurationSchema.parse({
     version,
     routes,
-    services: [{ id: "pool", engineSlots: 0, canCopyCache: true }],
+    services: [{ id: "pool", canCopyCache: true }],
     workspaces: [{ id: "temple", keys: ["temple-key", "new-temple-key"] }],
     bounds: {
       maximumHeaderBytes: 16_384,
