Cut a begun stream when no server is left or the resuming server refuses

Cause: found by reading the way of a request. A resumable stream that broke when no other server was left was answered with an error after its head had been sent, which ended the process (ERR_HTTP_HEADERS_SENT); an error answer of the resuming server was joined to the stream, and an empty one ended it as complete. Ruled out: keeping the caller waiting for another server; its gap limit passes. Change: once a part of an answer was sent, a request that cannot go on is cut, and an error of a resuming server counts as a break.

--- a/src/gateway_test.ts
+++ b/src/gateway_test.ts
@@ -393,6 +393,41 @@
   t.deepEqual(lastIds, [undefined, "2"]);
 });
 
+test.serial("guards against a stream that breaks when no other server is left ending the process or looking complete", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  bench.backends[0]!.script((entry, response) => {
+    response.writeHead(200, answerHeaders(entry.id));
+    response.write("id: 1\ndata: a\n\n");
+    setTimeout(() => response.destroy(), 50);
+  });
+  await t.throwsAsync(call(bench, { path: "/stream/x", method: "POST" }));
+  bench.backends[0]!.script(undefined);
+  t.is((await call(bench)).status, 200);
+});
+
+test.serial("guards against an error of the resuming server being joined to a stream or ending it", async (t) => {
+  const bench = await startBench();
+  for (const status of [500, 404]) {
+    for (const backend of bench.backends) {
+      backend.script((entry, response) => {
+        if (entry.headers["last-event-id"] !== undefined) {
+          response.writeHead(status, answerHeaders(entry.id));
+          response.end(status === 500 ? "" : "data: wrong\n\n");
+          return;
+        }
+        response.writeHead(200, answerHeaders(entry.id));
+        response.write("id: 1\ndata: a\n\n");
+        setTimeout(() => response.destroy(), 50);
+      });
+    }
+    await t.throwsAsync(
+      call(bench, { path: "/stream/x", method: "POST" }),
+      undefined,
+      `${status}`,
+    );
+  }
+});
+
 test.serial("guards against a broken stream that may not be resumed looking complete", async (t) => {
   const bench = await startBench();
   for (const backend of bench.backends) {
--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -51,6 +51,7 @@
 const LIMIT_GRACE_MILLISECONDS = 40;
 /** A stream that was begun may end this much after the limit. */
 const STREAM_GRACE_MILLISECONDS = 300;
+const FIRST_ERROR_STATUS = 300;
 const SERVER_ERROR = 500;
 
 /** The parts that requests share. */
@@ -239,6 +240,12 @@
 
   #onAnswer(head: AnswerHead): AnswerSink {
     this.#runs++;
+    if (this.#response.headersSent && head.status >= FIRST_ERROR_STATUS) {
+      // A begun stream cannot go on with an error.
+      this.#attempt?.leave("server_error");
+      this.#next("broken", `the resuming server answered ${head.status}`);
+      return _ignoredAnswer;
+    }
     if (head.status >= SERVER_ERROR && this.#retryServerError()) {
       return _ignoredAnswer;
     }
@@ -357,6 +364,7 @@
 
   #reject(kind: ErrorKind, detail: string, cause: RejectionCause): void {
     if (this.#isOver) return;
+    if (this.#response.headersSent) return this.#cut(detail);
     const answer = sendRejection(this.#response, createError(kind, detail), {
       cause,
       remainingMilliseconds: this.#remaining(),
