Share address splitting, status limits and the test log output

Cause: reading the whole change showed the splitting of ip:port in three files, two status limits and an in-memory log output written more than once, the return of the store recorded twice after each answer, and a maximum that is never taken. Ruled out: changes to the split of gateway_test.ts; its cases belong to one module. Change: listen_address.ts, exported limits, stand_ins/memory_output.ts; the registry task and the registry lose the repeated step.

--- a/src/answer_relay.ts
+++ b/src/answer_relay.ts
@@ -22,7 +22,8 @@
   /** Only whole events are passed on, so that the stream can go on elsewhere. */
   | "events";
 
-const FIRST_ERROR_STATUS = 300;
+/** Statuses from here on are no success. */
+export const FIRST_ERROR_STATUS = 300;
 
 /** Returns how an answer of a route is passed on. */
 export function chooseRelayMode(kind: RouteKind, status: number): RelayMode {
--- a/src/core/server_registry.ts
+++ b/src/core/server_registry.ts
@@ -223,8 +223,8 @@
       // A draining server left on purpose; only others can have lapsed.
       if (server.isDraining || !mayReturn) this.#drop(id);
       else {
-        const dropAt = Math.max(returnEnds, now + MASS_REMOVAL_MILLISECONDS);
-        this.#lapsed.set(id, now < returnEnds ? returnEnds : dropAt);
+        const massEnds = now + MASS_REMOVAL_MILLISECONDS;
+        this.#lapsed.set(id, now < returnEnds ? returnEnds : massEnds);
       }
     }
   }
--- a/src/decision_log_test.ts
+++ b/src/decision_log_test.ts
@@ -1,24 +1,16 @@
 import { spawn } from "node:child_process";
 import { fileURLToPath } from "node:url";
 import test from "ava";
-import { createDecisionLog, type LogOutput } from "./decision_log.ts";
+import { createMemoryOutput } from "../stand_ins/memory_output.ts";
+import { createDecisionLog } from "./decision_log.ts";
 import { createManualTimerService } from "./timer_service.ts";
 
-function createOutput(lines: string[]): LogOutput {
-  return {
-    write: (line) => void lines.push(line),
-    flush: () => undefined,
-    end: () => undefined,
-    dropped: () => 0,
-  };
-}
-
 test("guards against a flood of one class hiding the others or going unsaid", (t) => {
   const lines: string[] = [];
   const timers = createManualTimerService();
   const log = createDecisionLog({
     clock: timers.clock,
-    output: createOutput(lines),
+    output: createMemoryOutput(lines),
     base: { host: "entry-1" },
   });
   for (let index = 0; index < 10_000; index++) {
--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -34,7 +34,6 @@
   createStatusServer,
   type GatewayInterfacesOptions,
   listen,
-  toListenAddress,
 } from "./gateway_interfaces.ts";
 import { createGatewayMetrics } from "./gateway_metrics.ts";
 import { createGatewayPeerTask } from "./gateway_peer_task.ts";
@@ -45,6 +44,7 @@
 import { applyRequestBounds, createGatewayServer } from "./gateway_server.ts";
 import { createGatewayStateTask } from "./gateway_state_task.ts";
 import { handleRequest } from "./gateway_requests.ts";
+import { toListenAddress } from "./listen_address.ts";
 import type { PassThroughContext } from "./pass_through.ts";
 import { createTcpPeerNetwork } from "./tcp_peer_network.ts";
 import {
--- a/src/gateway_interfaces.ts
+++ b/src/gateway_interfaces.ts
@@ -13,6 +13,7 @@
   type EntryRouter,
 } from "./core/entry_addresses.ts";
 import type { EntryFormat } from "./entry_format.ts";
+import type { ListenAddress } from "./listen_address.ts";
 
 const NO_CONTENT = "";
 
@@ -27,21 +28,6 @@
   readonly describe: () => unknown;
 }
 
-/** Where a server listens. */
-export interface ListenAddress {
-  readonly host: string;
-  readonly port: number;
-}
-
-/** Splits `ip:port`. */
-export function toListenAddress(address: string): ListenAddress {
-  const separator = address.lastIndexOf(":");
-  return {
-    host: address.slice(0, separator),
-    port: Number(address.slice(separator + 1)),
-  };
-}
-
 /** Opens a server and resolves once it accepts connections. */
 export function listen(server: Server, address: ListenAddress): Promise<void> {
   return new Promise((resolve, reject) => {
--- /dev/null
+++ b/src/listen_address.ts
@@ -0,0 +1,16 @@
+/** Splits addresses written `ip:port`. */
+
+/** Where a server listens or a peer is reached. */
+export interface ListenAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Splits `ip:port`. */
+export function toListenAddress(address: string): ListenAddress {
+  const separator = address.lastIndexOf(":");
+  return {
+    host: address.slice(0, separator),
+    port: Number(address.slice(separator + 1)),
+  };
+}
--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -7,6 +7,7 @@
   type AnswerRelay,
   chooseRelayMode,
   createAnswerRelay,
+  FIRST_ERROR_STATUS,
 } from "./answer_relay.ts";
 import type {
   AnswerHead,
@@ -26,7 +27,11 @@
 import type { RejectionCause } from "./core/retry_after.ts";
 import type { RetryBudget } from "./core/retry_budget.ts";
 import { sendRejection } from "./rejection.ts";
-import { type AttemptContext, RequestAttempt } from "./request_attempt.ts";
+import {
+  type AttemptContext,
+  RequestAttempt,
+  SERVER_ERROR,
+} from "./request_attempt.ts";
 import {
   bodyToSend,
   readRequestBody,
@@ -51,8 +56,6 @@
 const LIMIT_GRACE_MILLISECONDS = 40;
 /** A stream that was begun may end this much after the limit. */
 const STREAM_GRACE_MILLISECONDS = 300;
-const FIRST_ERROR_STATUS = 300;
-const SERVER_ERROR = 500;
 
 /** The parts that requests share. */
 export interface PassThroughContext
--- a/src/registry_task.ts
+++ b/src/registry_task.ts
@@ -133,7 +133,6 @@
       if (!this.#running) return;
       if (!failure) {
         this.contact.confirm();
-        this.registry.storeReturned(this.#now());
         this.#isWatching = true;
         if (this.#isListed) wait = WATCH_MILLISECONDS;
         this.#isListed = true;
--- a/src/request_attempt.ts
+++ b/src/request_attempt.ts
@@ -18,7 +18,8 @@
 import type { GatewayProtocol } from "./gateway_protocol.ts";
 import type { Subscription, TimerService } from "./timer_service.ts";
 
-const SERVER_ERROR = 500;
+/** Statuses from here on are failures of the server. */
+export const SERVER_ERROR = 500;
 
 /** The parts that attempts share. */
 export interface AttemptContext {
--- a/src/router.ts
+++ b/src/router.ts
@@ -19,6 +19,7 @@
 import { createSeededRandom, type RandomSource } from "./core/random.ts";
 import type { Settings } from "./core/settings_schema.ts";
 import { createHttpPlatformClient } from "./http_platform_client.ts";
+import { toListenAddress } from "./listen_address.ts";
 import { createMetrics } from "./metrics.ts";
 import type { PeerNetwork } from "./peer_network.ts";
 import type { PlatformClient } from "./platform_client.ts";
@@ -55,14 +56,6 @@
   readonly stopped: Promise<void>;
 }
 
-function _splitAddress(address: string): { host: string; port: number } {
-  const separator = address.lastIndexOf(":");
-  return {
-    host: address.slice(0, separator),
-    port: Number(address.slice(separator + 1)),
-  };
-}
-
 function _createIncarnation(host: string): IncarnationId {
   return brandId<IncarnationId>(
     `${host}-${randomBytes(INCARNATION_BYTES).toString("hex")}`,
@@ -87,8 +80,8 @@
   const host = brandId<HostId>(own.host);
   const dataCentre = brandId<DataCentreId>(own.dataCentre);
   const incarnation = _createIncarnation(own.host);
-  const peerAddress = _splitAddress(own.peerAddress);
-  const callerAddress = _splitAddress(own.callerAddress);
+  const peerAddress = toListenAddress(own.peerAddress);
+  const callerAddress = toListenAddress(own.callerAddress);
   const metrics = createMetrics();
   const network = options.network ?? createTcpPeerNetwork({
     ...peerAddress,
--- a/src/router_discovery_test.ts
+++ b/src/router_discovery_test.ts
@@ -3,6 +3,7 @@
   MemoryFleet,
   MemoryFleetStore,
 } from "../stand_ins/memory_fleet_store.ts";
+import { createMemoryOutput } from "../stand_ins/memory_output.ts";
 import {
   brandId,
   type DataCentreId,
@@ -39,12 +40,7 @@
     random: createSeededRandom(1),
     log: createDecisionLog({
       clock: timers.clock,
-      output: {
-        write: (line) => void lines.push(line),
-        flush: () => undefined,
-        end: () => undefined,
-        dropped: () => 0,
-      },
+      output: createMemoryOutput(lines),
       base: {},
     }),
     self: recordOf("own"),
--- a/src/tcp_peer_network.ts
+++ b/src/tcp_peer_network.ts
@@ -17,6 +17,7 @@
   type ErrorKind,
 } from "./core/errors.ts";
 import { brandId, type SocketAddress } from "./core/ids.ts";
+import { toListenAddress } from "./listen_address.ts";
 import type { Frame } from "./frame_codec.ts";
 import {
   type Keepalive,
@@ -251,10 +252,8 @@
 
   #dial(to: SocketAddress, link: _Link): void {
     link.dialing = true;
-    const separator = to.lastIndexOf(":");
     const socket = connect({
-      host: to.slice(0, separator),
-      port: Number(to.slice(separator + 1)),
+      ...toListenAddress(to),
       timeout: CONNECT_TIMEOUT_MILLISECONDS,
     });
     socket.once("timeout", () => socket.destroy());
--- a/stand_ins/gateway_fleet.ts
+++ b/stand_ins/gateway_fleet.ts
@@ -4,9 +4,9 @@
   gatewayConfigurationSchema,
 } from "../src/core/gateway_configuration.ts";
 import { createGateway, type Gateway } from "../src/gateway.ts";
-import type { LogOutput } from "../src/decision_log.ts";
 import type { MemoryFleet } from "./memory_fleet_store.ts";
 import { MemoryFleetStore } from "./memory_fleet_store.ts";
+import { createMemoryOutput } from "./memory_output.ts";
 import { findFreePorts } from "./processes.ts";
 
 /** A gateway with its store's view and what it logged. */
@@ -20,16 +20,6 @@
   readonly lines: string[];
 }
 
-/** Lines are kept in memory. */
-function _createOutput(lines: string[]): LogOutput {
-  return {
-    write: (line) => void lines.push(line),
-    flush: () => undefined,
-    end: () => undefined,
-    dropped: () => 0,
-  };
-}
-
 /** The route of a test, with what differs from a plain idempotent one. */
 export function testRoute(name: string, options: object = {}): object {
   return {
@@ -91,7 +81,7 @@
       retries: { ratio: 0.2, fleetAllowance: 100 },
       loadBound: { factor: 1.5, slack: 2 },
       graceMilliseconds,
-      output: _createOutput(lines),
+      output: createMemoryOutput(lines),
     });
     gateways.push({ gateway, store, callers, entry, status, peers, lines });
   }
