Check the demo's load bound where a load rises; show its samples

The bound is decided when a request is granted. The steward grants with 10% of headroom under the mean of that time; work that ends on other engines afterwards lowers the mean by more, and a grant cannot be taken back. The check compared every load with the mean of the moment, which no admission can keep. Change: the check samples every 20 ms instead of 200 and judges an engine whose load rose, against the largest mean of the 100 ms that a granted request may travel. Samples above the bound after a fall of the mean are counted and printed, violating samples are printed with all loads. An error of the demo is no longer hidden by a failed sample. Conclusion: a wrong grant still fails the demo, ten times as likely to be seen.

--- a/demo/main.ts
+++ b/demo/main.ts
@@ -230,7 +230,9 @@
     maxOverMeanLoad: round(loads.observation.maximumOverMean),
     loadBound: LOAD_BOUND,
     loadSamples: loads.observation.samples,
-    loadBoundViolations: loads.observation.violations,
+    loadBoundViolations: loads.observation.violations.length,
+    loadBoundViolationSamples: loads.observation.violations,
+    loadSamplesAfterMeanFell: loads.observation.samplesAfterMeanFell,
     cacheReuse: round(counts.cachedTokens / counts.promptTokens),
     naiveCacheReuse: round(naiveCacheReuse),
     controlBytesPerSecondPerRouter: Math.round(
--- a/demo/observer.ts
+++ b/demo/observer.ts
@@ -1,7 +1,12 @@
 /** Watches the fleet during the demo: engine loads against the bound, and the effects of calls. */
+import {
+  createLoadBoundCheck,
+  type LoadBoundLimits,
+  type LoadObservation,
+} from "./load_bound_check.ts";
 import type { ManagedProcess } from "../stand_ins/processes.ts";
 
-const SAMPLE_PERIOD_MILLISECONDS = 200;
+const SAMPLE_PERIOD_MILLISECONDS = 20;
 
 interface EngineCounters {
   readonly tokens_in_flight: number;
@@ -15,15 +20,6 @@
   >;
 }
 
-/** What was seen of the engines' loads. */
-export interface LoadObservation {
-  samples: number;
-  /** Largest load relative to the mean of the accepting engines. */
-  maximumOverMean: number;
-  /** Samples above both the multiple of the mean and the mean plus one request. */
-  violations: number;
-}
-
 /** A running observer. */
 export interface LoadObserver {
   readonly observation: LoadObservation;
@@ -39,36 +35,24 @@
   return await response.json() as Counters;
 }
 
-/** Samples the engines' tokens in flight. */
+/** Samples the engines' tokens in flight and checks them against the bound. */
 export function observeLoads(
   engines: readonly ManagedProcess[],
-  bound: { readonly ratio: number; readonly requestTokens: number },
+  limits: LoadBoundLimits,
 ): LoadObserver {
-  const observation: LoadObservation = {
-    samples: 0,
-    maximumOverMean: 0,
-    violations: 0,
-  };
+  const check = createLoadBoundCheck(limits);
+  const startedAt = performance.now();
   const excluded = new Set<string>();
   let stopping = false;
 
   async function sample(): Promise<void> {
     const observed = engines.filter(({ name }) => !excluded.has(name));
-    const counters = await Promise.all(
-      observed.map((engine) => _readCounters<EngineCounters>(engine)),
-    );
-    const loads = counters.map((entry) => entry.tokens_in_flight);
-    const mean = loads.reduce((sum, load) => sum + load, 0) / loads.length;
-    if (!(mean > 0)) return;
-    const highest = Math.max(...loads);
-    observation.samples++;
-    observation.maximumOverMean = Math.max(
-      observation.maximumOverMean,
-      highest / mean,
-    );
-    if (highest > Math.max(bound.ratio * mean, mean + bound.requestTokens)) {
-      observation.violations++;
-    }
+    const atMilliseconds = Math.round(performance.now() - startedAt);
+    const loads = await Promise.all(observed.map(async (engine) => {
+      const counters = await _readCounters<EngineCounters>(engine);
+      return [engine.name, counters.tokens_in_flight] as const;
+    }));
+    check.add({ atMilliseconds, loads: Object.fromEntries(loads) });
   }
 
   async function run(): Promise<void> {
@@ -81,8 +65,10 @@
   }
 
   const running = run();
+  // `stop` reports a failure; an error of the demo itself must show first.
+  running.catch(() => undefined);
   return {
-    observation,
+    observation: check.observation,
     exclude: (name) => void excluded.add(name),
     async stop() {
       stopping = true;
