--- a/src/core/fleet_load.ts
+++ b/src/core/fleet_load.ts
@@ -6,7 +6,7 @@
  * Load pattern: every router sees a sliver of the traffic, so choosing by its
  * own counts alone sends bursts of all routers to the same server.
  */
-import type { BackendServerId, HostId } from "./ids.ts";
+import type { BackendServerId } from "./ids.ts";
 
 /** Counts of a router that fell silent are dropped after this time. */
 export const REPORT_LIFETIME_MILLISECONDS = 3_000;
@@ -25,7 +25,7 @@
 /** The load of all servers as one router knows it. */
 export class FleetLoad {
   readonly #own = new Map<BackendServerId, number>();
-  readonly #peers = new Map<HostId, _PeerCounts>();
+  readonly #peers = new Map<string, _PeerCounts>();
   readonly #foreign = new Map<BackendServerId, number>();
   #ownVersion = 0;
 
@@ -53,8 +53,8 @@
     return [...this.#own].map(([server, inFlight]) => ({ server, inFlight }));
   }
 
-  /** Replaces the counts of a peer. */
-  report(peer: HostId, loads: readonly ServerLoad[], now: number): void {
+  /** Replaces the counts of a peer, or the sum of several under one name. */
+  report(peer: string, loads: readonly ServerLoad[], now: number): void {
     const counts = new Map(
       loads.map(({ server, inFlight }) => [server, inFlight]),
     );
@@ -72,6 +72,12 @@
     }
   }
 
+  /** Drops the counts of all peers, because others will report them. */
+  forgetReports(): void {
+    this.#peers.clear();
+    this.#foreign.clear();
+  }
+
   /** Requests of all routers in flight at a server. */
   inFlight(server: BackendServerId): number {
     return (this.#own.get(server) ?? 0) + (this.#foreign.get(server) ?? 0);
--- a/src/core/prompt_directory.ts
+++ b/src/core/prompt_directory.ts
@@ -54,6 +54,11 @@
     }
   }
 
+  /** Takes over a reading and announces it to others if it was new. */
+  relay(reading: PartReading): void {
+    if (this.learn(reading)) this.#announce(reading);
+  }
+
   /** Takes over a reading; returns whether it was new. */
   learn({ part, server }: PartReading): boolean {
     let servers = this.#parts.get(part);
--- /dev/null
+++ b/src/core/report_sums.ts
@@ -0,0 +1,61 @@
+/** Sums of what routers report, and what is left of a sum without one of them. */
+import type { ServerLoad } from "./fleet_load.ts";
+import type { BackendServerId } from "./ids.ts";
+import type { OutcomeCount } from "./server_outcomes.ts";
+
+/** What routers report about backend servers. */
+export interface ServerCounts {
+  readonly loads: readonly ServerLoad[];
+  readonly outcomes: readonly OutcomeCount[];
+}
+
+interface _Outcome {
+  requests: number;
+  failures: number;
+}
+
+/** Adds up the counts of several routers. */
+export function sumCounts(all: Iterable<ServerCounts>): ServerCounts {
+  const loads = new Map<BackendServerId, number>();
+  const outcomes = new Map<BackendServerId, _Outcome>();
+  for (const counts of all) {
+    for (const { server, inFlight } of counts.loads) {
+      loads.set(server, (loads.get(server) ?? 0) + inFlight);
+    }
+    for (const { server, requests, failures } of counts.outcomes) {
+      const sum = outcomes.get(server) ?? { requests: 0, failures: 0 };
+      sum.requests += requests;
+      sum.failures += failures;
+      outcomes.set(server, sum);
+    }
+  }
+  return {
+    loads: [...loads].map(([server, inFlight]) => ({ server, inFlight })),
+    outcomes: [...outcomes].map(([server, sum]) => ({ server, ...sum })),
+  };
+}
+
+/**
+ * Takes what a router reported itself out of a sum that holds it. A sum that
+ * does not hold the newest report yet leaves no negative count.
+ */
+export function withoutOwnCounts(
+  sum: ServerCounts,
+  own: ServerCounts,
+): ServerCounts {
+  const loads = new Map(own.loads.map((load) => [load.server, load.inFlight]));
+  const outcomes = new Map(own.outcomes.map((count) => [count.server, count]));
+  return {
+    loads: sum.loads.flatMap(({ server, inFlight }) => {
+      const rest = inFlight - (loads.get(server) ?? 0);
+      return rest > 0 ? [{ server, inFlight: rest }] : [];
+    }),
+    outcomes: sum.outcomes.flatMap(({ server, requests, failures }) => {
+      const known = outcomes.get(server);
+      const rest = failures - (known?.failures ?? 0);
+      if (rest <= 0) return [];
+      const others = requests - (known?.requests ?? 0);
+      return [{ server, requests: Math.max(rest, others), failures: rest }];
+    }),
+  };
+}
--- a/src/core/server_outcomes.ts
+++ b/src/core/server_outcomes.ts
@@ -7,7 +7,7 @@
  * request that fails early frees its place early.
  */
 import type { RegisteredServer } from "./server_registry.ts";
-import type { BackendServerId, HostId } from "./ids.ts";
+import type { BackendServerId } from "./ids.ts";
 
 const BUCKET_MILLISECONDS = 1_000;
 const BUCKETS = 3;
@@ -72,7 +72,7 @@
 export class ServerOutcomes {
   readonly #options: ServerOutcomesOptions;
   readonly #own = new Map<BackendServerId, _Bucket[]>();
-  readonly #peers = new Map<HostId, _PeerOutcomes>();
+  readonly #peers = new Map<string, _PeerOutcomes>();
   readonly #excluded = new Map<BackendServerId, _Exclusion>();
   readonly #unreachable = new Map<BackendServerId, number>();
   readonly #evaluatedAt = new Map<string, number>();
@@ -93,11 +93,16 @@
     this.#unreachable.set(server, now + UNREACHABLE_MILLISECONDS);
   }
 
-  /** Replaces the counts of a peer. */
-  report(peer: HostId, counts: readonly OutcomeCount[], now: number): void {
+  /** Replaces the counts of a peer, or the sum of several under one name. */
+  report(peer: string, counts: readonly OutcomeCount[], now: number): void {
     this.#peers.set(peer, { receivedAt: now, counts });
   }
 
+  /** Drops the counts of all peers, because others will report them. */
+  forgetReports(): void {
+    this.#peers.clear();
+  }
+
   /** This router's counts of servers with failures within the window. */
   ownFailures(now: number): OutcomeCount[] {
     const counts: OutcomeCount[] = [];
--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -94,6 +94,8 @@
 export interface GatewayOptions extends GatewayTuning {
   readonly host: string;
   readonly dataCentre: string;
+  /** Relative strength of the host, for example its cores; 1 by default. */
+  readonly capacity?: number;
   readonly addresses: GatewayAddresses;
   /** Peer addresses of routers that may be running. */
   readonly seeds: readonly string[];
@@ -166,6 +168,7 @@
     directory,
     host,
     dataCentre,
+    capacity: options.capacity ?? 1,
     address: brandId<SocketAddress>(addresses.peers),
     callerAddress: brandId<SocketAddress>(addresses.callers),
     seeds: options.seeds.map((seed) => brandId<SocketAddress>(seed)),
--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -4,14 +4,11 @@
  * state from a peer, so a router that the store refuses stays up to date.
  */
 import type { EntryRouter } from "./core/entry_addresses.ts";
-import type { FleetLoad } from "./core/fleet_load.ts";
-import type { DataCentreId, HostId, SocketAddress } from "./core/ids.ts";
-import type { PromptDirectory } from "./core/prompt_directory.ts";
+import type { SocketAddress } from "./core/ids.ts";
 import type { RandomSource } from "./core/random.ts";
-import type { ServerOutcomes } from "./core/server_outcomes.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { FleetStore } from "./fleet_store.ts";
-import { createGatewayPeer, type GatewayPeer } from "./gateway_peer.ts";
+import type { GatewayPeer } from "./gateway_peer.ts";
 import {
   gatewayPeersSchema,
   type GatewayReport,
@@ -21,64 +18,58 @@
   safeUnpackReport,
   type ServerNames,
 } from "./gateway_peer_messages.ts";
-import type { GatewayStateTask } from "./gateway_state_task.ts";
+import { GatewayPeers } from "./gateway_peers.ts";
+import { OwnReport, type OwnReportOptions } from "./own_report.ts";
 import type {
   PeerIdentity,
   PeerMessageKind,
   PeerNetwork,
 } from "./peer_network.ts";
+import { ReportHierarchy, type ReportPayload } from "./report_hierarchy.ts";
 import { RouterDiscovery } from "./router_discovery.ts";
 import { StateCatchUp } from "./state_catch_up.ts";
 import { Task } from "./task.ts";
-import type { Subscription, TimerService } from "./timer_service.ts";
+import type { Subscription } from "./timer_service.ts";
 
 const TICK_MILLISECONDS = 50;
 /** Changes are reported to routers of the same data centre at every tick. */
 const NEAR_TICKS = 1;
 /** Bytes between data centres are dear, so others hear of changes less often. */
 const FAR_TICKS = 5;
+/** Changes are reported to collectors this often. */
+const COLLECTOR_TICKS = 3;
+/** Sums are passed on this often. */
+const SUMMARY_TICKS = 5;
+/** Sums name the routers that are heard this often. */
+const LISTING_TICKS = 20;
+/** Collectors are chosen anew this often. */
+const CHOICE_TICKS = 4;
 /** A router without changes reports this often. */
 const HEARTBEAT_TICKS = 8;
-/** More peers than this stretch the periods, so that the cost of a router stays. */
-const PEERS_AT_FULL_RATE = 20;
-/** A peer that was silent for this many heartbeats is not used any more. */
-const SILENT_HEARTBEATS = 3;
 /** A silent peer is tried this often. */
 const RETRY_MILLISECONDS = 1_000;
 /** An address without an answer for this long is forgotten, unless it is a seed. */
 const FORGET_MILLISECONDS = 30_000;
 
 /** What the peer task needs. */
-export interface GatewayPeerTaskOptions {
+export interface GatewayPeerTaskOptions extends OwnReportOptions {
   readonly network: PeerNetwork;
   readonly store: FleetStore;
-  readonly timers: TimerService;
   readonly random: RandomSource;
   readonly log: DecisionLog;
-  readonly state: GatewayStateTask;
-  readonly load: FleetLoad;
-  readonly outcomes: ServerOutcomes;
-  readonly directory: PromptDirectory;
-  readonly host: HostId;
-  readonly dataCentre: DataCentreId;
-  /** Where other routers connect to this one. */
-  readonly address: SocketAddress;
-  readonly callerAddress: SocketAddress;
   readonly seeds: readonly SocketAddress[];
-  /** Whether callers may be sent to this router now. */
-  readonly isServing: () => boolean;
-  /** Share of its time that this router was busy. */
-  readonly busyShare: () => number;
 }
 
 /** Talks to the other gateways. */
 export class GatewayPeerTask extends Task {
   override readonly name = "gateway peers";
   readonly #options: GatewayPeerTaskOptions;
-  readonly #peers = new Map<SocketAddress, GatewayPeer>();
+  readonly #peers: GatewayPeers;
+  readonly #own: OwnReport;
   readonly #subscriptions: Subscription[] = [];
   readonly #catchUp: StateCatchUp;
   readonly #discovery: RouterDiscovery;
+  readonly #hierarchy: ReportHierarchy;
   #names: ServerNames = new Map();
   #tick = 0;
   #wasServing = false;
@@ -89,13 +80,23 @@
     this.#options = options;
     const { network, state, store, timers, host, dataCentre, address } =
       options;
+    this.#peers = new GatewayPeers(address, () => this.#now());
+    this.#own = new OwnReport(options);
+    this.#hierarchy = new ReportHierarchy({
+      ...options,
+      peers: () => this.#peers.all(),
+      own: this.#own,
+      now: () => this.#now(),
+    });
     this.#catchUp = new StateCatchUp({
       network,
       state,
       log: options.log,
       host,
-      peers: () => this.#peers.values(),
-      liveAddresses: () => this.#liveAddresses(),
+      capacity: options.capacity,
+      peers: () => this.#peers.all(),
+      relayAddresses: (isWatching) => this.#relayAddresses(isWatching),
+      hearsCollectors: () => this.#hierarchy.hearsCollectors(),
       now: () => this.#now(),
     });
     this.#discovery = new RouterDiscovery({
@@ -104,7 +105,7 @@
       log: options.log,
       random: options.random,
       self: { host, dataCentre, address },
-      onFound: (found) => this.#know(found),
+      onFound: (found) => void this.#peers.know(found.address, found),
     });
   }
 
@@ -112,9 +113,10 @@
     const { network, timers, state, seeds } = this.#options;
     this.#running = true;
     state.onChange(() => this.#renameServers());
+    this.#renameServers();
     network.handle("gateway.report", (body, from) => this.#receive(body, from));
     network.handle("gateway.peers", (body, from) => this.#learn(body, from));
-    for (const seed of seeds) this.#know(seed);
+    for (const seed of seeds) this.#peers.know(seed);
     this.#subscriptions.push(
       timers.every(TICK_MILLISECONDS, "gateway reports", () => this.#onTick()),
     );
@@ -136,40 +138,34 @@
   /** Routers that callers may be sent to, this one included if it serves. */
   servingRouters(): EntryRouter[] {
     const { callerAddress, dataCentre, isServing, busyShare } = this.#options;
-    const now = this.#now();
     const routers: EntryRouter[] = [];
     if (isServing()) {
       routers.push({ callerAddress, dataCentre, busyShare: busyShare() });
     }
-    for (const peer of this.#peers.values()) {
-      if (!peer.report?.isServing || !peer.identity) continue;
-      if (this.#isSilent(peer, now)) continue;
-      routers.push({
-        callerAddress: peer.report.callerAddress,
-        dataCentre: peer.identity.dataCentre,
-        busyShare: peer.report.busyShare,
-      });
+    for (const peer of this.#peers.all()) {
+      if (!peer.listing?.isServing || this.#hierarchy.isSilent(peer)) continue;
+      routers.push(peer.listing);
     }
     return routers;
   }
 
   /** Routers that are heard, this one included. */
   liveRouters(): number {
-    const now = this.#now();
     let live = 1;
-    for (const peer of this.#peers.values()) {
-      if (peer.report && !this.#isSilent(peer, now)) live++;
+    for (const peer of this.#peers.all()) {
+      if (peer.listing && !this.#hierarchy.isSilent(peer)) live++;
     }
     return live;
   }
 
   override describe(): unknown {
     const now = this.#now();
-    return [...this.#peers.values()].map((peer) => ({
+    return [...this.#peers.all()].map((peer) => ({
       address: peer.address,
-      host: peer.identity?.host,
+      host: peer.name?.host,
       silentMilliseconds: now - peer.heardAt,
-      isServing: peer.report?.isServing ?? false,
+      isServing: peer.listing?.isServing ?? false,
+      reports: this.#hierarchy.payloadFor(peer) ?? "none",
     }));
   }
 
@@ -177,24 +173,6 @@
     return this.#options.timers.clock.monotonicMilliseconds();
   }
 
-  #stretch(): number {
-    return Math.max(1, Math.ceil(this.#peers.size / PEERS_AT_FULL_RATE));
-  }
-
-  #silenceMilliseconds(): number {
-    return SILENT_HEARTBEATS * HEARTBEAT_TICKS * TICK_MILLISECONDS *
-      this.#stretch();
-  }
-
-  #isSilent(peer: GatewayPeer, now: number): boolean {
-    return now - peer.heardAt > this.#silenceMilliseconds();
-  }
-
-  #know(address: SocketAddress): void {
-    if (address === this.#options.address || this.#peers.has(address)) return;
-    this.#peers.set(address, createGatewayPeer(address, this.#now()));
-  }
-
   #renameServers(): void {
     const { servers } = this.#options.state.registry.list();
     this.#names = nameServers(servers.map(({ id }) => id));
@@ -203,124 +181,166 @@
   #onTick(): void {
     const { load, isServing } = this.#options;
     const now = this.#now();
+    if (this.#tick % CHOICE_TICKS === 0) this.#hierarchy.update();
     this.#tick++;
     load.expire(now);
-    const serving = isServing();
-    const isUrgent = serving !== this.#wasServing;
-    this.#wasServing = serving;
-    const bodies = new Map<number, PackedReport>();
-    for (const peer of [...this.#peers.values()]) {
+    const isUrgent = isServing() !== this.#wasServing;
+    if (isUrgent) {
+      this.#wasServing = !this.#wasServing;
+      this.#peers.noteOwnChange();
+    }
+    const bodies = new Map<string, PackedReport>();
+    for (const peer of [...this.#peers.all()]) {
       this.#watchSilence(peer, now);
-      if (!isUrgent && !this.#isDue(peer, now)) continue;
-      const body = bodies.get(peer.sentReadings) ??
-        packReport(this.#report(now, peer.sentReadings));
-      bodies.set(peer.sentReadings, body);
-      peer.sentTick = this.#tick;
-      peer.sentVersion = load.ownVersion;
-      peer.triedAt = now;
-      if (!this.#isSilent(peer, now)) {
-        peer.sentReadings = this.#options.directory.announced;
+      const payload = this.#hierarchy.payloadFor(peer);
+      if (payload === undefined) continue;
+      if (isUrgent || this.#isDue(peer, payload)) {
+        this.#send(peer, payload, bodies);
       }
-      this.#options.network.send(peer.address, "gateway.report", body);
     }
     this.#catchUp.check();
   }
 
-  #report(now: number, sentReadings: number): GatewayReport {
-    const { state, load, outcomes, callerAddress, isServing, busyShare } =
-      this.#options;
-    const { directory } = this.#options;
-    const { configurationVersion, registryRevision } = state.versions();
-    return {
-      callerAddress,
-      isServing: isServing(),
-      isWatching: state.registryTask.isWatching,
-      busyShare: busyShare(),
-      configurationVersion,
-      registryRevision,
-      registryDigest: state.registry.digest,
-      loads: load.ownLoads(),
-      outcomes: outcomes.ownFailures(now),
-      readings: directory.announcementsSince(sentReadings),
-    };
+  /** Sends a report; peers that get the same one share its body. */
+  #send(
+    peer: GatewayPeer,
+    payload: ReportPayload,
+    bodies: Map<string, PackedReport>,
+  ): void {
+    const { directory, load, network } = this.#options;
+    const withListings = payload !== "own" && this.#isListingDue(peer);
+    const key = `${payload} ${withListings} ${peer.sentReadings}`;
+    let body = bodies.get(key);
+    if (!body) {
+      const summary = payload === "own"
+        ? undefined
+        : this.#hierarchy.summaryFor(payload, withListings);
+      body = packReport(this.#own.report(peer.sentReadings, summary));
+      bodies.set(key, body);
+    }
+    this.#hierarchy.noteSent(peer, this.#own.counts());
+    peer.sentTick = this.#tick;
+    peer.sentVersion = load.ownVersion;
+    peer.triedAt = this.#now();
+    if (withListings) {
+      peer.listedTick = this.#tick;
+      peer.listedVersion = this.#peers.listingVersion;
+    }
+    if (!this.#hierarchy.isSilent(peer)) {
+      peer.sentReadings = directory.announced;
+    }
+    network.send(peer.address, "gateway.report", body);
   }
 
-  #isDue(peer: GatewayPeer, now: number): boolean {
-    if (this.#isSilent(peer, now)) {
-      return now - peer.triedAt >= RETRY_MILLISECONDS;
-    }
-    const stretch = this.#stretch();
+  #isListingDue(peer: GatewayPeer): boolean {
+    return peer.listedVersion !== this.#peers.listingVersion ||
+      this.#tick - peer.listedTick >= LISTING_TICKS;
+  }
+
+  #isDue(peer: GatewayPeer, payload: ReportPayload): boolean {
     const ticks = this.#tick - peer.sentTick;
-    // Others rely on a watching router, so its silence must show soon.
-    const isWatching = this.#options.state.registryTask.isWatching;
-    if (ticks >= HEARTBEAT_TICKS * (isWatching ? 1 : stretch)) return true;
-    const isNear = peer.identity?.dataCentre === this.#options.dataCentre;
+    if (payload !== "own") {
+      return ticks >= SUMMARY_TICKS ||
+        peer.listedVersion !== this.#peers.listingVersion;
+    }
+    if (this.#hierarchy.isSilent(peer)) {
+      return this.#now() - peer.triedAt >= RETRY_MILLISECONDS;
+    }
+    if (ticks >= HEARTBEAT_TICKS) return true;
     return peer.sentVersion !== this.#options.load.ownVersion &&
-      ticks >= (isNear ? NEAR_TICKS : FAR_TICKS) * stretch;
+      ticks >= this.#changeTicks(peer);
+  }
+
+  /** Ticks after which changes are reported. */
+  #changeTicks(peer: GatewayPeer): number {
+    if (this.#hierarchy.isHierarchical) return COLLECTOR_TICKS;
+    const isNear = peer.name?.dataCentre === this.#options.dataCentre;
+    return isNear ? NEAR_TICKS : FAR_TICKS;
   }
 
   #watchSilence(peer: GatewayPeer, now: number): void {
-    if (!this.#isSilent(peer, now)) return;
-    if (peer.report) {
-      peer.report = undefined;
-      this.#options.log.write("peer.lost", {
-        peer: peer.identity?.host,
-        address: peer.address,
-        silentMilliseconds: Math.round(now - peer.heardAt),
-      });
-      this.#options.network.reset(peer.address);
-    }
+    if (!this.#hierarchy.isSilent(peer)) return;
+    if (peer.listing) this.#lose(peer);
     const since = Math.max(peer.heardAt, peer.knownSince);
     const isSeed = this.#options.seeds.includes(peer.address);
     if (now - since > FORGET_MILLISECONDS && !isSeed) {
-      this.#peers.delete(peer.address);
+      this.#peers.forget(peer);
       // A router that hears few others is more likely cut off itself.
       const hearsMost = this.liveRouters() * 2 > this.#peers.size;
-      if (hearsMost) this.#discovery.remove(peer.address);
+      if (hearsMost && this.#hierarchy.ranksFirst()) {
+        this.#discovery.remove(peer.address);
+      }
     }
   }
 
+  #lose(peer: GatewayPeer): void {
+    this.#peers.lose(peer);
+    this.#options.log.write("peer.lost", {
+      peer: peer.name?.host,
+      address: peer.address,
+      silentMilliseconds: Math.round(this.#now() - peer.heardAt),
+    });
+    this.#options.network.reset(peer.address);
+  }
+
   #receive(body: unknown, from: PeerIdentity): void {
     if (!this.#running) return;
     const report = safeUnpackReport(body, this.#names);
     if (!report) return this.#ignore(from, "gateway.report");
-    const now = this.#now();
-    this.#know(from.address);
-    const peer = this.#peers.get(from.address);
+    const peer = this.#peers.know(from.address, from);
     if (!peer) return;
-    const isNew = peer.identity?.incarnation !== from.incarnation ||
-      !peer.report;
-    peer.identity = from;
-    peer.report = report;
-    peer.heardAt = now;
-    this.#options.load.report(from.host, report.loads, now);
-    this.#options.outcomes.report(from.host, report.outcomes, now);
-    for (const reading of report.readings) {
-      this.#options.directory.learn(reading);
-    }
+    const isNew = this.#peers.receive(peer, report, from);
+    this.#hierarchy.receive(peer, report);
+    this.#loseUnlisted(peer, report);
+    this.#learnReadings(report);
     if (isNew) this.#welcome(peer);
   }
 
+  #loseUnlisted(from: GatewayPeer, { summary }: GatewayReport): void {
+    if (!summary) return;
+    for (const peer of this.#peers.all()) {
+      if (this.#hierarchy.isUnlisted(peer, from, summary)) this.#lose(peer);
+    }
+  }
+
+  #learnReadings({ readings }: GatewayReport): void {
+    const { directory } = this.#options;
+    for (const reading of readings) {
+      if (this.#hierarchy.isCollecting) directory.relay(reading);
+      else directory.learn(reading);
+    }
+  }
+
   #welcome(peer: GatewayPeer): void {
     this.#options.log.write("peer.connected", {
       peer: peer.identity?.host,
       address: peer.address,
     });
     peer.sentVersion = -1;
+    peer.listedVersion = -1;
     // A peer that has just joined knows nothing; what is kept is sent again.
     peer.sentReadings = 0;
+    // Collectors name the routers of a large fleet in their summaries.
+    if (this.#hierarchy.isHierarchical) return;
     this.#options.network.send(peer.address, "gateway.peers", {
       addresses: this.#liveAddresses(),
     });
   }
 
   #liveAddresses(): SocketAddress[] {
-    const now = this.#now();
-    return [...this.#peers.values()]
-      .filter((peer) => !this.#isSilent(peer, now))
+    return [...this.#peers.all()]
+      .filter((peer) => !this.#hierarchy.isSilent(peer))
       .map(({ address }) => address);
   }
 
+  /** Where this router passes changes of the registry on to. */
+  #relayAddresses(isWatching: boolean): SocketAddress[] {
+    if (this.#hierarchy.isHierarchical) {
+      return this.#hierarchy.relayAddresses(isWatching);
+    }
+    return isWatching ? this.#liveAddresses() : [];
+  }
+
   #ignore(from: PeerIdentity, kind: PeerMessageKind): void {
     this.#options.log.write("peer.message_ignored", {
       peer: from.host,
@@ -332,7 +352,7 @@
   #learn(body: unknown, from: PeerIdentity): void {
     const message = gatewayPeersSchema.safeParse(body);
     if (!message.success) return this.#ignore(from, "gateway.peers");
-    for (const address of message.data.addresses) this.#know(address);
+    for (const address of message.data.addresses) this.#peers.know(address);
   }
 }
 
--- /dev/null
+++ b/src/report_hierarchy.ts
@@ -0,0 +1,392 @@
+/**
+ * To whom a router reports, and what it makes of the reports of others. Small
+ * fleets report directly to each other. In larger ones every router reports to
+ * the collectors of its data centre; collectors exchange sums of their data
+ * centres and return the sum of the fleet. Whoever is reported to collects, so
+ * routers that disagree about the collectors still hear from each other.
+ */
+import {
+  chooseCollectors,
+  type CollectorCandidate,
+  MAXIMUM_DIRECT_ROUTERS,
+  ranksBefore,
+} from "./core/collectors.ts";
+import {
+  type FleetLoad,
+  REPORT_LIFETIME_MILLISECONDS,
+} from "./core/fleet_load.ts";
+import type { DataCentreId, HostId, SocketAddress } from "./core/ids.ts";
+import {
+  type ServerCounts,
+  sumCounts,
+  withoutOwnCounts,
+} from "./core/report_sums.ts";
+import type { ServerOutcomes } from "./core/server_outcomes.ts";
+import type { GatewayPeer } from "./gateway_peer.ts";
+import type {
+  GatewayReport,
+  ReportSummary,
+  RouterListing,
+  SummaryScope,
+} from "./gateway_peer_messages.ts";
+import type { OwnReport } from "./own_report.ts";
+
+/** A router that reports directly is silent after this time without a report. */
+const DIRECT_SILENCE_MILLISECONDS = 1_200;
+/** Collectors list routers once a second, and each of two passes adds to the age. */
+const LISTED_SILENCE_MILLISECONDS = 4_000;
+/** A sum of another collector is taken if the present one is older than this. */
+const STALE_SUMMARY_MILLISECONDS = 700;
+/** A collector that was not heard for this long may not tell of changes. */
+const COLLECTOR_SILENCE_MILLISECONDS = 1_000;
+/** A router that did not answer for this long is given another trial. */
+const TRIAL_MILLISECONDS = 6_000;
+const FLEET_SOURCE = "fleet";
+
+/** What a report carries beside this router's own counts. */
+export type ReportPayload = "own" | SummaryScope;
+
+/** Where a router takes the counts of others from. */
+type _CountSource =
+  /** Reports of all routers. */
+  | "reports"
+  /** Reports of its data centre and sums of the others. */
+  | "sums"
+  /** The sum of the fleet, from a collector. */
+  | "fleet";
+
+/** What the hierarchy needs. */
+export interface ReportHierarchyOptions {
+  readonly host: HostId;
+  readonly dataCentre: DataCentreId;
+  readonly address: SocketAddress;
+  readonly capacity: number;
+  readonly peers: () => Iterable<GatewayPeer>;
+  readonly load: FleetLoad;
+  readonly outcomes: ServerOutcomes;
+  readonly own: OwnReport;
+  readonly now: () => number;
+}
+
+interface _KeptSummary {
+  readonly from: SocketAddress;
+  readonly at: number;
+  readonly summary: ReportSummary;
+}
+
+/** Decides who reports what to whom. */
+export class ReportHierarchy {
+  readonly #options: ReportHierarchyOptions;
+  readonly #payloads = new Map<SocketAddress, ReportPayload>();
+  readonly #dataCentres = new Map<DataCentreId, _KeptSummary>();
+  #fleet: _KeptSummary | undefined;
+  #nearCollectors: readonly SocketAddress[] = [];
+  #ownReported: ServerCounts = { loads: [], outcomes: [] };
+  #isHierarchical = false;
+  #isCollecting = false;
+  #source: _CountSource = "reports";
+
+  constructor(options: ReportHierarchyOptions) {
+    this.#options = options;
+  }
+
+  /** Whether reports go through collectors. */
+  get isHierarchical(): boolean {
+    return this.#isHierarchical;
+  }
+
+  /** Whether this router is a collector of its data centre. */
+  get isCollecting(): boolean {
+    return this.#isCollecting;
+  }
+
+  /** What a peer gets, or nothing if it gets no reports from this router. */
+  payloadFor(peer: GatewayPeer): ReportPayload | undefined {
+    return this.#isHierarchical ? this.#payloads.get(peer.address) : "own";
+  }
+
+  /** Whether a peer has not been heard for so long that it is not used. */
+  isSilent(peer: GatewayPeer): boolean {
+    const isNear = peer.name?.dataCentre === this.#options.dataCentre;
+    const reportsHere = !this.#isHierarchical || (isNear && this.#isCollecting);
+    const limit = reportsHere
+      ? DIRECT_SILENCE_MILLISECONDS
+      : LISTED_SILENCE_MILLISECONDS;
+    return this.#options.now() - peer.heardAt > limit;
+  }
+
+  /** Whether a router that a collector no longer lists is lost. */
+  isUnlisted(peer: GatewayPeer, by: GatewayPeer, summary: ReportSummary) {
+    if (!peer.listing || summary.listings.length === 0) return false;
+    const isCovered = summary.scope === "fleet" ||
+      peer.name?.dataCentre === by.name?.dataCentre;
+    const silence = this.#options.now() - peer.heardAt;
+    return isCovered && silence > DIRECT_SILENCE_MILLISECONDS &&
+      !summary.listings.some(({ address }) => address === peer.address);
+  }
+
+  /** Whether changes of the registry would reach this router through peers. */
+  hearsCollectors(): boolean {
+    if (!this.#isHierarchical || this.#isCollecting) return true;
+    const now = this.#options.now();
+    for (const peer of this.#options.peers()) {
+      const isCollector = this.#nearCollectors.includes(peer.address);
+      const silence = now - peer.directAt;
+      if (isCollector && silence < COLLECTOR_SILENCE_MILLISECONDS) return true;
+    }
+    return false;
+  }
+
+  /** Whether no router that is heard ranks before this one. */
+  ranksFirst(): boolean {
+    for (const peer of this.#options.peers()) {
+      if (!peer.listing || this.isSilent(peer)) continue;
+      if (ranksBefore(peer.listing, this.#options)) return false;
+    }
+    return true;
+  }
+
+  /** Chooses collectors anew from what is known of the peers. */
+  update(): void {
+    const peers = [...this.#options.peers()];
+    this.#isHierarchical = peers.length > MAXIMUM_DIRECT_ROUTERS;
+    this.#payloads.clear();
+    if (this.#isHierarchical) this.#assign(peers);
+    else this.#isCollecting = false;
+    const source = this.#chooseSource();
+    if (source === this.#source) return;
+    this.#source = source;
+    this.#countAgain(peers);
+  }
+
+  /** Records that a report with these counts was sent to a peer. */
+  noteSent(peer: GatewayPeer, counts: ServerCounts): void {
+    const now = this.#options.now();
+    if (this.#payloads.get(peer.address) === "own") this.#ownReported = counts;
+    const isTrialOver = peer.unansweredSince !== undefined &&
+      now - peer.unansweredSince > TRIAL_MILLISECONDS;
+    if (isTrialOver) peer.unansweredSince = now;
+    else peer.unansweredSince ??= now;
+  }
+
+  /** Takes over what a peer reported. */
+  receive(peer: GatewayPeer, report: GatewayReport): void {
+    const isNear = peer.name?.dataCentre === this.#options.dataCentre;
+    const source = this.#source;
+    if (source === "reports" || (isNear && source === "sums")) {
+      this.#count(peer.name?.host ?? peer.address, report, peer.directAt);
+    }
+    const { summary } = report;
+    if (!this.#isHierarchical || !summary) return;
+    if (summary.scope === "data_centre" && !isNear) {
+      this.#receiveDataCentre(peer, summary);
+    } else if (summary.scope === "fleet" && isNear) {
+      this.#receiveFleet(peer, summary);
+    }
+  }
+
+  /** Sums up what the receivers of a payload should know. */
+  summaryFor(scope: SummaryScope, withListings: boolean): ReportSummary {
+    const { own } = this.#options;
+    const near = this.#nearReports();
+    const listings = withListings ? this.#listings(scope) : [];
+    if (scope === "data_centre") {
+      const sum = sumCounts([own.counts(), ...near]);
+      const routers = near.length + 1;
+      return { scope, routers, ageMilliseconds: 0, ...sum, listings };
+    }
+    if (this.#source === "fleet" && this.#fleet && this.#isFresh(this.#fleet)) {
+      const { summary, at } = this.#fleet;
+      const ageMilliseconds = this.#options.now() - at;
+      return { ...summary, ageMilliseconds, listings };
+    }
+    const sum = sumCounts([
+      own.counts(),
+      ...near,
+      ...this.#freshDataCentres(),
+    ]);
+    const routers = this.#coveredRouters();
+    return { scope, routers, ageMilliseconds: 0, ...sum, listings };
+  }
+
+  /** Where changes of the registry are passed on to. */
+  relayAddresses(isWatching: boolean): SocketAddress[] {
+    return [...this.#payloads]
+      .filter(([, payload]) => isWatching || payload === "fleet")
+      .map(([address]) => address);
+  }
+
+  /** A router that collects for a few only may be told more than it hears. */
+  #chooseSource(): _CountSource {
+    if (!this.#isHierarchical) return "reports";
+    if (!this.#isCollecting) return "fleet";
+    const kept = this.#fleet;
+    const isTold = kept !== undefined &&
+      this.#options.now() - kept.at < COLLECTOR_SILENCE_MILLISECONDS &&
+      kept.summary.routers > this.#coveredRouters();
+    return isTold ? "fleet" : "sums";
+  }
+
+  /** Routers whose counts reach this one through reports and sums. */
+  #coveredRouters(): number {
+    const far = this.#freshDataCentres();
+    const routers = far.reduce((sum, summary) => sum + summary.routers, 0);
+    return routers + this.#nearReports().length + 1;
+  }
+
+  #assign(peers: readonly GatewayPeer[]): void {
+    const { dataCentre, address } = this.#options;
+    const groups = new Map<DataCentreId, CollectorCandidate[]>();
+    groups.set(dataCentre, [this.#ownCandidate()]);
+    for (const peer of peers) {
+      if (!peer.name) continue;
+      const group = groups.get(peer.name.dataCentre) ?? [];
+      groups.set(peer.name.dataCentre, group);
+      group.push(this.#candidate(peer, peer.name));
+    }
+    const near = chooseCollectors(groups.get(dataCentre) ?? []);
+    this.#nearCollectors = near.map((candidate) => candidate.address);
+    this.#isCollecting = this.#nearCollectors.includes(address);
+    for (const peer of peers) {
+      const isNear = peer.name?.dataCentre === dataCentre;
+      const silence = this.#options.now() - peer.reportedAsMemberAt;
+      if (isNear && silence < DIRECT_SILENCE_MILLISECONDS) {
+        this.#payloads.set(peer.address, "fleet");
+      }
+    }
+    for (const collector of near) this.#payloads.set(collector.address, "own");
+    this.#payloads.delete(address);
+    if (!this.#isCollecting) return;
+    for (const [other, candidates] of groups) {
+      if (other === dataCentre) continue;
+      for (const collector of chooseCollectors(candidates)) {
+        this.#payloads.set(collector.address, "data_centre");
+      }
+    }
+  }
+
+  #ownCandidate(): CollectorCandidate {
+    const { address, host, dataCentre, capacity } = this.#options;
+    return {
+      address,
+      host,
+      dataCentre,
+      capacity,
+      directSilence: 0,
+      silence: 0,
+      unansweredMilliseconds: 0,
+    };
+  }
+
+  #candidate(
+    peer: GatewayPeer,
+    { host, dataCentre }: NonNullable<GatewayPeer["name"]>,
+  ): CollectorCandidate {
+    const now = this.#options.now();
+    const { address, unansweredSince } = peer;
+    return {
+      address,
+      host,
+      dataCentre,
+      capacity: peer.listing?.capacity ?? 0,
+      directSilence: now - peer.directAt,
+      silence: this.isSilent(peer) ? Infinity : now - peer.heardAt,
+      unansweredMilliseconds: unansweredSince === undefined
+        ? 0
+        : now - unansweredSince,
+    };
+  }
+
+  #receiveDataCentre(peer: GatewayPeer, summary: ReportSummary): void {
+    const dataCentre = peer.name?.dataCentre;
+    if (dataCentre === undefined) return;
+    const kept = this.#dataCentres.get(dataCentre);
+    if (!this.#isBetter(summary, peer, kept)) return;
+    const at = this.#options.now() - summary.ageMilliseconds;
+    this.#dataCentres.set(dataCentre, { from: peer.address, at, summary });
+    if (this.#source === "sums") this.#count(dataCentre, summary, at);
+  }
+
+  #receiveFleet(peer: GatewayPeer, summary: ReportSummary): void {
+    if (!this.#isBetter(summary, peer, this.#fleet)) return;
+    const at = this.#options.now() - summary.ageMilliseconds;
+    this.#fleet = { from: peer.address, at, summary };
+    if (this.#source === "fleet") this.#countFleet(this.#fleet);
+  }
+
+  #isBetter(
+    summary: ReportSummary,
+    peer: GatewayPeer,
+    kept: _KeptSummary | undefined,
+  ): boolean {
+    if (!kept || kept.from === peer.address) return true;
+    const age = this.#options.now() - kept.at;
+    if (summary.ageMilliseconds > age) return false;
+    return age > STALE_SUMMARY_MILLISECONDS ||
+      summary.routers > kept.summary.routers;
+  }
+
+  #isFresh(kept: _KeptSummary | undefined): boolean {
+    return kept !== undefined &&
+      this.#options.now() - kept.at < REPORT_LIFETIME_MILLISECONDS;
+  }
+
+  #freshDataCentres(): ReportSummary[] {
+    return [...this.#dataCentres.values()]
+      .filter((kept) => this.#isFresh(kept))
+      .map(({ summary }) => summary);
+  }
+
+  #nearReports(): GatewayReport[] {
+    const now = this.#options.now();
+    const reports: GatewayReport[] = [];
+    for (const { name, report, directAt } of this.#options.peers()) {
+      if (name?.dataCentre !== this.#options.dataCentre || !report) continue;
+      if (now - directAt < REPORT_LIFETIME_MILLISECONDS) reports.push(report);
+    }
+    return reports;
+  }
+
+  #listings(scope: SummaryScope): RouterListing[] {
+    const { dataCentre, own, now } = this.#options;
+    const listings = [own.listing()];
+    for (const peer of this.#options.peers()) {
+      const { listing, heardAt } = peer;
+      if (!listing || this.isSilent(peer)) continue;
+      const isNear = listing.dataCentre === dataCentre;
+      if (scope === "data_centre" && !isNear) continue;
+      listings.push({ ...listing, ageMilliseconds: now() - heardAt });
+    }
+    return listings;
+  }
+
+  #count(source: string, counts: ServerCounts, at: number): void {
+    this.#options.load.report(source, counts.loads, at);
+    this.#options.outcomes.report(source, counts.outcomes, at);
+  }
+
+  #countFleet({ summary, at }: _KeptSummary): void {
+    const others = withoutOwnCounts(summary, this.#ownReported);
+    this.#count(FLEET_SOURCE, others, at);
+  }
+
+  /** Another source is used at once with what is known of it. */
+  #countAgain(peers: readonly GatewayPeer[]): void {
+    const { load, outcomes, dataCentre } = this.#options;
+    load.forgetReports();
+    outcomes.forgetReports();
+    if (this.#source === "fleet") {
+      if (this.#fleet) this.#countFleet(this.#fleet);
+      return;
+    }
+    for (const { name, report, directAt } of peers) {
+      const isCounted = this.#source === "reports" ||
+        name?.dataCentre === dataCentre;
+      if (report && name && isCounted) this.#count(name.host, report, directAt);
+    }
+    if (this.#source === "reports") return;
+    for (const [source, { summary, at }] of this.#dataCentres) {
+      this.#count(source, summary, at);
+    }
+  }
+}
--- /dev/null
+++ b/src/report_hierarchy_test.ts
@@ -0,0 +1,164 @@
+import test, { type ExecutionContext } from "ava";
+import {
+  type SimulatedFleetOptions,
+  type SimulatedGateway,
+  SimulatedGatewayFleet,
+  startRequests,
+} from "../stand_ins/gateway_peer_fleet.ts";
+import { testConfiguration, testRoute } from "../stand_ins/gateway_fleet.ts";
+import { testServer } from "../stand_ins/registered_servers.ts";
+import { type BackendServerId, brandId } from "./core/ids.ts";
+
+const SERVER = brandId<BackendServerId>("s0");
+const SETTLED_MILLISECONDS = 7_000;
+/** Time after which a router must know what happened to another one. */
+const NEWS_MILLISECONDS = 1_000;
+/** The same after all collectors of a data centre were lost. */
+const REPAIR_MILLISECONDS = 3_000;
+
+async function startFleet(
+  t: ExecutionContext,
+  options: SimulatedFleetOptions,
+): Promise<SimulatedGatewayFleet> {
+  const fleet = new SimulatedGatewayFleet(options);
+  fleet.memory.setConfiguration(testConfiguration(1, [testRoute("a")]));
+  fleet.memory.setServer(testServer("s0"));
+  await fleet.start();
+  t.teardown(() => fleet.stop());
+  await fleet.advance(SETTLED_MILLISECONDS);
+  return fleet;
+}
+
+function loadsSeen(routers: readonly SimulatedGateway[]): Set<number> {
+  return new Set(routers.map(({ load }) => load.inFlight(SERVER)));
+}
+
+function collectorsOf(
+  fleet: SimulatedGatewayFleet,
+  dataCentre: string,
+): SimulatedGateway[] {
+  const near = fleet.alive().filter(({ identity }) =>
+    identity.dataCentre === dataCentre
+  );
+  const member = near.at(-1) as SimulatedGateway;
+  const rows = member.peers.describe() as readonly {
+    address: string;
+    reports: string;
+  }[];
+  const chosen = rows.filter(({ reports }) => reports === "own");
+  return near.filter(({ identity }) =>
+    chosen.some(({ address }) => address === identity.address)
+  );
+}
+
+test("guards against a large fleet whose routers see different or partial loads", async (t) => {
+  const fleet = await startFleet(t, { routers: 36, dataCentres: 3 });
+  startRequests(fleet.routers, SERVER);
+  await fleet.advance(NEWS_MILLISECONDS);
+  t.deepEqual([...loadsSeen(fleet.routers)], [36]);
+  for (const { load } of fleet.routers.slice(0, 24)) load.ended(SERVER);
+  await fleet.advance(NEWS_MILLISECONDS);
+  t.deepEqual([...loadsSeen(fleet.routers)], [12]);
+});
+
+test("guards against failures of a server counting twice or not at all in a large fleet", async (t) => {
+  const fleet = await startFleet(t, { routers: 40, dataCentres: 2 });
+  const servers = ["s0", "s1", "s2"].map((id) => testServer(id));
+  for (const { outcomes } of fleet.routers.slice(0, 12)) {
+    outcomes.record(SERVER, true, fleet.timers.clock.monotonicMilliseconds());
+  }
+  await fleet.advance(NEWS_MILLISECONDS);
+  const now = fleet.timers.clock.monotonicMilliseconds();
+  for (const { outcomes, identity } of fleet.routers) {
+    outcomes.evaluate("pool", servers, now);
+    t.true(outcomes.isExcluded(SERVER, now), identity.host);
+  }
+});
+
+test("guards against reports that grow with the square of the fleet", async (t) => {
+  const rates: number[] = [];
+  for (const routers of [32, 96]) {
+    const fleet = await startFleet(t, { routers, dataCentres: 4 });
+    const before = fleet.messagesSent();
+    await fleet.advance(4_000);
+    rates.push((fleet.messagesSent() - before) / 4 / routers);
+  }
+  const [small, large] = rates as [number, number];
+  t.true(large < small * 1.5, `${small} and ${large} messages a second`);
+});
+
+test("guards against strong hosts leaving the collecting to weak ones", async (t) => {
+  const fleet = await startFleet(t, {
+    routers: 48,
+    dataCentres: 2,
+    capacity: (index) => index >= 10 && index < 14 ? 4 : 1,
+  });
+  const collectors = collectorsOf(fleet, "data-centre-0");
+  t.deepEqual(
+    collectors.map(({ identity }) => identity.host as string).sort(),
+    ["entry-10", "entry-12"],
+  );
+});
+
+test("guards against a view that stays partial after the collectors of a data centre are lost", async (t) => {
+  const fleet = await startFleet(t, { routers: 36, dataCentres: 3 });
+  const lost = collectorsOf(fleet, "data-centre-1");
+  t.is(lost.length, 2);
+  for (const collector of lost) fleet.kill(collector);
+  startRequests(fleet.alive(), SERVER);
+  fleet.memory.setServer(testServer("s0", { isDraining: true }));
+  await fleet.advance(REPAIR_MILLISECONDS);
+  t.deepEqual([...loadsSeen(fleet.alive())], [34]);
+  for (const { state, identity } of fleet.alive()) {
+    t.true(state.registry.get(SERVER)?.isDraining, identity.host);
+  }
+});
+
+test("guards against callers being sent on to a router that stops", async (t) => {
+  const fleet = await startFleet(t, { routers: 36, dataCentres: 3 });
+  const [stopping] = fleet.routers.slice(-1) as [SimulatedGateway];
+  stopping.isServing = false;
+  stopping.peers.announce();
+  await fleet.advance(NEWS_MILLISECONDS);
+  const callerAddress = "10.0.1.35:80";
+  for (const { peers, identity } of fleet.routers) {
+    const named = peers.servingRouters().map((router) => router.callerAddress);
+    t.false(named.some((address) => address === callerAddress), identity.host);
+    t.is(named.length, 35, identity.host);
+  }
+});
+
+test("guards against routers that the store refuses staying behind in a large fleet", async (t) => {
+  const fleet = await startFleet(t, { routers: 36, dataCentres: 3 });
+  const refused = [
+    ...["data-centre-0", "data-centre-1", "data-centre-2"].flatMap((name) =>
+      collectorsOf(fleet, name)
+    ),
+    ...fleet.routers.slice(0, 12),
+  ];
+  for (const { store } of refused) store.setFailing(true);
+  await fleet.advance(REPAIR_MILLISECONDS);
+  fleet.memory.setServer(testServer("s0", { isDraining: true }));
+  fleet.memory.setConfiguration(testConfiguration(2, [testRoute("a")]));
+  await fleet.advance(NEWS_MILLISECONDS + 1_000);
+  for (const { state, identity } of fleet.routers) {
+    t.true(state.registry.get(SERVER)?.isDraining, identity.host);
+    t.is(state.versions().configurationVersion, 2, identity.host);
+  }
+});
+
+test("guards against a router that loses both collectors while the others keep them", async (t) => {
+  const fleet = await startFleet(t, { routers: 36, dataCentres: 3 });
+  const collectors = collectorsOf(fleet, "data-centre-0");
+  const cut = fleet.routers.find((router) =>
+    router.identity.dataCentre === "data-centre-0" &&
+    !collectors.includes(router)
+  ) as SimulatedGateway;
+  for (const { identity } of collectors) cut.cutFrom.add(identity.address);
+  startRequests(fleet.routers, SERVER);
+  fleet.memory.setServer(testServer("s0", { isDraining: true }));
+  await fleet.advance(REPAIR_MILLISECONDS);
+  t.true(cut.state.registry.get(SERVER)?.isDraining);
+  // The sum of the fleet no longer holds what the router itself has in flight.
+  t.true(cut.load.inFlight(SERVER) >= 35);
+});
--- a/src/router_discovery.ts
+++ b/src/router_discovery.ts
@@ -12,6 +12,8 @@
 import { Task } from "./task.ts";
 import type { TimerService } from "./timer_service.ts";
 
+/** Routers that start together miss each other in their first lists. */
+const SECOND_LIST_MILLISECONDS = 5_000;
 const LIST_MILLISECONDS = 30_000;
 
 /** What the discovery needs. */
@@ -21,8 +23,8 @@
   readonly random: RandomSource;
   readonly self: RouterRecord;
   readonly log: DecisionLog;
-  /** Called with every address that is listed. */
-  readonly onFound: (address: SocketAddress) => void;
+  /** Called with every router that is listed. */
+  readonly onFound: (record: RouterRecord) => void;
 }
 
 /** Finds routers in the store. */
@@ -73,6 +75,7 @@
 
   async #discover(): Promise<void> {
     const { timers } = this.#options;
+    let wait = SECOND_LIST_MILLISECONDS;
     while (this.#running) {
       const wasRegistered = this.#isRegistered;
       const failure = await this.#register() ?? await this.#list();
@@ -85,7 +88,8 @@
       // A peer may have removed the record while this router was cut off. A
       // list may lack a record that is only seconds old.
       if (wasRegistered && !this.#isListed) this.#isRegistered = false;
-      await timers.sleep(LIST_MILLISECONDS, "router discovery");
+      await timers.sleep(wait, "router discovery");
+      wait = LIST_MILLISECONDS;
     }
   }
 
@@ -106,7 +110,7 @@
     for (const record of listed.value) {
       if (record.address === self.address) continue;
       this.#listed.set(record.address, record);
-      onFound(record.address);
+      onFound(record);
     }
     return undefined;
   }
--- a/src/router_discovery_test.ts
+++ b/src/router_discovery_test.ts
@@ -44,7 +44,7 @@
       base: {},
     }),
     self: recordOf("own"),
-    onFound: (address) => found.push(address),
+    onFound: ({ address }) => found.push(address),
   });
   return { fleet, store, timers, lines, found, discovery };
 }
--- a/src/state_catch_up.ts
+++ b/src/state_catch_up.ts
@@ -4,8 +4,8 @@
  * store may refuse it.
  */
 import { z } from "zod";
-import type { SocketAddress } from "./core/ids.ts";
-import { hash32 } from "./core/rendezvous.ts";
+import { ranksBefore } from "./core/collectors.ts";
+import type { HostId, SocketAddress } from "./core/ids.ts";
 import {
   type RegistryChanges,
   registryChangesSchema,
@@ -29,17 +29,24 @@
 const WATCHERS = 4;
 /** A watching router that was silent for this long is replaced. */
 const WATCHER_SILENCE_MILLISECONDS = 1_000;
+/** The same for a router of which only others tell. */
+const LISTED_WATCHER_SILENCE_MILLISECONDS = 2_500;
+/** A router that does not report here directly has not done so for this long. */
+const NO_DIRECT_REPORTS_MILLISECONDS = 5_000;
 
 /** What catching up needs. */
 export interface StateCatchUpOptions {
   readonly network: PeerNetwork;
   readonly state: GatewayStateTask;
   readonly log: DecisionLog;
-  readonly host: string;
+  readonly host: HostId;
+  readonly capacity: number;
   /** All peers that are known. */
   readonly peers: () => Iterable<GatewayPeer>;
-  /** Addresses of peers that are heard. */
-  readonly liveAddresses: () => readonly SocketAddress[];
+  /** Where changes are passed on to by a router that watches, or does not. */
+  readonly relayAddresses: (isWatching: boolean) => readonly SocketAddress[];
+  /** Whether changes would reach this router through its peers. */
+  readonly hearsCollectors: () => boolean;
   readonly now: () => number;
 }
 
@@ -89,23 +96,28 @@
         report.registryDigest !== state.registry.digest);
   }
 
-  /** Whether too few routers with a lower rank watch the registry. */
+  /** Whether too few routers with a better rank watch the registry. */
   #shouldWatch(): boolean {
-    const now = this.#options.now();
-    const ownRank = hash32(this.#options.host);
+    if (!this.#options.hearsCollectors()) return true;
     let watchers = 0;
-    for (const { report, identity, heardAt } of this.#options.peers()) {
-      if (!report?.isWatching || !identity) continue;
-      if (now - heardAt > WATCHER_SILENCE_MILLISECONDS) continue;
-      if (hash32(identity.host) < ownRank) watchers++;
+    for (const peer of this.#options.peers()) {
+      if (!peer.listing?.isWatching || !this.#isAlive(peer)) continue;
+      if (ranksBefore(peer.listing, this.#options)) watchers++;
     }
     return watchers < WATCHERS;
   }
 
+  #isAlive({ directAt, heardAt }: GatewayPeer): boolean {
+    const now = this.#options.now();
+    const silence = now - directAt;
+    if (silence < WATCHER_SILENCE_MILLISECONDS) return true;
+    return silence > NO_DIRECT_REPORTS_MILLISECONDS &&
+      now - heardAt < LISTED_WATCHER_SILENCE_MILLISECONDS;
+  }
+
   #pass(changes: RegistryChanges): void {
-    const { network, state, liveAddresses } = this.#options;
-    if (!state.registryTask.isWatching) return;
-    for (const address of liveAddresses()) {
+    const { network, state, relayAddresses } = this.#options;
+    for (const address of relayAddresses(state.registryTask.isWatching)) {
       network.send(address, "gateway.registry", changes);
     }
   }
--- /dev/null
+++ b/stand_ins/gateway_peer_fleet.ts
@@ -0,0 +1,274 @@
+/**
+ * The peer tasks of many gateways over an in-memory network in simulated time,
+ * with kills and cuts, for tests of fleets that do not fit into one machine.
+ */
+import { setImmediate } from "node:timers/promises";
+import { err, type Result } from "neverthrow";
+import { type ApplicationError, createError } from "../src/core/errors.ts";
+import { createFleetLoad, type FleetLoad } from "../src/core/fleet_load.ts";
+import {
+  type BackendServerId,
+  brandId,
+  type DataCentreId,
+  type HostId,
+  type IncarnationId,
+  type SocketAddress,
+} from "../src/core/ids.ts";
+import { createPromptDirectory } from "../src/core/prompt_directory.ts";
+import { createSeededRandom } from "../src/core/random.ts";
+import {
+  createServerOutcomes,
+  type ServerOutcomes,
+} from "../src/core/server_outcomes.ts";
+import { createDecisionLog } from "../src/decision_log.ts";
+import {
+  createGatewayPeerTask,
+  type GatewayPeerTask,
+} from "../src/gateway_peer_task.ts";
+import {
+  createGatewayStateTask,
+  type GatewayStateTask,
+} from "../src/gateway_state_task.ts";
+import {
+  type PeerCounters,
+  type PeerHandler,
+  type PeerIdentity,
+  type PeerMessageKind,
+  PeerNetwork,
+} from "../src/peer_network.ts";
+import {
+  createManualTimerService,
+  type ManualTimerService,
+} from "../src/timer_service.ts";
+import { MemoryFleet, MemoryFleetStore } from "./memory_fleet_store.ts";
+import { createMemoryOutput } from "./memory_output.ts";
+
+const STEP_MILLISECONDS = 25;
+const DELAY_MILLISECONDS = 1;
+
+/** One simulated router. */
+export interface SimulatedGateway {
+  readonly identity: PeerIdentity;
+  readonly peers: GatewayPeerTask;
+  readonly load: FleetLoad;
+  readonly outcomes: ServerOutcomes;
+  readonly state: GatewayStateTask;
+  readonly store: MemoryFleetStore;
+  readonly counters: PeerCounters;
+  isServing: boolean;
+  isAlive: boolean;
+  /** Peers whose messages do not pass in either direction. */
+  readonly cutFrom: Set<SocketAddress>;
+}
+
+/** How large the fleet is. */
+export interface SimulatedFleetOptions {
+  readonly routers: number;
+  readonly dataCentres: number;
+  /** Capacity of a router by its number; 1 by default. */
+  readonly capacity?: (index: number) => number;
+}
+
+class _Network extends PeerNetwork {
+  readonly handlers = new Map<string, PeerHandler>();
+  readonly #fleet: SimulatedGatewayFleet;
+  readonly #own: () => SimulatedGateway;
+
+  constructor(fleet: SimulatedGatewayFleet, own: () => SimulatedGateway) {
+    super();
+    this.#fleet = fleet;
+    this.#own = own;
+  }
+
+  override async start(): Promise<SocketAddress> {
+    return this.#own().identity.address;
+  }
+  override async stop(): Promise<void> {}
+  override handle(kind: PeerMessageKind, handler: PeerHandler): void {
+    this.handlers.set(kind, handler);
+  }
+  override onGeneration(): void {}
+  override setGeneration(): void {}
+  override counters(): PeerCounters {
+    return this.#own().counters;
+  }
+  override describe(): unknown {
+    return {};
+  }
+
+  override send(to: SocketAddress, kind: PeerMessageKind, body: unknown): void {
+    this.#fleet.deliver(this.#own(), to, () => {
+      this.#fleet.networkOf(to)?.handlers.get(kind)?.(
+        structuredClone(body),
+        this.#own().identity,
+      );
+    });
+  }
+
+  override async request(
+    to: SocketAddress,
+    kind: PeerMessageKind,
+    body: unknown,
+  ): Promise<Result<unknown, ApplicationError>> {
+    return await new Promise((resolve) => {
+      const isSent = this.#fleet.deliver(this.#own(), to, () => {
+        const handler = this.#fleet.networkOf(to)?.handlers.get(kind);
+        const reply = handler?.(body, this.#own().identity);
+        resolve({
+          isErr: () => false,
+          isOk: () => true,
+          value: structuredClone(reply),
+        } as unknown as Result<unknown, ApplicationError>);
+      });
+      if (!isSent) resolve(err(createError("peer_unreachable", to)));
+    });
+  }
+}
+
+/** Runs the peer tasks of a fleet. */
+export class SimulatedGatewayFleet {
+  readonly timers: ManualTimerService = createManualTimerService();
+  readonly memory = new MemoryFleet();
+  readonly routers: SimulatedGateway[] = [];
+  readonly #networks = new Map<SocketAddress, _Network>();
+  readonly #byAddress = new Map<SocketAddress, SimulatedGateway>();
+
+  constructor(options: SimulatedFleetOptions) {
+    for (let index = 0; index < options.routers; index++) {
+      this.#add(index, options);
+    }
+  }
+
+  /** Starts all routers at the same time. */
+  async start(): Promise<void> {
+    for (const { state, peers } of this.routers) {
+      await state.start();
+      await peers.start();
+    }
+  }
+
+  /** Ends what waits in real time. */
+  async stop(): Promise<void> {
+    for (const { state, peers, store } of this.routers) {
+      store.setFailing(true);
+      await peers.stop();
+      await state.stop();
+    }
+    this.memory.setServer({ id: "end" } as never);
+  }
+
+  /** Moves time forward. */
+  async advance(milliseconds: number): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += STEP_MILLISECONDS) {
+      this.timers.advance(STEP_MILLISECONDS);
+      await setImmediate();
+    }
+  }
+
+  /** Ends a router without a word. */
+  kill(router: SimulatedGateway): void {
+    router.isAlive = false;
+    router.store.setFailing(true);
+  }
+
+  alive(): SimulatedGateway[] {
+    return this.routers.filter(({ isAlive }) => isAlive);
+  }
+
+  /** Messages that all routers have sent so far. */
+  messagesSent(): number {
+    return this.routers.reduce(
+      (sum, { counters }) => sum + counters.messagesSent,
+      0,
+    );
+  }
+
+  networkOf(address: SocketAddress): _Network | undefined {
+    return this.#networks.get(address);
+  }
+
+  /** Passes a message on unless an end is dead or the path is cut. */
+  deliver(
+    from: SimulatedGateway,
+    to: SocketAddress,
+    arrive: () => void,
+  ): boolean {
+    const target = this.#byAddress.get(to);
+    if (!from.isAlive || !target) return false;
+    from.counters.messagesSent++;
+    this.timers.after(DELAY_MILLISECONDS, "message", () => {
+      const isCut = from.cutFrom.has(to) ||
+        target.cutFrom.has(from.identity.address);
+      if (target.isAlive && !isCut) arrive();
+    });
+    return true;
+  }
+
+  #add(index: number, options: SimulatedFleetOptions): void {
+    const host = brandId<HostId>(`entry-${index}`);
+    const dataCentre = brandId<DataCentreId>(
+      `data-centre-${index % options.dataCentres}`,
+    );
+    const address = brandId<SocketAddress>(`10.0.0.${index}:1`);
+    const incarnation = brandId<IncarnationId>(`life-${index}`);
+    const { timers } = this;
+    const store = new MemoryFleetStore(this.memory);
+    const random = createSeededRandom(index + 1);
+    const log = createDecisionLog({
+      clock: timers.clock,
+      output: createMemoryOutput([]),
+      base: {},
+    });
+    const state = createGatewayStateTask({ store, timers, random, log });
+    const load = createFleetLoad();
+    const outcomes = createServerOutcomes();
+    const network = new _Network(this, () => router);
+    const peers = createGatewayPeerTask({
+      network,
+      store,
+      timers,
+      random,
+      log,
+      state,
+      load,
+      outcomes,
+      directory: createPromptDirectory(),
+      host,
+      dataCentre,
+      capacity: options.capacity?.(index) ?? 1,
+      address,
+      callerAddress: brandId<SocketAddress>(`10.0.1.${index}:80`),
+      seeds: [brandId<SocketAddress>("10.0.0.0:1")],
+      isServing: () => router.isServing,
+      busyShare: () => 0.1,
+    });
+    const router: SimulatedGateway = {
+      identity: { host, dataCentre, incarnation, address },
+      peers,
+      load,
+      outcomes,
+      state,
+      store,
+      counters: {
+        bytesSent: 0,
+        bytesReceived: 0,
+        messagesSent: 0,
+        messagesReceived: 0,
+      },
+      isServing: true,
+      isAlive: true,
+      cutFrom: new Set(),
+    };
+    this.#networks.set(address, network);
+    this.#byAddress.set(address, router);
+    this.routers.push(router);
+  }
+}
+
+/** Counts requests in flight at a server at some routers. */
+export function startRequests(
+  routers: readonly SimulatedGateway[],
+  server: BackendServerId,
+): void {
+  for (const { load } of routers) load.started(server);
+}
