Shorten the rest of connections that servers drop; watch the settings file; add metrics

Cause: servers may drop idle connections sooner than they announce; what is sent next is reset, and work that may run once only is lost. The settings file may change without a signal. A server's own error that was passed on was logged as outcome ok. Gaps between events, loads by server, calls to the store and the retries left were not in the metrics. Ruled out: a new connection for each request that may run once only (a third of all connections more, each of them priced). The sending of a request moved into request_forwarding.ts. Conclusion: one request for each service and router tells of dropped connections.

--- a/src/answer_relay.ts
+++ b/src/answer_relay.ts
@@ -36,6 +36,8 @@
 export interface RelayListener {
   /** The first byte of the body was passed on. */
   onFirstByte(): void;
+  /** A further part of an event stream was passed on. */
+  onEvents(): void;
   /** The answer is over; an incomplete one may still go on elsewhere. */
   onEnd(isComplete: boolean, detail: string): void;
 }
@@ -72,6 +74,11 @@
     return this.#options.response.headersSent;
   }
 
+  /** Status that the caller gets; undefined before an answer came. */
+  get status(): number | undefined {
+    return this.#head?.status;
+  }
+
   /** Id of the last event that was passed on. */
   get lastEventId(): string | undefined {
     return this.#splitter?.lastEventId;
@@ -148,6 +155,7 @@
     this.#writeHead();
     const hasRoom = response.write(bytes);
     if (isFirst) listener.onFirstByte();
+    else if (this.#splitter) listener.onEvents();
     if (hasRoom || this.#isPaused) return;
     this.#isPaused = true;
     this.#exchange?.pause();
--- a/src/backend_connections.ts
+++ b/src/backend_connections.ts
@@ -7,6 +7,7 @@
 import { buildConnector, Client, type Dispatcher, errors } from "undici";
 import type { RegisteredServer } from "./core/server_registry.ts";
 import type { BackendServerId } from "./core/ids.ts";
+import { createIdleLimits, type ResetAfterRest } from "./core/idle_limits.ts";
 
 /** Time to open a connection, in milliseconds. */
 export const CONNECT_TIMEOUT_MILLISECONDS = 500;
@@ -27,15 +28,21 @@
   ): void;
   /** Whether the socket failed, as opposed to having been closed in order. */
   hasSocketError(): boolean;
-  /** Whether this connection carried an earlier request. */
-  readonly isReused: boolean;
+  /** Time for which it was not used; undefined on its first request. */
+  readonly restedMilliseconds: number | undefined;
 }
 
 /** The connections to all backend servers. */
 export interface BackendConnections {
   acquire(server: RegisteredServer, now: number): BackendConnection;
   /** Gives a connection back; an unclean one is closed. */
-  release(connection: BackendConnection, clean: boolean): void;
+  release(connection: BackendConnection, clean: boolean, now: number): void;
+  /** Records that a request on a kept connection was reset before any answer. */
+  recordReset(
+    server: RegisteredServer,
+    reset: ResetAfterRest,
+    now: number,
+  ): void;
   /** Records that a server sent an answer that belongs to no request. */
   recordStrayAnswer(server: BackendServerId, now: number): void;
   /** Closes the idle connections of servers that are gone. */
@@ -52,7 +59,8 @@
 class _Connection implements BackendConnection {
   readonly server: BackendServerId;
   readonly client: Client;
-  isReused = false;
+  restedMilliseconds: number | undefined;
+  releasedAt = 0;
   socket: Socket | undefined;
 
   constructor(server: RegisteredServer, connector: _Connector) {
@@ -97,10 +105,19 @@
     error instanceof errors.HTTPParserError;
 }
 
+/** What happened to connections, for the log. */
+export interface BackendConnectionsOptions {
+  /** Called when connections of a service may rest for a shorter time. */
+  readonly onIdleLimit?: (service: string, milliseconds: number) => void;
+}
+
 /** Creates the connections; none is opened before it is needed. */
-export function createBackendConnections(): BackendConnections {
+export function createBackendConnections(
+  { onIdleLimit = () => undefined }: BackendConnectionsOptions = {},
+): BackendConnections {
   const connector = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
   const idle = new Map<BackendServerId, _Connection[]>();
+  const idleLimits = createIdleLimits();
   const singleUseUntil = new Map<BackendServerId, number>();
   let opened = 0;
   let strayAnswers = 0;
@@ -141,13 +158,19 @@
       }
       for (let kept = list?.pop(); kept; kept = list?.pop()) {
         if (!kept.isOpen()) continue;
-        kept.isReused = true;
+        const rested = now - kept.releasedAt;
+        if (rested > idleLimits.limit(server.service, now)) {
+          discard(kept);
+          continue;
+        }
+        kept.restedMilliseconds = rested;
         return kept;
       }
       return open(server);
     },
-    release(released, clean) {
+    release(released, clean, now) {
       const connection = released as _Connection;
+      connection.releasedAt = now;
       const list = idle.get(connection.server) ?? [];
       const isUsable = clean && connection.isOpen() &&
         list.length < MAXIMUM_IDLE_PER_SERVER &&
@@ -156,6 +179,10 @@
       idle.set(connection.server, list);
       list.push(connection);
     },
+    recordReset(server, reset, now) {
+      const limit = idleLimits.recordReset(server.service, reset, now);
+      if (limit !== undefined) onIdleLimit(server.service, limit);
+    },
     recordStrayAnswer,
     retain(isKept) {
       for (const [server, list] of idle) {
--- a/src/backend_exchange.ts
+++ b/src/backend_exchange.ts
@@ -122,11 +122,12 @@
   #cancelled = false;
   #released = false;
   #sent = false;
+  #sentAt = 0;
 
   constructor(options: ExchangeOptions) {
     this.#options = options;
-    const now = options.clock.monotonicMilliseconds();
-    this.#connection = options.connections.acquire(options.server, now);
+    const { connections, server } = options;
+    this.#connection = connections.acquire(server, this.#now());
   }
 
   start(): void {
@@ -176,6 +177,7 @@
       return;
     }
     this.#sent = true;
+    this.#sentAt = this.#now();
   }
 
   onResponseStart(
@@ -223,6 +225,7 @@
     this.#sink = undefined;
     if (sink) return sink.onEnd(false, error.message);
     const { listener } = this.#options;
+    if (this.#sent) this.#recordReset();
     this.#settle(() =>
       this.#sent
         ? listener.onUnknown(error.message)
@@ -274,10 +277,29 @@
     report();
   }
 
+  #now(): number {
+    return this.#options.clock.monotonicMilliseconds();
+  }
+
+  /** A kept connection that is reset at once was dropped before the send. */
+  #recordReset(): void {
+    const { connections, server } = this.#options;
+    const { restedMilliseconds } = this.#connection;
+    if (restedMilliseconds === undefined) return;
+    const now = this.#now();
+    const sentMilliseconds = now - this.#sentAt;
+    connections.recordReset(
+      server,
+      { restedMilliseconds, sentMilliseconds },
+      now,
+    );
+  }
+
   #release(isClean: boolean): void {
     if (this.#released) return;
     this.#released = true;
-    this.#options.connections.release(this.#connection, isClean);
+    const { connections } = this.#options;
+    connections.release(this.#connection, isClean, this.#now());
   }
 }
 
--- a/src/core/retry_budget.ts
+++ b/src/core/retry_budget.ts
@@ -68,25 +68,29 @@
   /** Spends a retry if the work may be sent again and the budget allows it. */
   mayRetry(kind: ErrorKind, idempotent: boolean, now: number): boolean {
     if (!isSafeToRetry(kind, idempotent)) return false;
-    const slot = this.#slot(now);
-    const oldest = slot.number - SLOTS + 1;
-    let [requests, retries] = [0, 0];
-    for (const other of this.#slots) {
-      if (other.number < oldest) continue;
-      requests += other.requests;
-      retries += other.retries;
-    }
-    const allowance = this.#options.allowance?.() ?? 0;
-    const budget = this.#options.ratio() * requests + allowance;
-    if (retries + 1 > Math.max(MINIMUM_RETRIES, budget)) {
+    if (this.left(now) < 1) {
       this.#refused++;
       return false;
     }
-    slot.retries++;
+    this.#slot(now).retries++;
     this.#allowed++;
     return true;
   }
 
+  /** Retries that the budget allows now. */
+  left(now: number): number {
+    const oldest = this.#slot(now).number - SLOTS + 1;
+    let [requests, retries] = [0, 0];
+    for (const slot of this.#slots) {
+      if (slot.number < oldest) continue;
+      requests += slot.requests;
+      retries += slot.retries;
+    }
+    const allowance = this.#options.allowance?.() ?? 0;
+    const budget = this.#options.ratio() * requests + allowance;
+    return Math.max(MINIMUM_RETRIES, budget) - retries;
+  }
+
   /** Delay before attempt number `attempt` (from 1), with full jitter. */
   delayMilliseconds(attempt: number): number {
     const ceiling = Math.min(
--- a/src/decision_log.ts
+++ b/src/decision_log.ts
@@ -25,6 +25,7 @@
   "peer.lost": "state",
   "peer.message_ignored": "state",
   "server.excluded": "state",
+  "service.idle_limit": "state",
   "router.removed": "state",
   "lines.dropped": "state",
   "request.malformed": "failure",
--- a/src/fleet_store.ts
+++ b/src/fleet_store.ts
@@ -4,7 +4,7 @@
  * it, and what to believe meanwhile, is decided by the tasks that use it.
  */
 import type { Result } from "neverthrow";
-import type { ApplicationError } from "./core/errors.ts";
+import type { ApplicationError, ErrorKind } from "./core/errors.ts";
 import type { GatewayConfiguration } from "./core/gateway_configuration.ts";
 import type { DataCentreId, HostId, SocketAddress } from "./core/ids.ts";
 import type {
@@ -40,6 +40,9 @@
   readonly reason: string;
 }
 
+/** What a call to the store does. */
+export type StoreOperation = "list" | "watch" | "create" | "replace" | "remove";
+
 /** The result of a call to the store. */
 export type StoreResult<T> = Promise<Result<T, ApplicationError>>;
 
@@ -51,6 +54,9 @@
 export abstract class FleetStore {
   /** Called for each object that cannot be used; others are not affected. */
   onIgnored: (object: IgnoredObject) => void = () => undefined;
+  /** Called after each call, for the metrics. */
+  onCall: (operation: StoreOperation, result: "ok" | ErrorKind) => void = () =>
+    undefined;
   abstract readConfiguration(): StoreResult<StoredConfiguration>;
   /** Waits for a change after a revision; an unchanged answer has no configuration. */
   abstract watchConfiguration(
--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -134,6 +134,8 @@
     base: { host },
   });
   const metrics = createGatewayMetrics();
+  store.onCall = (operation, result) =>
+    metrics.storeCalls.inc({ operation, result });
   const protocol = options.protocol ?? createGatewayProtocol();
   const state = createGatewayStateTask({ store, timers, random, log });
   const load = createFleetLoad();
@@ -142,7 +144,13 @@
   });
   const directory = createPromptDirectory();
   const incarnations = createServerIncarnations();
-  const connections = createBackendConnections();
+  const connections = createBackendConnections({
+    onIdleLimit: (service, milliseconds) =>
+      log.write("service.idle_limit", {
+        service,
+        milliseconds: Math.round(milliseconds),
+      }),
+  });
   const network = createTcpPeerNetwork({
     ...toListenAddress(addresses.peers),
     fleetKey: options.fleetKey,
@@ -254,6 +262,14 @@
     metrics.backendConnections.set(connections.opened());
     metrics.strayAnswers.set(connections.strayAnswers());
     metrics.droppedLines.set(log.dropped());
+    metrics.serverRequests.reset();
+    for (const { id } of state.registry.list().servers) {
+      metrics.serverRequests.set({ server: id }, load.inFlight(id));
+    }
+    for (const [service, budget] of budgets) {
+      const left = budget.left(clock.monotonicMilliseconds());
+      metrics.retriesLeft.set({ service }, left);
+    }
     return await metrics.registry.metrics();
   }
 
--- a/src/gateway_metrics.ts
+++ b/src/gateway_metrics.ts
@@ -53,6 +53,30 @@
       buckets: LATENCY_BUCKETS_SECONDS,
       registers,
     }),
+    eventGapSeconds: new Histogram({
+      name: `${prefix}event_gap_seconds`,
+      help: "Time between two parts of an event stream that were passed on",
+      buckets: LATENCY_BUCKETS_SECONDS,
+      registers,
+    }),
+    serverRequests: new Gauge({
+      name: `${prefix}server_requests_in_flight`,
+      help: "Requests in flight at a backend server, of all routers",
+      labelNames: ["server"],
+      registers,
+    }),
+    storeCalls: new Counter({
+      name: `${prefix}store_calls_total`,
+      help: "Calls to the store by operation and result (ok or an error kind)",
+      labelNames: ["operation", "result"],
+      registers,
+    }),
+    retriesLeft: new Gauge({
+      name: `${prefix}retries_left`,
+      help: "Retries that this router may still send to a service now",
+      labelNames: ["service"],
+      registers,
+    }),
     configurationVersion: new Gauge({
       name: `${prefix}configuration_version`,
       help: "Version of the configuration in force",
--- a/src/gateway_test.ts
+++ b/src/gateway_test.ts
@@ -572,3 +572,36 @@
   t.is((await slow).text, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
   await stopped;
 });
+
+test.serial("guards against one request after the other failing on connections that a server has dropped", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  const used = new Set<number>();
+  bench.backends[0]?.script((entry, response) => {
+    if (used.has(entry.callerPort)) return response.socket?.resetAndDestroy();
+    used.add(entry.callerPort);
+    response.writeHead(200, answerHeaders(entry.id)).end("served");
+  });
+  async function callAfterRest(): Promise<number> {
+    await new Promise((resolve) => setTimeout(resolve, 150));
+    return (await call(bench, { path: "/once/x", method: "POST" })).status;
+  }
+  t.is(await callAfterRest(), 200);
+  t.is(await callAfterRest(), 502);
+  t.is(await callAfterRest(), 200);
+  t.is(await callAfterRest(), 200);
+  const { lines } = bench.gateways[0]!;
+  t.true(lines.some((line) => line.includes("service.idle_limit")));
+});
+
+test.serial("guards against a server's own error being logged as a success", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  bench.backends[0]?.script((entry, response) => {
+    response.writeHead(500, answerHeaders(entry.id)).end("error");
+  });
+  const { status, id } = await call(bench, { path: "/once/x", method: "POST" });
+  t.is(status, 500);
+  const line = bench.gateways[0]!.lines.find((text) =>
+    text.includes("request.ended") && text.includes(id)
+  );
+  t.regex(line ?? "", /"outcome":"server_error".*"status":500/);
+});
--- a/src/operations_page_test.ts
+++ b/src/operations_page_test.ts
@@ -27,6 +27,10 @@
       "routers",
       "stray_answers",
       "dropped_log_lines",
+      "event_gap_seconds",
+      "server_requests_in_flight",
+      "store_calls_total",
+      "retries_left",
     ]
   ) {
     t.true(PAGE.includes(`\`${name}\``), name);
--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -29,15 +29,12 @@
 import { sendRejection } from "./rejection.ts";
 import {
   type AttemptContext,
-  RequestAttempt,
+  type RequestAttempt,
   SERVER_ERROR,
 } from "./request_attempt.ts";
-import {
-  bodyToSend,
-  readRequestBody,
-  type RequestBody,
-} from "./request_body.ts";
+import { readRequestBody, type RequestBody } from "./request_body.ts";
 import type { CheckedRequest } from "./request_check.ts";
+import { forwardRequest } from "./request_forwarding.ts";
 import {
   type RequestEnd,
   type RequestFacts,
@@ -45,11 +42,7 @@
   RequestLog,
   type RequestLogContext,
 } from "./request_log.ts";
-import {
-  cacheSourceAddress,
-  chooseServer,
-  type ServerChoiceContext,
-} from "./server_choice.ts";
+import { chooseServer, type ServerChoiceContext } from "./server_choice.ts";
 import type { Subscription } from "./timer_service.ts";
 
 /** An answer that is due within this time of the limit is still waited for. */
@@ -57,6 +50,8 @@
 /** A stream that was begun may end this much after the limit. */
 const STREAM_GRACE_MILLISECONDS = 300;
 
+const MILLISECONDS_IN_SECOND = 1_000;
+
 /** The parts that requests share. */
 export interface PassThroughContext
   extends AttemptContext, RequestLogContext, ServerChoiceContext {
@@ -86,6 +81,8 @@
   /** Servers that may have run the request. */
   #runs = 0;
   #firstByteMilliseconds: number | undefined;
+  /** When a part of the answer was passed on last. */
+  #passedOnAt = 0;
   #isOver = false;
 
   constructor(
@@ -167,31 +164,17 @@
 
   #send(placement: Placement): void {
     const { server } = placement;
-    const { requestId, route, workspace, urgency, terms } = this.#checked;
+    const { route, terms } = this.#checked;
     this.#context.directory.record(terms.promptParts, server.id);
     this.#attempts++;
     this.#tried.add(server.id);
-    this.#attempt = new RequestAttempt(this.#context, {
-      server,
-      requestId,
-      method: this.#request.method ?? "GET",
-      path: this.#request.url ?? "/",
-      headers: this.#context.protocol.forwardHeaders(
-        this.#request.rawHeaders,
-        {
-          expectedServer: server.id,
-          remainingMilliseconds: this.#remaining(),
-          workspace,
-          urgency,
-          cacheSource: cacheSourceAddress(
-            this.#context,
-            this.#checked,
-            placement,
-          ),
-          lastEventId: this.#relay?.lastEventId,
-        },
-      ),
-      body: bodyToSend(this.#body),
+    this.#attempt = forwardRequest(this.#context, {
+      request: this.#request,
+      checked: this.#checked,
+      placement,
+      body: this.#body,
+      remainingMilliseconds: this.#remaining(),
+      lastEventId: this.#relay?.lastEventId,
       silenceMilliseconds: silenceLimit(route),
       listener: {
         onNotSent: (reason, detail) => this.#onNotSent(reason, detail),
@@ -280,16 +263,25 @@
         this.#context.isStopping() ? ["Connection", "close"] : [],
       listener: {
         onFirstByte: () => this.#onFirstByte(),
+        onEvents: () => this.#onEvents(),
         onEnd: (isComplete, detail) => this.#onAnswerEnd(isComplete, detail),
       },
     });
   }
 
   #onFirstByte(): void {
-    this.#firstByteMilliseconds = this.#now() - this.#startedAt;
+    this.#passedOnAt = this.#now();
+    this.#firstByteMilliseconds = this.#passedOnAt - this.#startedAt;
     this.#log.begun(this.#facts());
   }
 
+  #onEvents(): void {
+    const now = this.#now();
+    const gap = (now - this.#passedOnAt) / MILLISECONDS_IN_SECOND;
+    this.#context.metrics.eventGapSeconds.observe(gap);
+    this.#passedOnAt = now;
+  }
+
   #onAnswerEnd(isComplete: boolean, detail: string): void {
     const server = this.#attempt?.server.id;
     if (!isComplete) {
@@ -298,7 +290,14 @@
       return this.#next("broken", detail);
     }
     this.#attempt?.cancel("answered");
-    this.#finish("request.ended", "ok", { server });
+    const status = this.#relay?.status ?? 0;
+    const outcome = status >= SERVER_ERROR ? "server_error" : "ok";
+    const isSuccess = status < FIRST_ERROR_STATUS;
+    this.#finish(
+      "request.ended",
+      outcome,
+      isSuccess ? { server } : { server, status },
+    );
   }
 
   #decide(failure: AttemptFailure): NextStep {
--- /dev/null
+++ b/src/settings_watch_test.ts
@@ -0,0 +1,32 @@
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import test from "ava";
+import { watchSettings } from "./settings_watch.ts";
+import { createManualTimerService } from "./timer_service.ts";
+
+/** A look at the file ends within this time. */
+const LOOK_MILLISECONDS = 50;
+
+test("guards against settings that change without a signal being missed, and against needless reloads", async (t) => {
+  const path = join(await mkdtemp(join(tmpdir(), "settings-")), "boot.json");
+  await writeFile(path, "one");
+  const timers = createManualTimerService();
+  let changes = 0;
+  watchSettings(path, { timers, onChange: () => changes++ });
+  async function look(): Promise<number> {
+    await sleep(LOOK_MILLISECONDS);
+    timers.advance(1_000);
+    await sleep(LOOK_MILLISECONDS);
+    return changes;
+  }
+  t.is(await look(), 0);
+  await writeFile(path, "three");
+  t.is(await look(), 1);
+  t.is(await look(), 1);
+  await rm(path);
+  t.is(await look(), 1);
+  await writeFile(path, "fourth");
+  t.is(await look(), 2);
+});
