--- a/src/gateway_peer_messages.ts
+++ b/src/gateway_peer_messages.ts
@@ -65,6 +65,8 @@
   readonly outcomes: readonly OutcomeCount[];
   /** Parts of prompts that were read at a further server. */
   readonly readings: readonly PartReading[];
+  /** Whether the router misses the sum of the fleet, so everybody should answer. */
+  readonly needsSummary: boolean;
   /** Present in reports of collectors. */
   readonly summary: ReportSummary | undefined;
 }
@@ -78,6 +80,7 @@
 const HUNDREDTHS = 100;
 const SERVING_FLAG = 1;
 const WATCHING_FLAG = 2;
+const NEEDS_SUMMARY_FLAG = 4;
 const _packedListing = z.tuple([
   _address,
   _text,
@@ -164,9 +167,10 @@
 
 /** Packs a report for the wire. */
 export function packReport(report: GatewayReport): PackedReport {
+  const needs = report.needsSummary ? NEEDS_SUMMARY_FLAG : 0;
   return [
     report.callerAddress,
-    _packFlags(report),
+    _packFlags(report) | needs,
     Math.round(report.busyShare * HUNDREDTHS),
     Math.round(report.capacity * HUNDREDTHS),
     report.configurationVersion,
@@ -288,6 +292,7 @@
     loads: _unpackLoads(packed.data[7], names),
     outcomes: _unpackOutcomes(packed.data[8], names),
     readings: _unpackReadings(packed.data[9], names),
+    needsSummary: (flags & NEEDS_SUMMARY_FLAG) !== 0,
     summary: summary ? _unpackSummary(summary, names) : undefined,
   };
 }
--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -215,7 +215,10 @@
       const summary = payload === "own"
         ? undefined
         : this.#hierarchy.summaryFor(payload, withListings);
-      body = packReport(this.#own.report(peer.sentReadings, summary));
+      const { needsSummary } = this.#hierarchy;
+      body = packReport(
+        this.#own.report(peer.sentReadings, needsSummary, summary),
+      );
       bodies.set(key, body);
     }
     this.#hierarchy.noteSent(peer, this.#own.counts());
@@ -239,13 +242,10 @@
 
   #isDue(peer: GatewayPeer, payload: ReportPayload): boolean {
     const ticks = this.#tick - peer.sentTick;
-    if (payload !== "own") {
-      return ticks >= SUMMARY_TICKS ||
-        peer.listedVersion !== this.#peers.listingVersion;
-    }
-    if (this.#hierarchy.isSilent(peer)) {
+    if (this.#hierarchy.isUnanswered(peer)) {
       return this.#now() - peer.triedAt >= RETRY_MILLISECONDS;
     }
+    if (payload !== "own") return ticks >= SUMMARY_TICKS;
     if (ticks >= HEARTBEAT_TICKS) return true;
     return peer.sentVersion !== this.#options.load.ownVersion &&
       ticks >= this.#changeTicks(peer);
--- /dev/null
+++ b/src/kept_summaries.ts
@@ -0,0 +1,102 @@
+/** The sums that collectors sent, each from the collector that covers most. */
+import { REPORT_LIFETIME_MILLISECONDS } from "./core/fleet_load.ts";
+import type { DataCentreId, SocketAddress } from "./core/ids.ts";
+import type { GatewayPeer } from "./gateway_peer.ts";
+import type { ReportSummary } from "./gateway_peer_messages.ts";
+
+/** A sum of another collector is taken if the present one is older than this. */
+const STALE_SUMMARY_MILLISECONDS = 700;
+/** A router without a sum that is younger than this asks others. */
+const TOLD_MILLISECONDS = 1_000;
+
+/** A sum and when it was made, by the clock of this router. */
+export interface KeptSummary {
+  readonly from: SocketAddress;
+  readonly at: number;
+  readonly summary: ReportSummary;
+}
+
+/** The sums that one router was sent. */
+export class KeptSummaries {
+  readonly #now: () => number;
+  readonly #dataCentres = new Map<DataCentreId, KeptSummary>();
+  #fleet: KeptSummary | undefined;
+
+  constructor(now: () => number) {
+    this.#now = now;
+  }
+
+  /** The sum of the fleet while it counts. */
+  get fleet(): KeptSummary | undefined {
+    return this.#isFresh(this.#fleet) ? this.#fleet : undefined;
+  }
+
+  /** Whether a collector told of the fleet a moment ago. */
+  isTold(): boolean {
+    return this.#fleet !== undefined &&
+      this.#now() - this.#fleet.at < TOLD_MILLISECONDS;
+  }
+
+  /** Whether a sum of a data centre counts. */
+  knows(dataCentre: DataCentreId): boolean {
+    return this.#isFresh(this.#dataCentres.get(dataCentre));
+  }
+
+  /** The sums of data centres that count. */
+  dataCentres(): [DataCentreId, KeptSummary][] {
+    return [...this.#dataCentres].filter(([, kept]) => this.#isFresh(kept));
+  }
+
+  /** Routers whose counts are in the sums of data centres. */
+  coveredRouters(): number {
+    return this.dataCentres().reduce(
+      (sum, [, { summary }]) => sum + summary.routers,
+      0,
+    );
+  }
+
+  /** Keeps a sum of the fleet; returns nothing if a better one is known. */
+  keepFleet(
+    peer: GatewayPeer,
+    summary: ReportSummary,
+  ): KeptSummary | undefined {
+    if (!this.#isBetter(summary, peer, this.#fleet)) return undefined;
+    this.#fleet = this.#toKept(peer, summary);
+    return this.#fleet;
+  }
+
+  /** Keeps the sum of a data centre; returns nothing if a better one is known. */
+  keepDataCentre(
+    peer: GatewayPeer,
+    dataCentre: DataCentreId,
+    summary: ReportSummary,
+  ): KeptSummary | undefined {
+    const known = this.#dataCentres.get(dataCentre);
+    if (!this.#isBetter(summary, peer, known)) return undefined;
+    const kept = this.#toKept(peer, summary);
+    this.#dataCentres.set(dataCentre, kept);
+    return kept;
+  }
+
+  #toKept(peer: GatewayPeer, summary: ReportSummary): KeptSummary {
+    const at = this.#now() - summary.ageMilliseconds;
+    return { from: peer.address, at, summary };
+  }
+
+  #isBetter(
+    summary: ReportSummary,
+    peer: GatewayPeer,
+    kept: KeptSummary | undefined,
+  ): boolean {
+    if (!kept || kept.from === peer.address) return true;
+    const age = this.#now() - kept.at;
+    if (summary.ageMilliseconds > age) return false;
+    return age > STALE_SUMMARY_MILLISECONDS ||
+      summary.routers > kept.summary.routers;
+  }
+
+  #isFresh(kept: KeptSummary | undefined): boolean {
+    return kept !== undefined &&
+      this.#now() - kept.at < REPORT_LIFETIME_MILLISECONDS;
+  }
+}
--- a/src/own_report.ts
+++ b/src/own_report.ts
@@ -70,6 +70,7 @@
   /** A report for a peer that knows the readings up to a number. */
   report(
     sentReadings: number,
+    needsSummary: boolean,
     summary: ReportSummary | undefined,
   ): GatewayReport {
     const { state, directory } = this.#options;
@@ -81,6 +82,7 @@
       registryRevision,
       registryDigest: state.registry.digest,
       readings: directory.announcementsSince(sentReadings),
+      needsSummary,
       summary,
     };
   }
--- a/src/report_hierarchy.ts
+++ b/src/report_hierarchy.ts
@@ -29,14 +29,13 @@
   RouterListing,
   SummaryScope,
 } from "./gateway_peer_messages.ts";
+import { KeptSummaries, type KeptSummary } from "./kept_summaries.ts";
 import type { OwnReport } from "./own_report.ts";
 
 /** A router that reports directly is silent after this time without a report. */
 const DIRECT_SILENCE_MILLISECONDS = 1_200;
 /** Collectors list routers once a second, and each of two passes adds to the age. */
 const LISTED_SILENCE_MILLISECONDS = 4_000;
-/** A sum of another collector is taken if the present one is older than this. */
-const STALE_SUMMARY_MILLISECONDS = 700;
 /** A collector that was not heard for this long may not tell of changes. */
 const COLLECTOR_SILENCE_MILLISECONDS = 1_000;
 /** A router that did not answer for this long is given another trial. */
@@ -68,18 +67,11 @@
   readonly now: () => number;
 }
 
-interface _KeptSummary {
-  readonly from: SocketAddress;
-  readonly at: number;
-  readonly summary: ReportSummary;
-}
-
 /** Decides who reports what to whom. */
 export class ReportHierarchy {
   readonly #options: ReportHierarchyOptions;
   readonly #payloads = new Map<SocketAddress, ReportPayload>();
-  readonly #dataCentres = new Map<DataCentreId, _KeptSummary>();
-  #fleet: _KeptSummary | undefined;
+  readonly #kept: KeptSummaries;
   #nearCollectors: readonly SocketAddress[] = [];
   #ownReported: ServerCounts = { loads: [], outcomes: [] };
   #isHierarchical = false;
@@ -88,6 +80,7 @@
 
   constructor(options: ReportHierarchyOptions) {
     this.#options = options;
+    this.#kept = new KeptSummaries(options.now);
   }
 
   /** Whether reports go through collectors. */
@@ -100,6 +93,18 @@
     return this.#isCollecting;
   }
 
+  /** Whether this router is told of the others by nobody. */
+  get needsSummary(): boolean {
+    if (!this.#isHierarchical) return false;
+    // A collector that few report to is none in the view of the others.
+    return this.#isCollecting ? this.#hearsFewNear() : !this.#kept.isTold();
+  }
+
+  /** Whether a peer has not reported here although it may have to. */
+  isUnanswered(peer: GatewayPeer): boolean {
+    return this.#options.now() - peer.directAt > DIRECT_SILENCE_MILLISECONDS;
+  }
+
   /** What a peer gets, or nothing if it gets no reports from this router. */
   payloadFor(peer: GatewayPeer): ReportPayload | undefined {
     return this.#isHierarchical ? this.#payloads.get(peer.address) : "own";
@@ -195,16 +200,13 @@
       const routers = near.length + 1;
       return { scope, routers, ageMilliseconds: 0, ...sum, listings };
     }
-    if (this.#source === "fleet" && this.#fleet && this.#isFresh(this.#fleet)) {
-      const { summary, at } = this.#fleet;
-      const ageMilliseconds = this.#options.now() - at;
-      return { ...summary, ageMilliseconds, listings };
+    const { fleet } = this.#kept;
+    if (this.#source === "fleet" && fleet) {
+      const ageMilliseconds = this.#options.now() - fleet.at;
+      return { ...fleet.summary, ageMilliseconds, listings };
     }
-    const sum = sumCounts([
-      own.counts(),
-      ...near,
-      ...this.#freshDataCentres(),
-    ]);
+    const far = this.#kept.dataCentres().map(([, { summary }]) => summary);
+    const sum = sumCounts([own.counts(), ...near, ...far]);
     const routers = this.#coveredRouters();
     return { scope, routers, ageMilliseconds: 0, ...sum, listings };
   }
@@ -220,18 +222,26 @@
   #chooseSource(): _CountSource {
     if (!this.#isHierarchical) return "reports";
     if (!this.#isCollecting) return "fleet";
-    const kept = this.#fleet;
-    const isTold = kept !== undefined &&
-      this.#options.now() - kept.at < COLLECTOR_SILENCE_MILLISECONDS &&
-      kept.summary.routers > this.#coveredRouters();
-    return isTold ? "fleet" : "sums";
+    const told = this.#kept.isTold() ? this.#kept.fleet?.summary.routers : 0;
+    return (told ?? 0) > this.#coveredRouters() ? "fleet" : "sums";
   }
 
   /** Routers whose counts reach this one through reports and sums. */
   #coveredRouters(): number {
-    const far = this.#freshDataCentres();
-    const routers = far.reduce((sum, summary) => sum + summary.routers, 0);
-    return routers + this.#nearReports().length + 1;
+    return this.#kept.coveredRouters() + this.#nearReports().length + 1;
+  }
+
+  /** Whether most routers of this data centre do not report here. */
+  #hearsFewNear(): boolean {
+    const { dataCentre, now } = this.#options;
+    let [near, members] = [0, 0];
+    for (const { name, reportedAsMemberAt } of this.#options.peers()) {
+      if (name?.dataCentre !== dataCentre) continue;
+      near++;
+      const silence = now() - reportedAsMemberAt;
+      if (silence < DIRECT_SILENCE_MILLISECONDS) members++;
+    }
+    return members * 2 < near;
   }
 
   #assign(peers: readonly GatewayPeer[]): void {
@@ -247,24 +257,40 @@
     const near = chooseCollectors(groups.get(dataCentre) ?? []);
     this.#nearCollectors = near.map((candidate) => candidate.address);
     this.#isCollecting = this.#nearCollectors.includes(address);
-    for (const peer of peers) {
-      const isNear = peer.name?.dataCentre === dataCentre;
-      const silence = this.#options.now() - peer.reportedAsMemberAt;
-      if (isNear && silence < DIRECT_SILENCE_MILLISECONDS) {
-        this.#payloads.set(peer.address, "fleet");
-      }
-    }
+    const others = peers.filter(({ name }) => name?.dataCentre === dataCentre);
+    this.#assignNear(others);
     for (const collector of near) this.#payloads.set(collector.address, "own");
     this.#payloads.delete(address);
     if (!this.#isCollecting) return;
     for (const [other, candidates] of groups) {
       if (other === dataCentre) continue;
-      for (const collector of chooseCollectors(candidates)) {
+      // Of a data centre that says nothing everybody is asked.
+      const collectors = this.#kept.knows(other)
+        ? chooseCollectors(candidates)
+        : candidates;
+      for (const collector of collectors) {
         this.#payloads.set(collector.address, "data_centre");
       }
     }
   }
 
+  /** Answers the routers of this data centre that report here, or asks all. */
+  #assignNear(peers: readonly GatewayPeer[]): void {
+    const { needsSummary } = this;
+    const isTold = this.#isCollecting || this.#kept.isTold();
+    for (const peer of peers) {
+      const silence = this.#options.now() - peer.reportedAsMemberAt;
+      const isReporting = silence < DIRECT_SILENCE_MILLISECONDS;
+      const isAsking = isReporting && (peer.report?.needsSummary ?? false);
+      const isMember = isReporting && this.#isCollecting;
+      if (isMember || (isAsking && isTold)) {
+        this.#payloads.set(peer.address, "fleet");
+      } else if (isAsking || needsSummary) {
+        this.#payloads.set(peer.address, "own");
+      }
+    }
+  }
+
   #ownCandidate(): CollectorCandidate {
     const { address, host, dataCentre, capacity } = this.#options;
     return {
@@ -300,41 +326,15 @@
   #receiveDataCentre(peer: GatewayPeer, summary: ReportSummary): void {
     const dataCentre = peer.name?.dataCentre;
     if (dataCentre === undefined) return;
-    const kept = this.#dataCentres.get(dataCentre);
-    if (!this.#isBetter(summary, peer, kept)) return;
-    const at = this.#options.now() - summary.ageMilliseconds;
-    this.#dataCentres.set(dataCentre, { from: peer.address, at, summary });
-    if (this.#source === "sums") this.#count(dataCentre, summary, at);
+    const kept = this.#kept.keepDataCentre(peer, dataCentre, summary);
+    if (kept && this.#source === "sums") {
+      this.#count(dataCentre, summary, kept.at);
+    }
   }
 
   #receiveFleet(peer: GatewayPeer, summary: ReportSummary): void {
-    if (!this.#isBetter(summary, peer, this.#fleet)) return;
-    const at = this.#options.now() - summary.ageMilliseconds;
-    this.#fleet = { from: peer.address, at, summary };
-    if (this.#source === "fleet") this.#countFleet(this.#fleet);
-  }
-
-  #isBetter(
-    summary: ReportSummary,
-    peer: GatewayPeer,
-    kept: _KeptSummary | undefined,
-  ): boolean {
-    if (!kept || kept.from === peer.address) return true;
-    const age = this.#options.now() - kept.at;
-    if (summary.ageMilliseconds > age) return false;
-    return age > STALE_SUMMARY_MILLISECONDS ||
-      summary.routers > kept.summary.routers;
-  }
-
-  #isFresh(kept: _KeptSummary | undefined): boolean {
-    return kept !== undefined &&
-      this.#options.now() - kept.at < REPORT_LIFETIME_MILLISECONDS;
-  }
-
-  #freshDataCentres(): ReportSummary[] {
-    return [...this.#dataCentres.values()]
-      .filter((kept) => this.#isFresh(kept))
-      .map(({ summary }) => summary);
+    const kept = this.#kept.keepFleet(peer, summary);
+    if (kept && this.#source === "fleet") this.#countFleet(kept);
   }
 
   #nearReports(): GatewayReport[] {
@@ -365,7 +365,7 @@
     this.#options.outcomes.report(source, counts.outcomes, at);
   }
 
-  #countFleet({ summary, at }: _KeptSummary): void {
+  #countFleet({ summary, at }: KeptSummary): void {
     const others = withoutOwnCounts(summary, this.#ownReported);
     this.#count(FLEET_SOURCE, others, at);
   }
@@ -376,7 +376,8 @@
     load.forgetReports();
     outcomes.forgetReports();
     if (this.#source === "fleet") {
-      if (this.#fleet) this.#countFleet(this.#fleet);
+      const { fleet } = this.#kept;
+      if (fleet) this.#countFleet(fleet);
       return;
     }
     for (const { name, report, directAt } of peers) {
@@ -385,7 +386,7 @@
       if (report && name && isCounted) this.#count(name.host, report, directAt);
     }
     if (this.#source === "reports") return;
-    for (const [source, { summary, at }] of this.#dataCentres) {
+    for (const [source, { summary, at }] of this.#kept.dataCentres()) {
       this.#count(source, summary, at);
     }
   }
--- a/src/report_hierarchy_test.ts
+++ b/src/report_hierarchy_test.ts
@@ -162,3 +162,25 @@
   // The sum of the fleet no longer holds what the router itself has in flight.
   t.true(cut.load.inFlight(SERVER) >= 35);
 });
+
+test("guards against callers finding few routers for seconds after all were started again", async (t) => {
+  const fleet = new SimulatedGatewayFleet({ routers: 48, dataCentres: 3 });
+  fleet.memory.setConfiguration(testConfiguration(1, [testRoute("a")]));
+  fleet.memory.setServer(testServer("s0"));
+  // The store still lists the routers' earlier lives.
+  for (const { identity } of fleet.routers) {
+    fleet.memory.routers.set(identity.host, identity);
+  }
+  await fleet.start(75);
+  t.teardown(() => fleet.stop());
+  await fleet.advance(NEWS_MILLISECONDS + 500);
+  startRequests(fleet.routers, SERVER);
+  for (const { peers, identity } of fleet.routers) {
+    const near = peers.servingRouters().filter(({ dataCentre }) =>
+      dataCentre === identity.dataCentre
+    );
+    t.is(near.length, 16, identity.host);
+  }
+  await fleet.advance(NEWS_MILLISECONDS);
+  t.deepEqual([...loadsSeen(fleet.routers)], [48]);
+});
--- a/stand_ins/gateway_peer_fleet.ts
+++ b/stand_ins/gateway_peer_fleet.ts
@@ -139,11 +139,14 @@
     }
   }
 
-  /** Starts all routers at the same time. */
-  async start(): Promise<void> {
-    for (const { state, peers } of this.routers) {
-      await state.start();
-      await peers.start();
+  /** Starts the routers one after the other. */
+  async start(pauseMilliseconds = 0): Promise<void> {
+    for (const router of this.routers) router.isAlive = false;
+    for (const router of this.routers) {
+      router.isAlive = true;
+      await router.state.start();
+      await router.peers.start();
+      await this.advance(pauseMilliseconds);
     }
   }
 
