--- a/eslint.config.js
+++ b/eslint.config.js
@@ -83,7 +83,14 @@
     ...tseslint.configs.disableTypeChecked,
   },
   {
-    files: ["bin/**", "demo/**", "bench/**", "invariants/**"],
+    files: [
+      "bin/**",
+      "demo/**",
+      "soak/**",
+      "bench/**",
+      "invariants/**",
+      "soak/**",
+    ],
     rules: { "no-console": "off" },
   },
 );
--- /dev/null
+++ b/soak/soak_run.ts
@@ -0,0 +1,295 @@
+/** One run of the soak: starts the fleet, injects faults, checks the promises. */
+import { mkdir } from "node:fs/promises";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  putConfiguration,
+  putServer,
+  removeServer,
+  SOAK_HEADER_NAMES,
+  type SoakRoute,
+  StoreStandIn,
+} from "../platform/soak_fleet.ts";
+import { createSeededRandom } from "../src/core/random.ts";
+import { findFreePorts } from "../stand_ins/processes.ts";
+import { Disturbances } from "./disturbances.ts";
+import { type FaultKind, scheduleFaults } from "./fault_schedule.ts";
+import { LoopbackProxy } from "./loopback_proxy.ts";
+import { findBrokenPromises } from "./promises.ts";
+import { type BackendContext, type Run, SoakBackend } from "./soak_backends.ts";
+import { type Attempt, HOST_NAME, SoakCaller } from "./soak_callers.ts";
+import { applyFault, type FaultTargets } from "./soak_faults.ts";
+import { SoakRouter } from "./soak_routers.ts";
+
+const DATA_CENTRES = ["north", "south"];
+const BACKENDS = 5;
+const CALLERS = 12;
+const ROUTE_TIMEOUT_MILLISECONDS = 2_500;
+const START_LIMIT_MILLISECONDS = 30_000;
+/** Time without new faults at the end, after which everything must be served. */
+const CALM_MILLISECONDS = 8_000;
+const FAULT_EVERY_MILLISECONDS = 700;
+const FIRST_VERSION = 10;
+const RETRY_ALLOWANCE = 100;
+
+const ROUTES: readonly SoakRoute[] = [
+  { name: "safe", kind: "idempotent", maximumBackendServers: 2 },
+  { name: "once", kind: "non_idempotent", maximumBackendServers: 1 },
+  { name: "stream", kind: "streaming", maximumBackendServers: 2 },
+];
+
+/** How a run is made. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly routers: number;
+  /** Time during which faults are injected. */
+  readonly faultMilliseconds: number;
+  /** Where the logs of the routers go. */
+  readonly logFolder: string;
+  /** Kinds of faults to inject; all by default. */
+  readonly kinds?: readonly FaultKind[];
+}
+
+/** What a run found. */
+export interface SoakResult {
+  readonly seed: number;
+  readonly requests: number;
+  readonly served: number;
+  readonly faults: readonly string[];
+  readonly broken: readonly string[];
+}
+
+async function _createRouters(
+  count: number,
+  store: string,
+): Promise<SoakRouter[]> {
+  const ports = await findFreePorts(count * 4);
+  const addresses = ports.map((port) => `127.0.0.1:${port}`);
+  return Array.from({ length: count }, (_, index) => {
+    const [callers, status, entry, peers] = addresses.slice(index * 4) as [
+      string,
+      string,
+      string,
+      string,
+    ];
+    return new SoakRouter({
+      host: `entry-${index}`,
+      dataCentre: DATA_CENTRES[index % DATA_CENTRES.length] ?? "",
+      callers,
+      status,
+      entry,
+      peers,
+      seeds: [addresses[3] ?? "", addresses[7] ?? ""],
+      store,
+      retryAllowance: RETRY_ALLOWANCE,
+    });
+  });
+}
+
+class _SoakRun {
+  readonly #options: SoakOptions;
+  readonly #startedAt = performance.now();
+  readonly #store = new StoreStandIn();
+  readonly #disturbances = new Disturbances();
+  readonly #attempts: Attempt[] = [];
+  readonly #runs: Run[] = [];
+  readonly #unexpectedEnds: string[] = [];
+  readonly #revokedKeys = new Map<string, number>();
+  readonly #drainedServers = new Map<string, number>();
+  readonly #faults: string[] = [];
+  #storeAddress = "";
+  #storeProxy: LoopbackProxy | undefined;
+  #routers: SoakRouter[] = [];
+  #backends: SoakBackend[] = [];
+  #keys: string[] = ["key-0"];
+  #version = FIRST_VERSION;
+
+  constructor(options: SoakOptions) {
+    this.#options = options;
+  }
+
+  async run(): Promise<SoakResult> {
+    await mkdir(this.#options.logFolder, { recursive: true });
+    try {
+      await this.#start();
+      await this.#play();
+    } finally {
+      await this.#stop();
+    }
+    return this.#result();
+  }
+
+  #now(): number {
+    return performance.now() - this.#startedAt;
+  }
+
+  async #start(): Promise<void> {
+    const { seed, routers, logFolder } = this.#options;
+    this.#storeAddress = await this.#store.start();
+    this.#storeProxy = new LoopbackProxy(() => this.#storeAddress);
+    const proxied = await this.#storeProxy.start();
+    const context: BackendContext = {
+      names: SOAK_HEADER_NAMES,
+      random: createSeededRandom(seed),
+      now: () => this.#now(),
+      runs: this.#runs,
+    };
+    this.#backends = Array.from({ length: BACKENDS }, (_, index) => {
+      const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length] ?? "";
+      return new SoakBackend(context, `s${index}`, dataCentre);
+    });
+    for (const backend of this.#backends) {
+      await backend.start();
+      this.#register(backend);
+    }
+    this.#configure();
+    this.#routers = await _createRouters(routers, proxied);
+    for (const router of this.#routers) {
+      router.onUnexpectedEnd = (code) =>
+        this.#unexpectedEnds.push(
+          `${router.settings.host} ended by itself with ${code} at ${
+            Math.round(this.#now())
+          } ms`,
+        );
+      await router.prepare(logFolder);
+      router.start();
+    }
+    const ready = await Promise.all(
+      this.#routers.map((router) =>
+        router.untilReady(START_LIMIT_MILLISECONDS)
+      ),
+    );
+    if (ready.includes(false)) throw new Error("a router did not become ready");
+  }
+
+  async #play(): Promise<void> {
+    const { seed, faultMilliseconds, kinds } = this.#options;
+    const callers = Array.from(
+      { length: CALLERS },
+      (_, index) =>
+        new SoakCaller(
+          {
+            names: SOAK_HEADER_NAMES,
+            random: createSeededRandom(seed * CALLERS + index),
+            now: () => this.#now(),
+            routers: this.#routers,
+            routes: ROUTES,
+            keys: () => this.#keys,
+            attempts: this.#attempts,
+          },
+          index,
+          DATA_CENTRES[index % DATA_CENTRES.length] ?? "",
+        ),
+    );
+    const running = callers.map((caller) => caller.run());
+    const begin = this.#now();
+    const pending: Promise<void>[] = [];
+    const schedule = scheduleFaults(
+      seed,
+      faultMilliseconds,
+      FAULT_EVERY_MILLISECONDS,
+    ).filter(({ kind }) => !kinds || kinds.includes(kind));
+    for (const fault of schedule) {
+      await sleep(Math.max(0, begin + fault.atMilliseconds - this.#now()));
+      this.#faults.push(
+        `${
+          Math.round(this.#now())
+        } ms ${fault.kind} ${fault.target} ${fault.variant} for ${fault.forMilliseconds} ms`,
+      );
+      pending.push(applyFault(fault, this.#targets()));
+    }
+    await Promise.all(pending);
+    await sleep(CALM_MILLISECONDS);
+    for (const caller of callers) caller.stop();
+    await Promise.all(running);
+  }
+
+  #targets(): FaultTargets {
+    return {
+      routers: this.#routers,
+      backends: this.#backends,
+      store: this.#store,
+      storeProxy: this.#storeProxy as LoopbackProxy,
+      begin: (scope, isPlanned) => {
+        const end = this.#disturbances.begin(scope, isPlanned, this.#now());
+        return () => end(this.#now());
+      },
+      register: (backend) => this.#register(backend),
+      deregister: (id) => removeServer(this.#store, id),
+      noteDrain: (id) => void this.#drainedServers.set(id, this.#now()),
+      changeConfiguration: () => this.#configure(),
+      replaceKey: () => this.#replaceKey(),
+    };
+  }
+
+  #register(backend: SoakBackend): void {
+    putServer(this.#store, {
+      id: backend.id,
+      address: backend.address,
+      dataCentre: backend.dataCentre,
+      slots: backend.slots,
+      isDraining: backend.isDraining,
+      started: Date.now(),
+    });
+  }
+
+  #configure(): void {
+    this.#version += 2;
+    putConfiguration(this.#store, this.#version, {
+      hostName: HOST_NAME,
+      routes: ROUTES,
+      keys: this.#keys,
+      timeoutMilliseconds: ROUTE_TIMEOUT_MILLISECONDS,
+    });
+  }
+
+  /** Adds a key, and takes the oldest away once callers no longer use it. */
+  async #replaceKey(): Promise<void> {
+    const added = `key-${this.#version}`;
+    const old = this.#keys;
+    putConfiguration(this.#store, this.#version += 2, {
+      hostName: HOST_NAME,
+      routes: ROUTES,
+      keys: [...old, added],
+      timeoutMilliseconds: ROUTE_TIMEOUT_MILLISECONDS,
+    });
+    await sleep(ROUTE_TIMEOUT_MILLISECONDS);
+    this.#keys = [added];
+    await sleep(ROUTE_TIMEOUT_MILLISECONDS);
+    this.#configure();
+    for (const key of old) this.#revokedKeys.set(key, this.#now());
+  }
+
+  async #stop(): Promise<void> {
+    await Promise.all(this.#routers.map((router) => router.kill()));
+    for (const router of this.#routers) router.stop();
+    for (const backend of this.#backends) backend.stop();
+    this.#storeProxy?.stop();
+    await this.#store.stop();
+  }
+
+  #result(): SoakResult {
+    const broken = findBrokenPromises({
+      attempts: this.#attempts,
+      runs: this.#runs,
+      disturbances: this.#disturbances,
+      revokedKeys: this.#revokedKeys,
+      drainedServers: this.#drainedServers,
+      unexpectedEnds: this.#unexpectedEnds,
+    });
+    const served = this.#attempts.filter(({ status, isComplete }) =>
+      status === 200 && isComplete
+    );
+    return {
+      seed: this.#options.seed,
+      requests: this.#attempts.length,
+      served: served.length,
+      faults: this.#faults,
+      broken,
+    };
+  }
+}
+
+/** Makes one run. */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  return await new _SoakRun(options).run();
+}
