Wake fewer watches of the store

Change: in fleets that report through collectors, a router lists the servers and then waits 1.5 s before it decides whether to watch; a watch of the registry that brought changes is followed by a pause of 200 ms, one of the configuration by 400 ms, so that changes that come together cost one call. Ruled out: delaying the first watch in every fleet (three tests with tight bounds on small fleets failed, rightly).

--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -96,6 +96,7 @@
       capacity: options.capacity,
       peers: () => this.#peers.all(),
       relayAddresses: (isWatching) => this.#relayAddresses(isWatching),
+      isHierarchical: () => this.#hierarchy.isHierarchical,
       hearsCollectors: () => this.#hierarchy.hearsCollectors(),
       now: () => this.#now(),
     });
--- a/src/gateway_state_task.ts
+++ b/src/gateway_state_task.ts
@@ -26,6 +26,9 @@
 /** The first wait is random, so that the watches of a fleet end at different times. */
 const MINIMUM_FIRST_WATCH_MILLISECONDS = 2_000;
 
+/** Versions in quick succession are read together; each wakes every router. */
+const BATCH_MILLISECONDS = 400;
+
 /** What the state task needs. */
 export interface GatewayStateTaskOptions {
   readonly store: FleetStore;
@@ -170,6 +173,9 @@
       const { revision, configuration } = answer.value;
       if (configuration) this.#enforce(configuration, "store");
       this.#configurationRevision = revision;
+      if (configuration && !isFirst) {
+        await this.#options.timers.sleep(BATCH_MILLISECONDS, "versions");
+      }
     }
   }
 
--- a/src/registry_task.ts
+++ b/src/registry_task.ts
@@ -21,6 +21,8 @@
 const WATCH_MILLISECONDS = 6_000;
 /** The first wait is random, so that the watches of a fleet end at different times. */
 const MINIMUM_FIRST_WATCH_MILLISECONDS = 1_000;
+/** Changes often come together; one call tells of all within this time. */
+const BATCH_MILLISECONDS = 200;
 /** A router that leaves watching to others looks this often whether it should start. */
 const IDLE_MILLISECONDS = 100;
 const EXPIRY_PERIOD_MILLISECONDS = 250;
@@ -134,9 +136,12 @@
       if (!failure) {
         this.contact.confirm();
         this.#isWatching = true;
-        if (this.#isListed) wait = WATCH_MILLISECONDS;
+        const wasWatched = this.#isListed;
         this.#isListed = true;
-        this.#publish("store");
+        if (wasWatched) wait = WATCH_MILLISECONDS;
+        if (this.#publish("store") && wasWatched) {
+          await timers.sleep(BATCH_MILLISECONDS, "registry batch");
+        }
       } else if (failure.kind === "platform_history_lost") {
         this.#isListed = false;
       } else {
@@ -167,9 +172,10 @@
     return undefined;
   }
 
-  #publish(source: string): void {
+  /** Tells of what has changed; false if nothing has. */
+  #publish(source: string): boolean {
     const changes = this.registry.takeChanges();
-    if (changes.changes.length === 0) return;
+    if (changes.changes.length === 0) return false;
     this.#options.log.write("registry.changed", {
       revision: changes.revision,
       source,
@@ -180,6 +186,7 @@
       servers: this.registry.size,
     });
     for (const listener of this.#listeners) listener(changes);
+    return true;
   }
 }
 
--- a/src/state_catch_up.ts
+++ b/src/state_catch_up.ts
@@ -27,6 +27,8 @@
 const STATE_TIMEOUT_MILLISECONDS = 1_000;
 /** Routers that watch the registry in the store, out of all routers. */
 const WATCHERS = 4;
+/** Routers of a large fleet that have just started learn first who watches. */
+const SETTLING_MILLISECONDS = 1_500;
 /** A watching router that was silent for this long is replaced. */
 const WATCHER_SILENCE_MILLISECONDS = 1_000;
 /** The same for a router of which only others tell. */
@@ -45,6 +47,8 @@
   readonly peers: () => Iterable<GatewayPeer>;
   /** Where changes are passed on to by a router that watches, or does not. */
   readonly relayAddresses: (isWatching: boolean) => readonly SocketAddress[];
+  /** Whether the fleet is so large that collectors tell of changes. */
+  readonly isHierarchical: () => boolean;
   /** Whether changes would reach this router through its peers. */
   readonly hearsCollectors: () => boolean;
   readonly now: () => number;
@@ -55,6 +59,7 @@
   readonly #options: StateCatchUpOptions;
   #isFetching = false;
   #isStopped = false;
+  #startedAt: number | undefined;
 
   constructor(options: StateCatchUpOptions) {
     this.#options = options;
@@ -98,7 +103,11 @@
 
   /** Whether too few routers with a better rank watch the registry. */
   #shouldWatch(): boolean {
-    if (!this.#options.hearsCollectors()) return true;
+    const { hearsCollectors, isHierarchical, now } = this.#options;
+    this.#startedAt ??= now();
+    const isSettling = now() - this.#startedAt < SETTLING_MILLISECONDS;
+    if (isSettling && isHierarchical()) return false;
+    if (!hearsCollectors()) return true;
     let watchers = 0;
     for (const peer of this.#options.peers()) {
       if (!peer.listing?.isWatching || !this.#isAlive(peer)) continue;
