Share the waiting of stand-ins; name the scopes of summaries

Cause: the reading of the diff found the waiting for the next change written twice in stand-ins, two numbers without a name, and a reply built by hand. Change: stand_ins/waiters.ts serves both; DATA_CENTRE_SCOPE and FLEET_SCOPE; ok(). Behaviour is unchanged. Conclusion: nothing else to join; the remaining pairs are alike in shape only.

--- a/src/gateway_peer_messages.ts
+++ b/src/gateway_peer_messages.ts
@@ -81,6 +81,8 @@
 const SERVING_FLAG = 1;
 const WATCHING_FLAG = 2;
 const NEEDS_SUMMARY_FLAG = 4;
+const DATA_CENTRE_SCOPE = 0;
+const FLEET_SCOPE = 1;
 const _packedListing = z.tuple([
   _address,
   _text,
@@ -156,7 +158,7 @@
   summary: ReportSummary,
 ): z.infer<typeof _packedSummary> {
   return [
-    summary.scope === "fleet" ? 1 : 0,
+    summary.scope === "fleet" ? FLEET_SCOPE : DATA_CENTRE_SCOPE,
     summary.routers,
     Math.round(summary.ageMilliseconds),
     _packLoads(summary.loads),
@@ -262,7 +264,7 @@
 ): ReportSummary {
   const [scope, routers, ageMilliseconds, loads, outcomes, listings] = packed;
   return {
-    scope: scope === 1 ? "fleet" : "data_centre",
+    scope: scope === FLEET_SCOPE ? "fleet" : "data_centre",
     routers,
     ageMilliseconds,
     loads: _unpackLoads(loads, names),
--- a/src/report_hierarchy.ts
+++ b/src/report_hierarchy.ts
@@ -121,7 +121,11 @@
   }
 
   /** Whether a router that a collector no longer lists is lost. */
-  isUnlisted(peer: GatewayPeer, by: GatewayPeer, summary: ReportSummary) {
+  isUnlisted(
+    peer: GatewayPeer,
+    by: GatewayPeer,
+    summary: ReportSummary,
+  ): boolean {
     if (!peer.listing || summary.listings.length === 0) return false;
     const isCovered = summary.scope === "fleet" ||
       peer.name?.dataCentre === by.name?.dataCentre;
--- a/stand_ins/gateway_peer_fleet.ts
+++ b/stand_ins/gateway_peer_fleet.ts
@@ -3,7 +3,7 @@
  * with kills and cuts, for tests of fleets that do not fit into one machine.
  */
 import { setImmediate } from "node:timers/promises";
-import { err, type Result } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 import { type ApplicationError, createError } from "../src/core/errors.ts";
 import { createFleetLoad, type FleetLoad } from "../src/core/fleet_load.ts";
 import {
@@ -42,6 +42,7 @@
 } from "../src/timer_service.ts";
 import { MemoryFleet, MemoryFleetStore } from "./memory_fleet_store.ts";
 import { createMemoryOutput } from "./memory_output.ts";
+import { testServer } from "./registered_servers.ts";
 
 const STEP_MILLISECONDS = 25;
 const DELAY_MILLISECONDS = 1;
@@ -114,11 +115,7 @@
       const isSent = this.#fleet.deliver(this.#own(), to, () => {
         const handler = this.#fleet.networkOf(to)?.handlers.get(kind);
         const reply = handler?.(body, this.#own().identity);
-        resolve({
-          isErr: () => false,
-          isOk: () => true,
-          value: structuredClone(reply),
-        } as unknown as Result<unknown, ApplicationError>);
+        resolve(ok(structuredClone(reply)));
       });
       if (!isSent) resolve(err(createError("peer_unreachable", to)));
     });
@@ -157,7 +154,7 @@
       await peers.stop();
       await state.stop();
     }
-    this.memory.setServer({ id: "end" } as never);
+    this.memory.setServer(testServer("end"));
   }
 
   /** Moves time forward. */
--- a/stand_ins/memory_fleet_store.ts
+++ b/stand_ins/memory_fleet_store.ts
@@ -19,6 +19,8 @@
   type StoreResult,
 } from "../src/fleet_store.ts";
 
+import { Waiters } from "./waiters.ts";
+
 interface _Change extends RegistrationChange {
   readonly revision: number;
 }
@@ -33,42 +35,29 @@
   readonly changes: _Change[] = [];
   /** Changes up to this revision are forgotten. */
   forgottenRevision = 0;
-  readonly #waiting = new Set<() => void>();
+  readonly #waiters = new Waiters();
 
   setConfiguration(configuration: GatewayConfiguration): void {
     this.configuration = configuration;
     this.configurationRevision = ++this.revision;
-    this.#wake();
+    this.#waiters.wake();
   }
 
   setServer(server: RegisteredServer): void {
     this.servers.set(server.id, server);
     this.changes.push({ id: server.id, server, revision: ++this.revision });
-    this.#wake();
+    this.#waiters.wake();
   }
 
   removeServer(id: BackendServerId): void {
     this.servers.delete(id);
     this.changes.push({ id, server: undefined, revision: ++this.revision });
-    this.#wake();
+    this.#waiters.wake();
   }
 
   /** Resolves at the next change or after the time. */
   wait(milliseconds: number): Promise<void> {
-    return new Promise((resolve) => {
-      const timer = setTimeout(wake, milliseconds);
-      const waiting = this.#waiting;
-      function wake(): void {
-        clearTimeout(timer);
-        waiting.delete(wake);
-        resolve();
-      }
-      waiting.add(wake);
-    });
-  }
-
-  #wake(): void {
-    for (const wake of [...this.#waiting]) wake();
+    return this.#waiters.wait(milliseconds);
   }
 }
 
