Count own loads only for reports to collectors

Every report sent, also in small fleets and to every peer, computed this router's counts a second time, although only a report to a collector needs them. Change: the hierarchy computes them itself when it keeps them. Conclusion: behaviour is unchanged; less work on each tick.

--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -222,7 +222,7 @@
       );
       bodies.set(key, body);
     }
-    this.#hierarchy.noteSent(peer, this.#own.counts());
+    this.#hierarchy.noteSent(peer);
     peer.sentTick = this.#tick;
     peer.sentVersion = load.ownVersion;
     peer.triedAt = this.#now();
--- a/src/report_hierarchy.ts
+++ b/src/report_hierarchy.ts
@@ -168,10 +168,13 @@
     this.#countAgain(peers);
   }
 
-  /** Records that a report with these counts was sent to a peer. */
-  noteSent(peer: GatewayPeer, counts: ServerCounts): void {
+  /** Records that a report was sent to a peer. */
+  noteSent(peer: GatewayPeer): void {
+    const { own } = this.#options;
     const now = this.#options.now();
-    if (this.#payloads.get(peer.address) === "own") this.#ownReported = counts;
+    if (this.#payloads.get(peer.address) === "own") {
+      this.#ownReported = own.counts();
+    }
     const isTrialOver = peer.unansweredSince !== undefined &&
       now - peer.unansweredSince > TRIAL_MILLISECONDS;
     if (isTrialOver) peer.unansweredSince = now;
