Let a few routers of a large fleet watch the configuration for all

Registrations were already watched by a few routers, but every version of the configuration woke one call of each of 100 routers. Change: in fleets that report through collectors, the routers that watch registrations also watch the configuration, for 6 s at a time, and pass a new version on; collectors pass it on to their members. A router that hears no collector, or sees too few watchers, watches itself; the comparison of versions with peers stays as the second way. Small fleets watch as before.

--- a/src/gateway_state_task.ts
+++ b/src/gateway_state_task.ts
@@ -23,6 +23,10 @@
 
 /** Longest wait of one watch. A dead watch is noticed by peers before. */
 const WATCH_MILLISECONDS = 25_000;
+/** The same where only a few routers watch, and the others rely on them. */
+const RELIED_ON_WATCH_MILLISECONDS = 6_000;
+/** A router that leaves watching to others looks this often whether it should start. */
+const IDLE_MILLISECONDS = 200;
 /** The first wait is random, so that the watches of a fleet end at different times. */
 const MINIMUM_FIRST_WATCH_MILLISECONDS = 2_000;
 
@@ -46,6 +50,9 @@
 /** Everything a peer needs that cannot read the store. */
 export type GatewayState = z.infer<typeof gatewayStateSchema>;
 
+/** Whether a router watches the configuration, and whether others rely on it. */
+export type ConfigurationWatch = "for_itself" | "for_others" | "not";
+
 /** What is known now, for decisions and log lines. */
 export interface StateVersions {
   readonly configurationVersion: number;
@@ -59,6 +66,9 @@
   readonly #options: GatewayStateTaskOptions;
   readonly #contact: StoreContact;
   readonly #listeners: (() => void)[] = [];
+  readonly #configurationListeners: ((next: GatewayConfiguration) => void)[] =
+    [];
+  #decideWatch: () => ConfigurationWatch = () => "for_itself";
   #table: RouteTable | undefined;
   #configurationRevision = 0;
   #running = false;
@@ -101,6 +111,21 @@
     return contact.ageMilliseconds();
   }
 
+  /** Whether this router watches the store, and the store answers it. */
+  get isWatching(): boolean {
+    return this.registryTask.isWatching && !this.#contact.isLost;
+  }
+
+  /** Sets who decides whether this router watches the configuration. */
+  setWatchDecision(decideWatch: () => ConfigurationWatch): void {
+    this.#decideWatch = decideWatch;
+  }
+
+  /** Calls the listener with every configuration that comes into force. */
+  onConfiguration(listener: (next: GatewayConfiguration) => void): void {
+    this.#configurationListeners.push(listener);
+  }
+
   /** Calls the listener after every change. */
   onChange(listener: () => void): void {
     this.#listeners.push(listener);
@@ -116,10 +141,15 @@
 
   /** Takes over what a peer knows if it is newer. */
   adopt(state: GatewayState, peer: string): void {
-    if (state.configuration) this.#enforce(state.configuration, peer);
+    if (state.configuration) this.adoptConfiguration(state.configuration, peer);
     this.registryTask.adopt(state.registrations, peer);
   }
 
+  /** Takes over a peer's configuration if it is newer. */
+  adoptConfiguration(configuration: GatewayConfiguration, peer: string): void {
+    this.#enforce(configuration, peer);
+  }
+
   override async start(): Promise<void> {
     this.#running = true;
     this.#options.store.onIgnored = ({ subject, name, reason }) =>
@@ -157,6 +187,14 @@
     const { store } = this.#options;
     let wait = this.#firstWait();
     while (this.#running) {
+      const decision = this.isKnown() ? this.#decideWatch() : "for_itself";
+      if (decision === "not") {
+        await this.#options.timers.sleep(IDLE_MILLISECONDS, "versions idle");
+        continue;
+      }
+      if (decision === "for_others") {
+        wait = Math.min(wait, RELIED_ON_WATCH_MILLISECONDS);
+      }
       const isFirst = this.#configurationRevision === 0;
       const answer = isFirst
         ? await store.readConfiguration()
@@ -189,6 +227,9 @@
       source,
       routes: configuration.routes.length,
     });
+    for (const listener of this.#configurationListeners) {
+      listener(configuration);
+    }
     this.#notify();
   }
 
--- a/src/own_report.ts
+++ b/src/own_report.ts
@@ -61,7 +61,7 @@
       callerAddress,
       capacity,
       isServing: isServing(),
-      isWatching: state.registryTask.isWatching,
+      isWatching: state.isWatching,
       busyShare: busyShare(),
       ageMilliseconds: 0,
     };
--- a/src/peer_network.ts
+++ b/src/peer_network.ts
@@ -42,6 +42,7 @@
   "gateway.peers",
   "gateway.state",
   "gateway.registry",
+  "gateway.configuration",
 ] as const;
 
 /** One of the closed list of message kinds. */
--- a/src/state_catch_up.ts
+++ b/src/state_catch_up.ts
@@ -1,10 +1,14 @@
 /**
- * Passes changes of registrations on to peers, and fetches the state from a
- * peer when this router stays behind it: its own watch may be dead, or the
- * store may refuse it.
+ * Passes changes of registrations and, in a large fleet, new versions of the
+ * configuration on to peers. Fetches the state from a peer when this router
+ * stays behind it: its own watch may be dead, or the store may refuse it.
  */
 import { z } from "zod";
 import { ranksBefore } from "./core/collectors.ts";
+import {
+  type GatewayConfiguration,
+  gatewayConfigurationSchema,
+} from "./core/gateway_configuration.ts";
 import type { HostId, SocketAddress } from "./core/ids.ts";
 import {
   type RegistryChanges,
@@ -13,6 +17,7 @@
 import type { DecisionLog } from "./decision_log.ts";
 import type { GatewayPeer } from "./gateway_peer.ts";
 import {
+  type ConfigurationWatch,
   gatewayStateSchema,
   type GatewayStateTask,
 } from "./gateway_state_task.ts";
@@ -36,6 +41,8 @@
 /** A router that does not report here directly has not done so for this long. */
 const NO_DIRECT_REPORTS_MILLISECONDS = 5_000;
 
+const offeredVersionSchema = z.object({ version: z.number() });
+
 /** What catching up needs. */
 export interface StateCatchUpOptions {
   readonly network: PeerNetwork;
@@ -65,12 +72,24 @@
     this.#options = options;
     const { network, state } = options;
     state.registryTask.setWatchDecision(() => this.#shouldWatch());
-    state.registryTask.onChange((changes) => this.#pass(changes));
+    state.setWatchDecision(() => this.#decideConfigurationWatch());
+    state.registryTask.onChange((changes) =>
+      this.#pass("gateway.registry", changes)
+    );
+    state.onConfiguration((configuration) => {
+      if (options.isHierarchical()) {
+        this.#pass("gateway.configuration", configuration);
+      }
+    });
     network.handle("gateway.state", () => state.state());
     network.handle(
       "gateway.registry",
       (body, from) => this.#receive(body, from),
     );
+    network.handle(
+      "gateway.configuration",
+      (body, from) => this.#receiveConfiguration(body, from),
+    );
   }
 
   stop(): void {
@@ -124,13 +143,34 @@
       now - heardAt < LISTED_WATCHER_SILENCE_MILLISECONDS;
   }
 
-  #pass(changes: RegistryChanges): void {
+  /** In a large fleet every version would wake a call of every router. */
+  #decideConfigurationWatch(): ConfigurationWatch {
+    if (!this.#options.isHierarchical()) return "for_itself";
+    return this.#shouldWatch() ? "for_others" : "not";
+  }
+
+  #pass(
+    kind: "gateway.registry" | "gateway.configuration",
+    body: RegistryChanges | GatewayConfiguration,
+  ): void {
     const { network, state, relayAddresses } = this.#options;
-    for (const address of relayAddresses(state.registryTask.isWatching)) {
-      network.send(address, "gateway.registry", changes);
+    for (const address of relayAddresses(state.isWatching)) {
+      network.send(address, kind, body);
     }
   }
 
+  #receiveConfiguration(body: unknown, from: PeerIdentity): void {
+    if (this.#isStopped) return;
+    const { state } = this.#options;
+    const { configurationVersion } = state.versions();
+    // Several routers send the same version, and it may be large.
+    const offered = offeredVersionSchema.safeParse(body);
+    if (offered.success && offered.data.version <= configurationVersion) return;
+    const parsed = gatewayConfigurationSchema.safeParse(body);
+    if (parsed.success) state.adoptConfiguration(parsed.data, from.host);
+    else this.#ignore(from.host, "gateway.configuration", "malformed");
+  }
+
   #receive(body: unknown, from: PeerIdentity): void {
     if (this.#isStopped) return;
     const changes = registryChangesSchema.safeParse(body);
--- /dev/null
+++ b/src/state_catch_up_test.ts
@@ -0,0 +1,92 @@
+import test, { type ExecutionContext } from "ava";
+import {
+  type SimulatedGateway,
+  SimulatedGatewayFleet,
+} from "../stand_ins/gateway_peer_fleet.ts";
+import { testConfiguration, testRoute } from "../stand_ins/gateway_fleet.ts";
+import { testServer } from "../stand_ins/registered_servers.ts";
+
+const SETTLED_MILLISECONDS = 7_000;
+/** Time in which a version must be in force on routers that are in touch. */
+const APPLY_MILLISECONDS = 3_000;
+/** Part of a large fleet's routers that may wait for the next version. */
+const MOST_WATCHING = 1 / 4;
+
+function publish(fleet: SimulatedGatewayFleet, version: number): void {
+  fleet.memory.setConfiguration(testConfiguration(version, [testRoute("a")]));
+}
+
+/** Starts a fleet in which each router has read one version by a watch. */
+async function startFleet(
+  t: ExecutionContext,
+  routers: number,
+): Promise<SimulatedGatewayFleet> {
+  const fleet = new SimulatedGatewayFleet({ routers, dataCentres: 4 });
+  publish(fleet, 1);
+  fleet.memory.setServer(testServer("s0"));
+  await fleet.start();
+  t.teardown(() => fleet.stop());
+  await fleet.advance(SETTLED_MILLISECONDS);
+  publish(fleet, 2);
+  await fleet.advance(APPLY_MILLISECONDS);
+  return fleet;
+}
+
+function watchersOf(fleet: SimulatedGatewayFleet): SimulatedGateway[] {
+  return fleet.alive().filter(({ store }) =>
+    store.waitingConfigurationWatches > 0
+  );
+}
+
+function versionsOf(fleet: SimulatedGatewayFleet): Set<number> {
+  return new Set(
+    fleet.alive().map(({ state }) => state.versions().configurationVersion),
+  );
+}
+
+test("guards against every version waking a call of every router of a large fleet", async (t) => {
+  const fleet = await startFleet(t, 96);
+  t.deepEqual([...versionsOf(fleet)], [2]);
+  const watchers = watchersOf(fleet).length;
+  t.true(watchers > 0 && watchers <= 96 * MOST_WATCHING, `${watchers} watch`);
+  publish(fleet, 3);
+  await fleet.advance(1_000);
+  t.deepEqual([...versionsOf(fleet)], [3]);
+});
+
+test("guards against a version that stays unknown because the routers that watch are lost", async (t) => {
+  const fleet = await startFleet(t, 48);
+  for (const router of watchersOf(fleet)) fleet.kill(router);
+  publish(fleet, 3);
+  await fleet.advance(APPLY_MILLISECONDS);
+  t.deepEqual([...versionsOf(fleet)], [3]);
+});
+
+test("guards against a version that stays unknown because the store refuses the routers that watch", async (t) => {
+  const fleet = await startFleet(t, 48);
+  for (const { store } of watchersOf(fleet)) store.setFailing(true);
+  await fleet.advance(APPLY_MILLISECONDS);
+  publish(fleet, 3);
+  await fleet.advance(APPLY_MILLISECONDS);
+  t.deepEqual([...versionsOf(fleet)], [3]);
+});
+
+test("guards against a router without its collectors missing a version", async (t) => {
+  const fleet = await startFleet(t, 48);
+  const [cut, ...others] = fleet.routers as [
+    SimulatedGateway,
+    ...SimulatedGateway[],
+  ];
+  for (const { identity } of others) cut.cutFrom.add(identity.address);
+  publish(fleet, 3);
+  await fleet.advance(APPLY_MILLISECONDS);
+  t.is(cut.state.versions().configurationVersion, 3);
+});
+
+test("guards against routers of a small fleet relying on others for a version", async (t) => {
+  const fleet = await startFleet(t, 6);
+  t.is(watchersOf(fleet).length, 6);
+  publish(fleet, 3);
+  await fleet.advance(100);
+  t.deepEqual([...versionsOf(fleet)], [3]);
+});
--- a/stand_ins/memory_fleet_store.ts
+++ b/stand_ins/memory_fleet_store.ts
@@ -68,6 +68,8 @@
   #isSilent = false;
   /** Watches of servers that wait now. */
   waitingServerWatches = 0;
+  /** Watches of the configuration that wait now. */
+  waitingConfigurationWatches = 0;
 
   constructor(fleet: MemoryFleet) {
     super();
@@ -97,10 +99,12 @@
     afterRevision: number,
     waitMilliseconds: number,
   ): StoreResult<StoredConfiguration> {
+    this.waitingConfigurationWatches++;
     await this.#waitUntil(
       () => this.#fleet.configurationRevision > afterRevision,
       waitMilliseconds,
     );
+    this.waitingConfigurationWatches--;
     return this.#answer(() => ({
       revision: this.#fleet.revision,
       configuration: this.#fleet.configurationRevision > afterRevision
