Answer a new aggregator once in a period

Cause: read in the diff: two aggregators that do not expect each other would answer each other's exchanges without end while members disagree. Ruled out: answering exchanges without loads only; a new aggregator needs the loads of the first one. Change: each is answered once between two rounds; the test sends three.

--- a/src/core/load_summary.ts
+++ b/src/core/load_summary.ts
@@ -17,6 +17,7 @@
  * the others while their work is added to them.
  */
 export const ENTRY_LIFETIME_MILLISECONDS = 10_000;
+
 const RELATIVE_LOAD_UNIT = 2_048;
 const MAXIMUM_RELATIVE_LOAD = 0x7ffd;
 const NOT_LIVE = 0x7ffe;
--- a/src/load_task.ts
+++ b/src/load_task.ts
@@ -7,6 +7,7 @@
 import type {
   BackendServerId,
   DataCentreId,
+  HostId,
   IncarnationId,
 } from "./core/ids.ts";
 import {
@@ -73,6 +74,8 @@
   #preferredAt = -Infinity;
   #aggregatorSince: number | undefined;
   #round = 0;
+  /** New aggregators that were answered in this period. */
+  readonly #answered = new Set<HostId>();
 
   constructor(options: LoadTaskOptions) {
     super();
@@ -165,6 +168,7 @@
   }
 
   #runRound(): void {
+    this.#answered.clear();
     const self = this.#options.members.self();
     const aggregator = this.#aggregatorOf(self.dataCentre);
     const isAggregator = aggregator?.host === self.host;
@@ -255,14 +259,17 @@
 
   /**
    * Sends the loads of this data centre to an aggregator that this router does
-   * not know as one yet, so that a new aggregator covers all data centres.
+   * not know as one yet, so that a new aggregator covers all data centres. Two
+   * that do not know each other would answer each other without end, so each
+   * is answered once in a period.
    */
   #answerNewAggregator(from: PeerIdentity): void {
     if (this.#aggregatorSince === undefined) return;
     if (this.#aggregatorOf(from.dataCentre)?.host === from.host) return;
     const member = this.#options.members.liveMembers()
       .find(({ host }) => host === from.host);
-    if (!member) return;
+    if (!member || this.#answered.has(from.host)) return;
+    this.#answered.add(from.host);
     this.#options.network.send(
       member.address,
       "load.report",
--- a/src/load_task_test.ts
+++ b/src/load_task_test.ts
@@ -103,7 +103,10 @@
   for (const member of EAST_MEMBERS) {
     network.sent = [];
     const exchange = { dataCentre: EAST, pools: [], loads: new Uint8Array() };
-    await network.handlers.get("load.report")?.(exchange, member);
+    // Aggregators that do not know each other must not answer without end.
+    for (let received = 0; received < 3; received++) {
+      await network.handlers.get("load.report")?.(exchange, member);
+    }
     const answers = network.sent.map(({ to }) => to);
     t.deepEqual(answers, member === known ? [] : [member.address]);
   }
