Keep the number of store calls per router constant as the fleet grows

Cause: at the start every router watches the registry until it knows four that do, and each registration completes the watch of each router. A router that stopped reporting here counted as lost for four seconds, although listings named it, so others watched in its place. Versions of more than 50 routes were read from the store by every router, and a watch longer than the store's history ended with a lost history and a second read. Change: a router watches only once it has listed the others; in a large fleet the preferred routers start after 1.5 s, others after 3 s if too few do. A router is alive if any router heard from it lately. Announced versions of up to 300 routes are fetched from the announcing router. Lists of routers are rare while collectors list the fleet. Watches last 15 s at most. The test of shared watches waits until all routers have decided whether to watch; its condition was met before any did, with no watch failing at all. Conclusion: the start no longer costs a call per registration and router.

--- a/src/gateway_fleet_test.ts
+++ b/src/gateway_fleet_test.ts
@@ -71,7 +71,10 @@
     return draining.received.length === before;
   }
   // Watches end at a change or at their timeout; then only four are renewed.
+  // Routers begin to watch shortly after their start, once they know the others.
+  await new Promise((resolve) => setTimeout(resolve, 1_000));
   await waitUntil(() => watching().length <= 4, "watches are shared");
+  t.true(watching().length > 0);
   const [first, second] = bench.backends as [RawBackend, RawBackend];
   bench.fleet.setServer(first.registration("s0", { isDraining: true }));
   await new Promise((resolve) => setTimeout(resolve, 500));
--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -97,6 +97,7 @@
       peers: () => this.#peers.all(),
       relayAddresses: (isWatching) => this.#relayAddresses(isWatching),
       isHierarchical: () => this.#hierarchy.isHierarchical,
+      hasListedRouters: () => this.#discovery.hasListed,
       receivesFromCollectors: () => this.#hierarchy.receivesFromCollectors(),
       now: () => this.#now(),
     });
@@ -107,6 +108,8 @@
       random: options.random,
       self: { host, dataCentre, address },
       onFound: (found) => void this.#peers.add(found.address, found),
+      isCovered: () =>
+        this.#hierarchy.isHierarchical && !this.#hierarchy.needsSummary,
     });
   }
 
--- a/src/gateway_state_task.ts
+++ b/src/gateway_state_task.ts
@@ -21,8 +21,12 @@
 import { Task } from "./task.ts";
 import type { TimerService } from "./timer_service.ts";
 
-/** Timeout of a watch; a dead watch is noticed earlier, from peers' reports. */
-const WATCH_MILLISECONDS = 25_000;
+/**
+ * Timeout of a watch; a dead watch is noticed earlier, from peers' reports. The
+ * store keeps its history for 20 s, and a longer watch would end with the error
+ * that the changes since its start are lost.
+ */
+const WATCH_MILLISECONDS = 15_000;
 /** Timeout of a watch on which other routers rely. */
 const SHARED_WATCH_MILLISECONDS = 6_000;
 /** How often a router that does not watch checks whether it should start to. */
--- a/src/router_discovery.ts
+++ b/src/router_discovery.ts
@@ -1,7 +1,8 @@
 /**
  * Router discovery through the fleet's store. A router registers once per process
  * and lists the others until both calls have succeeded. Afterwards it lists them
- * rarely, since peers tell each other about new routers.
+ * rarely, since peers tell each other about new routers: a list of every router
+ * each time would make the number of calls grow with the fleet.
  */
 import type { ApplicationError } from "./core/errors.ts";
 import type { SocketAddress } from "./core/ids.ts";
@@ -15,6 +16,8 @@
 /** Delay of the second list: routers that start together may miss each other in the first. */
 const SECOND_LIST_DELAY_MILLISECONDS = 5_000;
 const LIST_PERIOD_MILLISECONDS = 30_000;
+/** Period of lists while collectors list the fleet's routers to this one. */
+const COVERED_LIST_PERIOD_MILLISECONDS = 120_000;
 
 /** Options of {@link RouterDiscovery}. */
 export interface RouterDiscoveryOptions {
@@ -25,6 +28,8 @@
   readonly log: DecisionLog;
   /** Called with every listed router except this one. */
   readonly onFound: (record: RouterRecord) => void;
+  /** Whether collectors list the routers of the whole fleet to this one. */
+  readonly isCovered?: () => boolean;
 }
 
 /** Registers this router in the store and finds others. */
@@ -35,6 +40,7 @@
   readonly #listed = new Map<SocketAddress, RouterRecord>();
   #isRegistered = false;
   #isListed = false;
+  #listedAt = Number.NEGATIVE_INFINITY;
   #running = false;
 
   constructor(options: RouterDiscoveryOptions) {
@@ -43,6 +49,11 @@
     this.#storeHealth = new StoreHealth({ ...options, subject: "routers" });
   }
 
+  /** Whether this router has listed the others since its start. */
+  get hasListed(): boolean {
+    return Number.isFinite(this.#listedAt);
+  }
+
   override async start(): Promise<void> {
     this.#running = true;
     void this.#discover();
@@ -88,11 +99,19 @@
       // Registers again if a peer removed the record while this router was
       // disconnected. A record that was just created may not be listed yet.
       if (wasRegistered && !this.#isListed) this.#isRegistered = false;
-      await timers.sleep(wait, "router discovery");
+      do await timers.sleep(wait, "router discovery"); while (
+        this.#running && this.#isCovered()
+      );
       wait = LIST_PERIOD_MILLISECONDS;
     }
   }
 
+  #isCovered(): boolean {
+    const { timers, isCovered = () => false } = this.#options;
+    const age = timers.clock.monotonicMilliseconds() - this.#listedAt;
+    return isCovered() && age < COVERED_LIST_PERIOD_MILLISECONDS;
+  }
+
   async #register(): Promise<ApplicationError | undefined> {
     if (this.#isRegistered) return undefined;
     const { store, self } = this.#options;
@@ -103,9 +122,10 @@
   }
 
   async #list(): Promise<ApplicationError | undefined> {
-    const { store, self, onFound } = this.#options;
+    const { store, self, onFound, timers } = this.#options;
     const listed = await store.listRouters();
     if (listed.isErr()) return listed.error;
+    this.#listedAt = timers.clock.monotonicMilliseconds();
     this.#isListed = listed.value.some(({ host }) => host === self.host);
     for (const record of listed.value) {
       if (record.address === self.address) continue;
--- a/src/state_catch_up.ts
+++ b/src/state_catch_up.ts
@@ -13,6 +13,7 @@
 import { registryChangesSchema } from "./core/server_registry.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { GatewayPeer } from "./gateway_peer.ts";
+import type { RouterListing } from "./gateway_peer_messages.ts";
 import {
   type ConfigurationWatch,
   gatewayStateSchema,
@@ -29,32 +30,42 @@
 const STATE_REQUEST_TIMEOUT_MILLISECONDS = 1_000;
 /** Number of routers of the fleet that watch the registry in the store. */
 const WATCHER_COUNT = 4;
-/** After its start, a router of a large fleet learns for this long which others watch. */
-const WATCHER_DISCOVERY_MILLISECONDS = 1_500;
+/** After its start, a router waits at most this long for the list of the others. */
+const LIST_WAIT_MILLISECONDS = 1_000;
+/** After its start, a router of a large fleet learns for this long which others are preferred. */
+const PREFERRED_DISCOVERY_MILLISECONDS = 1_500;
+/** Others leave the preferred routers of a large fleet this much time to start to watch. */
+const WATCHER_DISCOVERY_MILLISECONDS = 3_000;
 /** A watching router that has been silent for this long is replaced. */
 const WATCHER_TIMEOUT_MILLISECONDS = 1_000;
 /** A watching router known only from listings is replaced after this much silence. */
 const LISTED_WATCHER_TIMEOUT_MILLISECONDS = 2_500;
-/** A router that sent this one no report for longer is taken to report only to others. */
-const NO_DIRECT_REPORTS_MILLISECONDS = 5_000;
 
 /**
- * Larger configurations are only announced, and every router reads them from the
- * store: a collector would otherwise send a copy to each router of its data centre.
+ * Larger configurations are only announced: every router would otherwise receive
+ * a copy from each collector of its data centre.
  */
 const MAXIMUM_PUSHED_ROUTES = 50;
+/**
+ * Announced configurations up to this size are fetched from the announcing
+ * router. Larger ones are read from the store, since a collector would have to
+ * send a copy to each router of its data centre.
+ */
+const MAXIMUM_FETCHED_ROUTES = 300;
 /** Time for reading an announced version before it is fetched from a peer. */
 const ANNOUNCED_READ_MILLISECONDS = 1_500;
 
 /** A new version, with its content if the configuration is small. */
 interface _ConfigurationAnnouncement {
   readonly version: number;
+  readonly routes: number;
   readonly configuration?: GatewayConfiguration;
 }
 
 /** The content is validated later, and only if the version is new. */
 const _announcementSchema = z.object({
   version: z.number().int(),
+  routes: z.number().int(),
   configuration: z.unknown().optional(),
 });
 
@@ -71,6 +82,8 @@
   readonly relayAddresses: (isWatching: boolean) => readonly SocketAddress[];
   /** Whether the fleet is so large that changes are relayed by collectors. */
   readonly isHierarchical: () => boolean;
+  /** Whether this router has listed the others since its start. */
+  readonly hasListedRouters: () => boolean;
   /** Whether changes would reach this router through its peers. */
   readonly receivesFromCollectors: () => boolean;
   readonly now: () => number;
@@ -138,42 +151,63 @@
 
   /** Whether too few higher-ranked routers watch the registry. */
   #shouldWatch(): boolean {
-    const {
-      receivesFromCollectors,
-      isHierarchical,
-      now,
-    } = this.#options;
-    this.#startedAt ??= now();
-    const isSettling = now() - this.#startedAt < WATCHER_DISCOVERY_MILLISECONDS;
-    if (isSettling && isHierarchical()) return false;
+    const { receivesFromCollectors } = this.#options;
+    if (this.#isDiscovering()) return false;
     if (!receivesFromCollectors()) return true;
-    let watchers = 0;
+    const watchers = this.#countPreferred(({ isWatching }) => isWatching);
+    return watchers < WATCHER_COUNT;
+  }
+
+  /**
+   * Whether this router has started so recently that it may not know the
+   * watching routers. If all routers of a fleet start together and watch at
+   * once, every registration completes a call of each of them.
+   */
+  #isDiscovering(): boolean {
+    const { now, hasListedRouters, isHierarchical } = this.#options;
+    this.#startedAt ??= now();
+    const uptime = now() - this.#startedAt;
+    if (!hasListedRouters()) return uptime < LIST_WAIT_MILLISECONDS;
+    if (!isHierarchical()) return false;
+    const isPreferred = this.#countPreferred(() => true) < WATCHER_COUNT;
+    return uptime <
+      (isPreferred
+        ? PREFERRED_DISCOVERY_MILLISECONDS
+        : WATCHER_DISCOVERY_MILLISECONDS);
+  }
+
+  /** Number of live routers that rank before this one and match. */
+  #countPreferred(matches: (listing: RouterListing) => boolean): number {
+    let count = 0;
     for (const peer of this.#options.peers()) {
-      if (!peer.listing?.isWatching || !this.#isAlive(peer)) continue;
-      if (isPreferredCollector(peer.listing, this.#options)) watchers++;
+      const { listing } = peer;
+      if (!listing || !matches(listing) || !this.#isAlive(peer)) continue;
+      if (isPreferredCollector(listing, this.#options)) count++;
     }
-    return watchers < WATCHER_COUNT;
+    return count;
   }
 
   #isAlive({ directAt, heardAt }: GatewayPeer): boolean {
-    const now = this.#options.now();
-    const silence = now - directAt;
-    if (silence < WATCHER_TIMEOUT_MILLISECONDS) return true;
-    return silence > NO_DIRECT_REPORTS_MILLISECONDS &&
-      now - heardAt < LISTED_WATCHER_TIMEOUT_MILLISECONDS;
+    // A router that now reports only to others is known from their listings.
+    const isListed = heardAt > directAt;
+    const limit = isListed
+      ? LISTED_WATCHER_TIMEOUT_MILLISECONDS
+      : WATCHER_TIMEOUT_MILLISECONDS;
+    return this.#options.now() - heardAt < limit;
   }
 
   /** Limits the watching routers of a large fleet: a version completes all their watch calls. */
   #decideConfigurationWatch(): ConfigurationWatch {
+    if (this.#isDiscovering()) return "not";
     if (!this.#options.isHierarchical()) return "for_itself";
     return this.#shouldWatch() ? "for_others" : "not";
   }
 
   #relayConfiguration(configuration: GatewayConfiguration): void {
     if (!this.#options.isHierarchical()) return;
-    const { version, routes } = configuration;
-    const isPushed = routes.length <= MAXIMUM_PUSHED_ROUTES;
-    this.#announce(isPushed ? { version, configuration } : { version });
+    const { version, routes: { length: routes } } = configuration;
+    const isPushed = routes <= MAXIMUM_PUSHED_ROUTES;
+    this.#announce({ version, routes, ...(isPushed && { configuration }) });
   }
 
   #announce(announcement: _ConfigurationAnnouncement): void {
@@ -196,13 +230,16 @@
       return this.#logIgnored(from.host, "gateway.configuration", "malformed");
     }
     const { state } = this.#options;
-    const { version, configuration } = announcement.data;
+    const { version, routes, configuration } = announcement.data;
     // Several routers relay the same version.
     if (version <= state.versions().configurationVersion) return;
     if (configuration === undefined) {
+      if (routes <= MAXIMUM_FETCHED_ROUTES) {
+        return this.#fetchFrom(from.address);
+      }
       state.requestRead(version);
       this.#readDeadline = this.#options.now() + ANNOUNCED_READ_MILLISECONDS;
-      return this.#announce({ version });
+      return this.#announce({ version, routes });
     }
     const parsed = gatewayConfigurationSchema.safeParse(configuration);
     if (parsed.success) state.adoptConfiguration(parsed.data, from.host);
@@ -217,8 +254,12 @@
     }
     const { state } = this.#options;
     if (state.registryTask.receive(changes.data, from.host)) return;
+    this.#fetchFrom(from.address);
+  }
+
+  #fetchFrom(address: SocketAddress): void {
     for (const peer of this.#options.peers()) {
-      if (peer.address === from.address) void this.#fetch(peer);
+      if (peer.address === address) void this.#fetch(peer);
     }
   }
 
--- /dev/null
+++ b/src/store_calls_test.ts
@@ -0,0 +1,71 @@
+/** Store calls of whole fleets over a calm day, in simulated time. */
+import test from "ava";
+import type { StoreOperation } from "./fleet_store.ts";
+import { testConfiguration, testRoute } from "../stand_ins/gateway_fleet.ts";
+import { SimulatedGatewayFleet } from "../stand_ins/gateway_peer_fleet.ts";
+import { testServer } from "../stand_ins/registered_servers.ts";
+
+const ROUTERS = 98;
+const SERVERS = 60;
+/** Backend servers that start with the fleet register one after the other. */
+const REGISTRATION_PAUSE_MILLISECONDS = 100;
+const CALM_MILLISECONDS = 20_000;
+const RELEASED_SERVERS = 6;
+const RELEASE_PAUSE_MILLISECONDS = 1_000;
+const MAXIMUM_CALLS_PER_ROUTER = 8;
+const ROUTES = Array.from({ length: 130 }, (_, index) => `r${index}`);
+
+type _Calls = Map<StoreOperation, number>;
+
+function countCalls(fleet: SimulatedGatewayFleet): _Calls {
+  const calls: _Calls = new Map();
+  for (const { store } of fleet.routers) {
+    store.onCall = (operation) =>
+      void calls.set(operation, (calls.get(operation) ?? 0) + 1);
+  }
+  return calls;
+}
+
+function publish(fleet: SimulatedGatewayFleet, version: number): void {
+  fleet.memory.setConfiguration(
+    testConfiguration(version, ROUTES.map((name) => testRoute(name))),
+  );
+}
+
+/** Plays a start, a calm time, a release of servers and two new versions. */
+async function playDay(fleet: SimulatedGatewayFleet): Promise<void> {
+  publish(fleet, 1);
+  await fleet.start();
+  for (let index = 0; index < SERVERS; index++) {
+    fleet.memory.setServer(testServer(`s${index}`));
+    await fleet.advance(REGISTRATION_PAUSE_MILLISECONDS);
+  }
+  await fleet.advance(CALM_MILLISECONDS);
+  publish(fleet, 2);
+  for (let index = 0; index < RELEASED_SERVERS; index++) {
+    const old = testServer(`s${index}`, { isDraining: true });
+    fleet.memory.setServer(testServer(`new-${index}`));
+    fleet.memory.setServer(old);
+    await fleet.advance(RELEASE_PAUSE_MILLISECONDS);
+    fleet.memory.removeServer(old.id);
+  }
+  publish(fleet, 3);
+  await fleet.advance(CALM_MILLISECONDS);
+}
+
+test.serial("guards against store calls that grow with the fleet: a start, a release and two versions", async (t) => {
+  const fleet = new SimulatedGatewayFleet({
+    routers: ROUTERS,
+    dataCentres: 6,
+  });
+  const calls = countCalls(fleet);
+  t.teardown(() => fleet.stop());
+  await playDay(fleet);
+  const sum = [...calls.values()].reduce((total, count) => total + count, 0);
+  t.log(`${(sum / ROUTERS).toFixed(1)} calls a router`, [...calls]);
+  const versions = fleet.routers.map(({ state }) =>
+    state.versions().configurationVersion
+  );
+  t.deepEqual([...new Set(versions)], [3]);
+  t.true(sum / ROUTERS <= MAXIMUM_CALLS_PER_ROUTER);
+});
--- a/stand_ins/gateway_peer_fleet.ts
+++ b/stand_ins/gateway_peer_fleet.ts
@@ -222,7 +222,7 @@
     const address = brandId<SocketAddress>(`10.0.0.${index}:1`);
     const incarnation = brandId<IncarnationId>(`life-${index}`);
     const { timers } = this;
-    const store = new MemoryFleetStore(this.memory);
+    const store = new MemoryFleetStore(this.memory, timers);
     const random = createSeededRandom(index + 1);
     const log = createDecisionLog({
       clock: timers.clock,
--- a/stand_ins/memory_fleet_store.ts
+++ b/stand_ins/memory_fleet_store.ts
@@ -16,9 +16,11 @@
   type RegistrationChanges,
   type RouterRecord,
   type StoredConfiguration,
+  type StoreOperation,
   type StoreResult,
 } from "../src/fleet_store.ts";
 
+import type { TimerService } from "../src/timer_service.ts";
 import { Waiters } from "./waiters.ts";
 
 interface _Change extends RegistrationChange {
@@ -59,11 +61,17 @@
   wait(milliseconds: number): Promise<void> {
     return this.#waiters.wait(milliseconds);
   }
+
+  /** Ends all waits, for example after a timeout in simulated time. */
+  wake(): void {
+    this.#waiters.wake();
+  }
 }
 
 /** A client of an in-memory fleet. */
 export class MemoryFleetStore extends FleetStore {
   readonly #fleet: MemoryFleet;
+  readonly #timers: TimerService | undefined;
   #failure: ApplicationError | undefined;
   #blocksWatches = false;
   /** Number of pending server watches. */
@@ -71,9 +79,11 @@
   /** Number of pending configuration watches. */
   waitingConfigurationWatches = 0;
 
-  constructor(fleet: MemoryFleet) {
+  /** With a timer service, watches time out in its time. */
+  constructor(fleet: MemoryFleet, timers?: TimerService) {
     super();
     this.#fleet = fleet;
+    this.#timers = timers;
   }
 
   /** Makes all calls of this client fail or succeed again. */
@@ -89,7 +99,7 @@
   }
 
   override async readConfiguration(): StoreResult<StoredConfiguration> {
-    return this.#respond(() => ({
+    return this.#respond("list", () => ({
       revision: this.#fleet.revision,
       configuration: this.#fleet.configuration,
     }));
@@ -105,7 +115,7 @@
       waitMilliseconds,
     );
     this.waitingConfigurationWatches--;
-    return this.#respond(() => ({
+    return this.#respond("watch", () => ({
       revision: this.#fleet.revision,
       configuration: this.#fleet.configurationRevision > afterRevision
         ? this.#fleet.configuration
@@ -114,7 +124,7 @@
   }
 
   override async listServers(): StoreResult<RegistrationList> {
-    return this.#respond(() => ({
+    return this.#respond("list", () => ({
       revision: this.#fleet.revision,
       servers: [...this.#fleet.servers.values()],
     }));
@@ -127,48 +137,63 @@
     const newerChanges = () =>
       this.#fleet.changes.filter(({ revision }) => revision > afterRevision);
     if (afterRevision < this.#fleet.compactedRevision) {
+      this.onCall("watch", "platform_history_lost");
       return err(createError("platform_history_lost", "forgotten"));
     }
     this.waitingServerWatches++;
     await this.#waitUntil(() => newerChanges().length > 0, waitMilliseconds);
     this.waitingServerWatches--;
-    return this.#respond(() => ({
+    return this.#respond("watch", () => ({
       revision: this.#fleet.revision,
       changes: newerChanges(),
     }));
   }
 
   override async registerRouter(record: RouterRecord): StoreResult<void> {
-    return this.#respond(() => {
+    return this.#respond("create", () => {
       this.#fleet.routers.set(record.host, record);
     });
   }
 
   override async removeRouter(host: HostId): StoreResult<void> {
-    return this.#respond(() => {
+    return this.#respond("remove", () => {
       this.#fleet.routers.delete(host);
     });
   }
 
   override async listRouters(): StoreResult<readonly RouterRecord[]> {
-    return this.#respond(() => [...this.#fleet.routers.values()]);
+    return this.#respond("list", () => [...this.#fleet.routers.values()]);
   }
 
   override async close(): Promise<void> {}
 
-  #respond<T>(read: () => T): Result<T, ApplicationError> {
+  #respond<T>(
+    operation: StoreOperation,
+    read: () => T,
+  ): Result<T, ApplicationError> {
+    this.onCall(operation, this.#failure?.kind ?? "ok");
     return this.#failure ? err(this.#failure) : ok(read());
   }
 
+  #now(): number {
+    return this.#timers?.clock.monotonicMilliseconds() ?? Date.now();
+  }
+
   async #waitUntil(
     isReady: () => boolean,
     waitMilliseconds: number,
   ): Promise<void> {
-    const end = Date.now() + waitMilliseconds;
+    const end = this.#now() + waitMilliseconds;
+    const timeout = this.#timers?.after(
+      waitMilliseconds,
+      "watch timeout",
+      () => this.#fleet.wake(),
+    );
     while (!this.#failure && (this.#blocksWatches || !isReady())) {
-      const remaining = end - Date.now();
-      if (remaining <= 0) return;
+      const remaining = end - this.#now();
+      if (remaining <= 0) break;
       await this.#fleet.wait(remaining);
     }
+    timeout?.cancel();
   }
 }
