Let a restarting router finish its own first read before it asks a peer

Change: the first configuration of a process is not announced, and for one second a router that can use the store neither fetches announced versions nor the state of a peer that is ahead.

--- a/src/gateway_state_task.ts
+++ b/src/gateway_state_task.ts
@@ -57,6 +57,12 @@
 /** Whether a router watches the configuration, for itself or for others. */
 export type ConfigurationWatch = "for_itself" | "for_others" | "not";
 
+/** Called with an applied configuration and whether it is the first. */
+export type ConfigurationListener = (
+  next: GatewayConfiguration,
+  isFirst: boolean,
+) => void;
+
 /** Current versions of the state. */
 export interface StateVersions {
   readonly configurationVersion: number;
@@ -70,8 +76,7 @@
   readonly #options: GatewayStateTaskOptions;
   readonly #storeHealth: StoreHealth;
   readonly #listeners: (() => void)[] = [];
-  readonly #configurationListeners: ((next: GatewayConfiguration) => void)[] =
-    [];
+  readonly #configurationListeners: ConfigurationListener[] = [];
   #decideWatch: () => ConfigurationWatch = () => "for_itself";
   #table: RouteTable | undefined;
   #configurationRevision = 0;
@@ -125,13 +130,19 @@
     return this.registryTask.isWatching && !this.#storeHealth.isUnavailable;
   }
 
+  /** Whether a call for the configuration or the registry failed last. */
+  get isStoreUnavailable(): boolean {
+    return this.#storeHealth.isUnavailable ||
+      this.registryTask.storeHealth.isUnavailable;
+  }
+
   /** Sets the function that decides whether this router watches the store. */
   setWatchDecision(decideWatch: () => ConfigurationWatch): void {
     this.#decideWatch = decideWatch;
   }
 
   /** Calls the listener with every configuration that is applied. */
-  onConfiguration(listener: (next: GatewayConfiguration) => void): void {
+  onConfiguration(listener: ConfigurationListener): void {
     this.#configurationListeners.push(listener);
   }
 
@@ -251,7 +262,7 @@
       routes: configuration.routes.length,
     });
     for (const listener of this.#configurationListeners) {
-      listener(configuration);
+      listener(configuration, current === 0);
     }
     this.#notify();
   }
--- a/src/state_catch_up.ts
+++ b/src/state_catch_up.ts
@@ -52,6 +52,12 @@
  * send a copy to each router of its data centre.
  */
 const MAXIMUM_FETCHED_ROUTES = 300;
+/**
+ * A router that has just started reads its state from the store; after this time
+ * it fetches the state from a peer. When a whole fleet restarts, the first routers
+ * would otherwise have to send their state to all others.
+ */
+const FIRST_READ_MILLISECONDS = 1_000;
 /** Time for reading an announced version before it is fetched from a peer. */
 const ANNOUNCED_READ_MILLISECONDS = 1_500;
 
@@ -98,17 +104,21 @@
   #announcedVersion = 0;
   /** Until when announced versions are read, not fetched from a peer. */
   #readDeadline = -Infinity;
+  readonly #createdAt: number;
   #startedAt: number | undefined;
 
   constructor(options: StateCatchUpOptions) {
     this.#options = options;
+    this.#createdAt = options.now();
     const { network, state } = options;
     state.registryTask.setWatchDecision(() => this.#shouldWatch());
     state.setWatchDecision(() => this.#decideConfigurationWatch());
     state.registryTask.onChange((changes) =>
       this.#relay("gateway.registry", changes)
     );
-    state.onConfiguration((next) => this.#relayConfiguration(next));
+    state.onConfiguration((next, isFirst) =>
+      this.#relayConfiguration(next, isFirst)
+    );
     network.handle("gateway.state", () => state.state());
     network.handle(
       "gateway.registry",
@@ -127,7 +137,6 @@
   /** Fetches from a peer that has been ahead for longer than a relayed change takes. */
   fetchIfBehind(): void {
     const now = this.#options.now();
-    const { state } = this.#options;
     for (const peer of this.#options.peers()) {
       if (!this.#isAhead(peer)) {
         peer.behindSince = undefined;
@@ -136,10 +145,17 @@
       peer.behindSince ??= now;
       const isOverdue = now - peer.behindSince >= CATCH_UP_DELAY_MILLISECONDS &&
         now >= this.#readDeadline;
-      if (isOverdue || !state.isKnown()) void this.#fetch(peer);
+      if (isOverdue && !this.#isFirstReadPending()) void this.#fetch(peer);
     }
   }
 
+  /** Whether this router has just started and still reads from the store. */
+  #isFirstReadPending(): boolean {
+    const { state, now } = this.#options;
+    const isPending = !state.isKnown() && !state.isStoreUnavailable;
+    return isPending && now() - this.#createdAt < FIRST_READ_MILLISECONDS;
+  }
+
   #isAhead({ report }: GatewayPeer): boolean {
     if (!report) return false;
     const { state } = this.#options;
@@ -203,9 +219,14 @@
     return this.#shouldWatch() ? "for_others" : "not";
   }
 
-  #relayConfiguration(configuration: GatewayConfiguration): void {
+  #relayConfiguration(
+    configuration: GatewayConfiguration,
+    isFirst: boolean,
+  ): void {
     if (!this.#options.isHierarchical()) return;
     const { version, routes: { length: routes } } = configuration;
+    // Others that start at the same time read their first version themselves.
+    if (isFirst) return void (this.#announcedVersion = version);
     const isPushed = routes <= MAXIMUM_PUSHED_ROUTES;
     this.#announce({ version, routes, ...(isPushed && { configuration }) });
   }
@@ -233,6 +254,7 @@
     const { version, routes, configuration } = announcement.data;
     // Several routers relay the same version.
     if (version <= state.versions().configurationVersion) return;
+    if (this.#isFirstReadPending()) return state.requestRead(version);
     if (configuration === undefined) {
       if (routes <= MAXIMUM_FETCHED_ROUTES) {
         return this.#fetchFrom(from.address);
--- a/src/state_catch_up_test.ts
+++ b/src/state_catch_up_test.ts
@@ -116,3 +116,35 @@
   await fleet.advance(100);
   t.deepEqual([...versionsOf(fleet)], [3]);
 });
+
+test.serial("guards against the first routers of a restarting fleet having to send their state to all others", async (t) => {
+  const fleet = new SimulatedGatewayFleet({ routers: 24, dataCentres: 4 });
+  publish(fleet, 1, 130);
+  fleet.memory.setServer(testServer("s0"));
+  fleet.routers.forEach(({ store }, index) => {
+    store.listDelayMilliseconds = 100 + 20 * index;
+  });
+  await fleet.start();
+  t.teardown(() => fleet.stop());
+  await fleet.advance(APPLY_MILLISECONDS);
+  t.deepEqual([...versionsOf(fleet)], [1]);
+  t.is(fleet.configurationCopies, 0);
+});
+
+test.serial("guards against a router that starts without the store waiting for it instead of asking a peer", async (t) => {
+  const fleet = new SimulatedGatewayFleet({ routers: 24, dataCentres: 4 });
+  publish(fleet, 1, 130);
+  fleet.memory.setServer(testServer("s0"));
+  const [refused, silent] = fleet.routers as [
+    SimulatedGateway,
+    SimulatedGateway,
+  ];
+  refused.store.setFailing(true);
+  silent.store.listDelayMilliseconds = 60_000;
+  await fleet.start();
+  t.teardown(() => fleet.stop());
+  await fleet.advance(1_000);
+  t.is(refused.state.versions().configurationVersion, 1);
+  await fleet.advance(1_000);
+  t.is(silent.state.versions().configurationVersion, 1);
+});
--- a/stand_ins/memory_fleet_store.ts
+++ b/stand_ins/memory_fleet_store.ts
@@ -74,6 +74,8 @@
   readonly #timers: TimerService | undefined;
   #failure: ApplicationError | undefined;
   #blocksWatches = false;
+  /** Time until lists respond, in milliseconds; needs a timer service. */
+  listDelayMilliseconds = 0;
   /** Number of pending server watches. */
   waitingServerWatches = 0;
   /** Number of pending configuration watches. */
@@ -99,6 +101,7 @@
   }
 
   override async readConfiguration(): StoreResult<StoredConfiguration> {
+    await this.#delayList();
     return this.#respond("list", () => ({
       revision: this.#fleet.revision,
       configuration: this.#fleet.configuration,
@@ -124,6 +127,7 @@
   }
 
   override async listServers(): StoreResult<RegistrationList> {
+    await this.#delayList();
     return this.#respond("list", () => ({
       revision: this.#fleet.revision,
       servers: [...this.#fleet.servers.values()],
@@ -175,6 +179,11 @@
     return this.#failure ? err(this.#failure) : ok(read());
   }
 
+  async #delayList(): Promise<void> {
+    if (this.listDelayMilliseconds === 0) return;
+    await this.#timers?.sleep(this.listDelayMilliseconds, "list delay");
+  }
+
   #now(): number {
     return this.#timers?.clock.monotonicMilliseconds() ?? Date.now();
   }
