Bound the bytes of a server that are no response

Cause: the parser limits each head, but a server that repeats interim responses, empty lines, chunk sizes or extensions, or sends an event or a discarded error body without end was read until the deadline of the request, and the body of a response that was discarded for a retry without any limit in size or time. Change: for each response, the bytes read from the socket less those of the body are limited to 256 KiB and eight bytes per byte of the body; one event to 1 MiB; a discarded response to 64 KiB and one second; bytes on an idle connection close it. The connection is closed, the request ends as work that may have run (or is repeated where that is allowed), the server counts as failing, and one log line and a counter name the phase. The splitter scans each byte of an event once.

--- a/src/backend_connections.ts
+++ b/src/backend_connections.ts
@@ -7,6 +7,7 @@
 import { buildConnector, Client, type Dispatcher, errors } from "undici";
 import type { RegisteredServer } from "./core/server_registry.ts";
 import type { BackendServerId } from "./core/ids.ts";
+import type { ResponsePhase } from "./core/response_byte_limit.ts";
 import { createIdleLimits, type ResetAfterIdle } from "./core/idle_limits.ts";
 
 export const CONNECT_TIMEOUT_MILLISECONDS = 500;
@@ -29,6 +30,10 @@
   hasSocketError(): boolean;
   /** Time since the previous request; undefined on the first request. */
   readonly idleMilliseconds: number | undefined;
+  /** Bytes read since the connection was opened. */
+  bytesRead(): number;
+  /** Calls the listener when bytes were read, before they are parsed. */
+  onRead(listener: () => void): void;
 }
 
 /** The pool of connections to all backend servers. */
@@ -48,6 +53,8 @@
   ): void;
   /** Records that a server sent a response that belongs to no request. */
   recordStrayResponse(server: BackendServerId, now: number): void;
+  /** Records that a response was ended because of its excess bytes. */
+  recordExcess(excess: ExcessBytes): void;
   /** Closes the idle connections of removed servers. */
   retain(isKept: (server: BackendServerId) => boolean): void;
   close(): Promise<void>;
@@ -64,7 +71,10 @@
   readonly client: Client;
   idleMilliseconds: number | undefined;
   releasedAt = 0;
+  /** Bytes read when the connection became idle. */
+  releasedBytes = 0;
   socket: Socket | undefined;
+  #readListener: () => void = () => undefined;
 
   constructor(server: RegisteredServer, connector: _Connector) {
     this.server = server.id;
@@ -80,6 +90,8 @@
         connector(options, (error, socket) => {
           if (error) return callback(error, null);
           this.socket = socket;
+          // Registered before the parser's own listener.
+          socket.on("readable", () => this.#readListener());
           callback(null, socket);
         }),
     });
@@ -96,6 +108,14 @@
     return Boolean(this.socket?.errored);
   }
 
+  bytesRead(): number {
+    return this.socket?.bytesRead ?? 0;
+  }
+
+  onRead(listener: () => void): void {
+    this.#readListener = listener;
+  }
+
   isOpen(): boolean {
     return !this.client.destroyed && this.socket !== undefined &&
       !this.socket.destroyed;
@@ -112,11 +132,23 @@
 export interface BackendConnectionsOptions {
   /** Called when the idle limit of a service's connections is lowered. */
   readonly onIdleLimit?: (service: string, milliseconds: number) => void;
+  /** Called when a connection is closed because of bytes that are no response. */
+  readonly onExcess?: (excess: ExcessBytes) => void;
+}
+
+/** Bytes of a server that are not part of a response's body. */
+export interface ExcessBytes {
+  readonly server: BackendServerId;
+  /** The request on the connection; undefined while it was idle. */
+  readonly requestId?: string;
+  readonly bytes: number;
+  readonly phase: ResponsePhase;
 }
 
 /** Creates an empty pool; connections are opened on demand. */
 export function createBackendConnections(
-  { onIdleLimit = () => undefined }: BackendConnectionsOptions = {},
+  { onIdleLimit = () => undefined, onExcess = () => undefined }:
+    BackendConnectionsOptions = {},
 ): BackendConnections {
   const connector = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
   const idleConnections = new Map<BackendServerId, _Connection[]>();
@@ -148,6 +180,15 @@
     return connection;
   }
 
+  /** Closes an idle connection on which bytes arrived: they belong to no request. */
+  function discardIfStray(connection: _Connection): void {
+    const excessBytes = connection.bytesRead() - connection.releasedBytes;
+    if (excessBytes <= 0) return;
+    recordStrayResponse(connection.server, performance.now());
+    onExcess({ server: connection.server, bytes: excessBytes, phase: "idle" });
+    discard(connection);
+  }
+
   function recordStrayResponse(server: BackendServerId, now: number): void {
     strayResponses++;
     singleUseUntil.set(server, now + SINGLE_USE_MILLISECONDS);
@@ -183,12 +224,15 @@
       if (!canKeep) return discard(connection);
       idleConnections.set(connection.server, list);
       list.push(connection);
+      connection.releasedBytes = connection.bytesRead();
+      connection.onRead(() => discardIfStray(connection));
     },
     recordReset(server, reset, now) {
       const limit = idleLimits.recordReset(server.service, reset, now);
       if (limit !== undefined) onIdleLimit(server.service, limit);
     },
     recordStrayResponse,
+    recordExcess: onExcess,
     retain(isKept) {
       for (const [server, list] of idleConnections) {
         if (isKept(server)) continue;
--- a/src/backend_exchange.ts
+++ b/src/backend_exchange.ts
@@ -8,6 +8,11 @@
   BackendConnection,
   BackendConnections,
 } from "./backend_connections.ts";
+import {
+  createResponseByteLimit,
+  type ResponseByteLimit,
+  type ResponsePhase,
+} from "./core/response_byte_limit.ts";
 import type { RegisteredServer } from "./core/server_registry.ts";
 import type {
   GatewayProtocol,
@@ -23,6 +28,9 @@
 const BAD_GATEWAY = 502;
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
+/** Bytes of a discarded response that are read so that its connection is kept. */
+const MAXIMUM_DISCARDED_BYTES = 64 * 1024;
+
 /** Status and headers of the response to the request. */
 export interface ResponseHead {
   readonly status: number;
@@ -79,6 +87,10 @@
 export interface Exchange {
   /** Aborts the exchange at once; the listener is not called again. */
   cancel(): void;
+  /** Ignores the rest of the response, which still has to end. */
+  discard(): void;
+  /** Ends a response whose bytes never form what its format requires. */
+  rejectExcess(phase: ResponsePhase, bytes: number): void;
   /** Stops reading the response until `resume`. */
   pause(): void;
   resume(): void;
@@ -122,6 +134,9 @@
   #released = false;
   #sent = false;
   #sentAt = 0;
+  #limit: ResponseByteLimit | undefined;
+  #isDiscarding = false;
+  #discardedBytes = 0;
 
   constructor(options: ExchangeOptions) {
     this.#options = options;
@@ -159,6 +174,21 @@
     this.#release(false);
   }
 
+  discard(): void {
+    this.#isDiscarding = true;
+  }
+
+  rejectExcess(phase: ResponsePhase, bytes: number): void {
+    const { connections, server, requestId, listener } = this.#options;
+    connections.recordExcess({ server: server.id, requestId, bytes, phase });
+    const detail = `the server sent ${bytes} excess bytes (${phase})`;
+    const sink = this.#sink;
+    this.#sink = undefined;
+    this.#reportOnce(() => listener.onOutcomeUnknown(detail));
+    this.cancel();
+    sink?.onEnd(false, detail);
+  }
+
   pause(): void {
     this.#controller?.pause();
   }
@@ -179,6 +209,8 @@
     }
     this.#sent = true;
     this.#sentAt = this.#now();
+    this.#limit = createResponseByteLimit(this.#connection.bytesRead());
+    this.#connection.onRead(() => this.#checkBytes());
   }
 
   onResponseStart(
@@ -203,7 +235,13 @@
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
-    if (!this.#cancelled) this.#sink?.onData(chunk);
+    if (this.#cancelled) return;
+    this.#limit?.addBody(chunk.length);
+    if (this.#sink && !this.#isDiscarding) return this.#sink.onData(chunk);
+    this.#discardedBytes += chunk.length;
+    if (this.#discardedBytes > MAXIMUM_DISCARDED_BYTES) {
+      this.rejectExcess("discarded", this.#discardedBytes);
+    }
   }
 
   onResponseEnd(): void {
@@ -254,6 +292,12 @@
     });
   }
 
+  #checkBytes(): void {
+    const excess = this.#limit?.excessAfterRead(this.#connection.bytesRead());
+    if (excess === undefined || this.#released) return;
+    this.rejectExcess(this.#sink ? "body" : "head", excess);
+  }
+
   #endsWithConnection(status: number, headers: ResponseHeaders): boolean {
     const hasBody = this.#options.method !== "HEAD" &&
       !BODILESS_STATUSES.has(status);
--- a/src/backend_exchange_test.ts
+++ b/src/backend_exchange_test.ts
@@ -21,6 +21,8 @@
     dispatch: (_options, handler) => void handlers.push(handler),
     hasSocketError: () => false,
     idleMilliseconds: undefined,
+    bytesRead: () => 0,
+    onRead: () => undefined,
   };
   const connections: BackendConnections = {
     acquire: () => connection,
@@ -28,6 +30,7 @@
       void releasedReusable.push(isReusable),
     recordReset: () => undefined,
     recordStrayResponse: () => undefined,
+    recordExcess: () => undefined,
     retain: () => undefined,
     close: () => Promise.resolve(),
     openedCount: () => 1,
--- a/src/core/event_stream.ts
+++ b/src/core/event_stream.ts
@@ -11,6 +11,10 @@
   readonly events: number;
 }
 
+/** A server whose event exceeds this size is taken to send no events. */
+export const MAXIMUM_EVENT_BYTES = 1024 * 1024;
+/** Length of the longest end of an event, a blank line. */
+const EVENT_END_BYTES = 3;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = /^id:[ ]?(.*)$/;
@@ -37,8 +41,10 @@
       : chunk;
     let start = 0;
     let events = 0;
+    // The end of an event may be split between two chunks.
+    const firstUnread = Math.max(0, this.#pending.length - EVENT_END_BYTES);
     for (
-      let end = _eventEnd(all, 0);
+      let end = _eventEnd(all, firstUnread);
       end > 0;
       end = _eventEnd(all, end)
     ) {
--- a/src/decision_log.ts
+++ b/src/decision_log.ts
@@ -26,6 +26,7 @@
   "peer.message_ignored": "state",
   "server.excluded": "state",
   "service.idle_limit": "state",
+  "server.excess_bytes": "failure",
   "router.removed": "state",
   "lines.dropped": "state",
   "request.malformed": "failure",
--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -153,6 +153,11 @@
         service,
         milliseconds: Math.round(milliseconds),
       }),
+    onExcess(excess) {
+      metrics.excessResponses.inc({ phase: excess.phase });
+      const { requestId: request, ...fields } = excess;
+      log.write("server.excess_bytes", { request, ...fields });
+    },
   });
   const network = createTcpPeerNetwork({
     ...toListenAddress(addresses.peers),
--- a/src/gateway_metrics.ts
+++ b/src/gateway_metrics.ts
@@ -108,6 +108,13 @@
       help: "Answers of backend servers that belonged to no request",
       registers,
     }),
+    excessResponses: new Counter({
+      name: `${prefix}excess_responses_total`,
+      help:
+        "Connections closed because a server sent bytes that are no response, by phase",
+      labelNames: ["phase"],
+      registers,
+    }),
     droppedLines: new Gauge({
       name: `${prefix}dropped_log_lines`,
       help: "Log lines dropped to keep the volume bounded",
--- a/src/operations_page_test.ts
+++ b/src/operations_page_test.ts
@@ -25,6 +25,7 @@
       "first_byte_seconds",
       "state_age_seconds",
       "routers",
+      "excess_responses_total",
       "stray_answers",
       "dropped_log_lines",
       "event_gap_seconds",
--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -214,7 +214,7 @@
   }
 
   #onNotRun(status: number): void {
-    this.#attempt?.finish("not_run");
+    this.#attempt?.discard("not_run");
     this.#onFailure("not_run", `the server responded with ${status}`);
   }
 
@@ -228,7 +228,7 @@
     this.#runs++;
     if (this.#response.headersSent && head.status >= FIRST_ERROR_STATUS) {
       // An error response cannot continue a stream that has begun.
-      this.#attempt?.finish("server_error");
+      this.#attempt?.discard("server_error");
       this.#onFailure("broken", `resuming failed with status ${head.status}`);
       return _discardingSink;
     }
@@ -245,7 +245,7 @@
     if (!this.#choose() || this.#nextStep("server_error") !== "retry") {
       return false;
     }
-    this.#attempt?.finish("server_error");
+    this.#attempt?.discard("server_error");
     this.#log.retried(
       this.#progress(),
       "server_error",
--- a/src/request_attempt.ts
+++ b/src/request_attempt.ts
@@ -21,6 +21,9 @@
 /** Lowest status that counts as a failure of the server. */
 export const SERVER_ERROR_STATUS = 500;
 
+/** A discarded response that takes longer is cut off. */
+const DISCARD_TIMEOUT_MILLISECONDS = 1_000;
+
 /** Dependencies shared by all attempts. */
 export interface AttemptContext {
   readonly connections: BackendConnections;
@@ -91,13 +94,23 @@
   /** Ends the attempt and cancels its exchange. */
   cancel(result: string): void {
     if (this.#isFinished) return;
-    this.finish(result);
+    this.#finish(result);
     this.exchange.cancel();
   }
 
-  /** Ends the attempt; the rest of a response is read and discarded. */
-  finish(result: string): void {
+  /** Ends the attempt; the rest of a short response is read and discarded. */
+  discard(result: string): void {
     if (this.#isFinished) return;
+    this.#finish(result);
+    this.exchange.discard();
+    this.#context.timers.after(
+      DISCARD_TIMEOUT_MILLISECONDS,
+      "discarded response",
+      () => this.exchange.cancel(),
+    );
+  }
+
+  #finish(result: string): void {
     this.#isFinished = true;
     this.#responseTimer.cancel();
     this.#context.load.requestEnded(this.server.id);
--- a/src/response_relay.ts
+++ b/src/response_relay.ts
@@ -7,6 +7,7 @@
 import {
   createEventSplitter,
   type EventSplitter,
+  MAXIMUM_EVENT_BYTES,
 } from "./core/event_stream.ts";
 import type { RouteKind } from "./core/gateway_configuration.ts";
 import type {
@@ -107,6 +108,10 @@
     if (this.#splitter) {
       const { bytes } = this.#splitter.push(chunk);
       if (bytes.length > 0) this.#write(bytes);
+      const { pendingBytes } = this.#splitter;
+      if (pendingBytes > MAXIMUM_EVENT_BYTES) {
+        this.#exchange?.rejectExcess("event", pendingBytes);
+      }
       return;
     }
     if (!this.#isBuffering) return this.#write(chunk);
