Divide allowances by a steady count of routers; keep restarts off stale peers

Cause: a router that was paused, or had just started, hears no other router for a moment and took the retry allowance of the whole fleet; all routers of a fleet that restarts did so together. A router that was still reading its first state from the store fetched the state of a peer when that peer relayed a registry change: with peers that are behind it used an outdated configuration, and with it withdrawn keys and removed servers, until the store answered. Change: the count that divides the allowance falls with a half-life of 2 s, does not fall during a pause, and includes known routers for 5 s after the start. A relayed change no longer makes a starting router fetch a peer's state.

--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -237,7 +237,7 @@
         ratio: () => tuning.retries.ratio * RETRY_ALLOWANCE_RATIO,
         allowance: () =>
           tuning.retries.fleetAllowance * RETRY_ALLOWANCE_RATIO /
-          peers.liveRouters(),
+          peers.sharingRouters(),
       });
       budgets.set(service, budget);
     }
--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -4,6 +4,7 @@
  * the state from a peer, so it stays up to date while it cannot use the store.
  */
 import type { EntryRouter } from "./core/entry_addresses.ts";
+import { createFleetSize } from "./core/fleet_size.ts";
 import type { SocketAddress } from "./core/ids.ts";
 import type { RandomSource } from "./core/random.ts";
 import type { DecisionLog } from "./decision_log.ts";
@@ -48,6 +49,8 @@
 const HEARTBEAT_TICKS = 8;
 /** Interval of reports to a silent peer. */
 const RETRY_MILLISECONDS = 1_000;
+/** Time after the start in which known routers count before they are heard. */
+const START_MILLISECONDS = 5_000;
 /** A silent peer that is not a seed is removed after this time. */
 const PEER_EXPIRY_MILLISECONDS = 30_000;
 
@@ -70,6 +73,8 @@
   readonly #catchUp: StateCatchUp;
   readonly #discovery: RouterDiscovery;
   readonly #hierarchy: ReportHierarchy;
+  readonly #fleetSize = createFleetSize();
+  #startedAt = Number.NEGATIVE_INFINITY;
   #serverIds: ServerIdsByHash = new Map();
   #tick = 0;
   #wasServing = false;
@@ -124,6 +129,9 @@
     );
     network.handle("gateway.peers", (body, from) => this.#onPeers(body, from));
     for (const seed of seeds) this.#peers.add(seed);
+    this.#startedAt = this.#now();
+    this.#updateFleetSize();
+    this.#catchUp.start();
     this.#subscriptions.push(
       timers.every(TICK_MILLISECONDS, "gateway reports", () => this.#onTick()),
     );
@@ -165,6 +173,11 @@
     return live;
   }
 
+  /** Number of routers among which a fleet-wide allowance is divided. */
+  sharingRouters(): number {
+    return this.#fleetSize.size;
+  }
+
   override describe(): unknown {
     const now = this.#now();
     return [...this.#peers.all()].map((peer) => ({
@@ -180,6 +193,13 @@
     return this.#options.timers.clock.monotonicMilliseconds();
   }
 
+  #updateFleetSize(): void {
+    const now = this.#now();
+    const isStarting = now - this.#startedAt < START_MILLISECONDS;
+    const known = isStarting ? this.#peers.size + 1 : 1;
+    this.#fleetSize.update(Math.max(known, this.liveRouters()), now);
+  }
+
   #indexServers(): void {
     const { servers } = this.#options.state.registry.list();
     this.#serverIds = indexServerIds(servers.map(({ id }) => id));
@@ -191,6 +211,7 @@
     if (this.#tick % COLLECTOR_UPDATE_TICKS === 0) this.#hierarchy.update();
     this.#tick++;
     load.expire(now);
+    this.#updateFleetSize();
     const isUrgent = isServing() !== this.#wasServing;
     if (isUrgent) {
       this.#wasServing = !this.#wasServing;
--- a/src/report_hierarchy_test.ts
+++ b/src/report_hierarchy_test.ts
@@ -188,3 +188,26 @@
   await fleet.advance(PROPAGATION_MILLISECONDS);
   t.deepEqual([...loadsSeen(fleet.routers)], [48]);
 });
+
+test.serial("guards against routers that start together each taking the allowance of the whole fleet", async (t) => {
+  const fleet = new SimulatedGatewayFleet({ routers: 14, dataCentres: 4 });
+  await fleet.start();
+  t.teardown(() => fleet.stop());
+  await fleet.advance(100);
+  for (const { peers } of fleet.routers) t.is(peers.sharingRouters(), 14);
+});
+
+test.serial("guards against a router that hears nobody for seconds taking the allowance of the whole fleet", async (t) => {
+  const fleet = new SimulatedGatewayFleet({ routers: 14, dataCentres: 4 });
+  await fleet.start();
+  t.teardown(() => fleet.stop());
+  await fleet.advance(6_000);
+  const [paused, ...others] = fleet.routers as [
+    SimulatedGateway,
+    ...SimulatedGateway[],
+  ];
+  for (const { identity } of others) paused.blocked.add(identity.address);
+  await fleet.advance(2_000);
+  t.is(paused.peers.liveRouters(), 1);
+  t.true(paused.peers.sharingRouters() > 7, `${paused.peers.sharingRouters()}`);
+});
--- a/src/state_catch_up.ts
+++ b/src/state_catch_up.ts
@@ -104,12 +104,12 @@
   #announcedVersion = 0;
   /** Until when announced versions are read, not fetched from a peer. */
   #readDeadline = -Infinity;
-  readonly #createdAt: number;
-  #startedAt: number | undefined;
+  #startedAt = Number.NEGATIVE_INFINITY;
+  /** When this router first had the state that a watch continues. */
+  #knownSince: number | undefined;
 
   constructor(options: StateCatchUpOptions) {
     this.#options = options;
-    this.#createdAt = options.now();
     const { network, state } = options;
     state.registryTask.setWatchDecision(() => this.#shouldWatch());
     state.setWatchDecision(() => this.#decideConfigurationWatch());
@@ -130,6 +130,10 @@
     );
   }
 
+  start(): void {
+    this.#startedAt = this.#options.now();
+  }
+
   stop(): void {
     this.#isStopped = true;
   }
@@ -153,7 +157,7 @@
   #isFirstReadPending(): boolean {
     const { state, now } = this.#options;
     const isPending = !state.isKnown() && !state.isStoreUnavailable;
-    return isPending && now() - this.#createdAt < FIRST_READ_MILLISECONDS;
+    return isPending && now() - this.#startedAt < FIRST_READ_MILLISECONDS;
   }
 
   #isAhead({ report }: GatewayPeer): boolean {
@@ -181,8 +185,8 @@
    */
   #isDiscovering(): boolean {
     const { now, hasListedRouters, isHierarchical } = this.#options;
-    this.#startedAt ??= now();
-    const uptime = now() - this.#startedAt;
+    this.#knownSince ??= now();
+    const uptime = now() - this.#knownSince;
     if (!hasListedRouters()) return uptime < LIST_WAIT_MILLISECONDS;
     if (!isHierarchical()) return false;
     const isPreferred = this.#countPreferred(() => true) < WATCHER_COUNT;
@@ -280,6 +284,7 @@
   }
 
   #fetchFrom(address: SocketAddress): void {
+    if (this.#isFirstReadPending()) return;
     for (const peer of this.#options.peers()) {
       if (peer.address === address) void this.#fetch(peer);
     }
--- a/src/state_catch_up_test.ts
+++ b/src/state_catch_up_test.ts
@@ -148,3 +148,31 @@
   await fleet.advance(1_000);
   t.is(silent.state.versions().configurationVersion, 1);
 });
+
+test.serial("guards against a restarted router using an outdated configuration or a removed server of a peer that is behind", async (t) => {
+  const fleet = new SimulatedGatewayFleet({ routers: 6, dataCentres: 2 });
+  publish(fleet, 1);
+  fleet.memory.setServer(testServer("left"));
+  const restarted = fleet.routers.pop() as SimulatedGateway;
+  await fleet.start();
+  t.teardown(() => fleet.stop());
+  await fleet.advance(2_000);
+  for (const { store } of fleet.routers) store.setWatchesBlocked(true);
+  publish(fleet, 2);
+  fleet.memory.removeServer(testServer("left").id);
+  // The store answers after the peers' first reports have arrived.
+  restarted.store.listDelayMilliseconds = 400;
+  const versions: number[] = [];
+  restarted.state.onConfiguration(({ version }) => void versions.push(version));
+  let hasServed = false;
+  restarted.state.onChange(() => {
+    hasServed ||= restarted.state.registry.get(testServer("left").id) !==
+      undefined;
+  });
+  await restarted.state.start();
+  await restarted.peers.start();
+  await fleet.advance(1_000);
+  fleet.routers.push(restarted);
+  t.deepEqual(versions, [2]);
+  t.false(hasServed, "a server that had left was in use");
+});
