Rely on registered capacities when a large fleet restarts

Cause: a router that has just started did not know the capacity of the others, so it ranked itself first, took itself for a collector and, without sums of the other data centres, contacted every router of the fleet. When all hosts come back at once, each handshake costs processor time on both sides just when callers wait. Change: the record of a router holds its capacity; for half a second after a router knows that the fleet is large, it reports only to the collectors that it computes from the records. Ruled out: one second; routers that start one after the other then learn too late that their collectors do not run yet (report_hierarchy_test, 48 routers). Conclusion: the work of a restart no longer grows with the fleet.

--- a/src/fleet_store.ts
+++ b/src/fleet_store.ts
@@ -31,6 +31,8 @@
   readonly dataCentre: DataCentreId;
   /** Where other routers connect. */
   readonly address: SocketAddress;
+  /** Relative capacity of the host; 0 if unknown. */
+  readonly capacity: number;
 }
 
 /** A stored object that is invalid and therefore ignored. */
--- a/src/gateway_peer.ts
+++ b/src/gateway_peer.ts
@@ -18,6 +18,8 @@
   identity: PeerIdentity | undefined;
   /** Last report received from the peer; undefined while it is silent. */
   report: GatewayReport | undefined;
+  /** Relative capacity that it registered in the store; 0 if unknown. */
+  registeredCapacity: number;
   /** Last listing by the peer or a collector; undefined while it is silent. */
   listing: RouterListing | undefined;
   /** When any router last received its report. */
@@ -52,6 +54,7 @@
     name: undefined,
     identity: undefined,
     report: undefined,
+    registeredCapacity: 0,
     listing: undefined,
     heardAt: Number.NEGATIVE_INFINITY,
     directAt: Number.NEGATIVE_INFINITY,
--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -111,8 +111,8 @@
       timers,
       log: options.log,
       random: options.random,
-      self: { host, dataCentre, address },
-      onFound: (found) => void this.#peers.add(found.address, found),
+      self: { host, dataCentre, address, capacity: options.capacity },
+      onFound: (found) => this.#peers.addRegistered(found),
       isCovered: () =>
         this.#hierarchy.isHierarchical && !this.#hierarchy.needsSummary,
     });
--- a/src/gateway_peers.ts
+++ b/src/gateway_peers.ts
@@ -5,6 +5,7 @@
   type GatewayPeer,
   type RouterIdentity,
 } from "./gateway_peer.ts";
+import type { RouterRecord } from "./fleet_store.ts";
 import type { GatewayReport, RouterListing } from "./gateway_peer_messages.ts";
 import type { PeerIdentity } from "./peer_network.ts";
 
@@ -51,6 +52,12 @@
     return peer;
   }
 
+  /** Adds a router that is registered in the store. */
+  addRegistered({ address, capacity, ...name }: RouterRecord): void {
+    const peer = this.add(address, name);
+    if (peer) peer.registeredCapacity = capacity;
+  }
+
   /** Records a report from a peer; returns whether the peer has just joined. */
   recordReport(
     peer: GatewayPeer,
--- a/src/report_hierarchy.ts
+++ b/src/report_hierarchy.ts
@@ -11,6 +11,7 @@
   isPreferredCollector,
   MAXIMUM_DIRECT_ROUTERS,
 } from "./core/collectors.ts";
+import { ownCandidate, peerCandidate } from "./collector_candidates.ts";
 import {
   type FleetLoad,
   REPORT_LIFETIME_MILLISECONDS,
@@ -38,6 +39,13 @@
 const LISTED_ROUTER_TIMEOUT_MILLISECONDS = 4_000;
 /** A collector silent for this long is not relied on to relay changes. */
 const COLLECTOR_TIMEOUT_MILLISECONDS = 1_000;
+/**
+ * After its start, a router relies for this long on the collectors that it
+ * computes from the store's records. If all routers of a restarting fleet asked
+ * every other router instead, their connections would grow with the square of
+ * the fleet.
+ */
+const START_MILLISECONDS = 500;
 /** How often a router that does not respond is tried again. */
 const RETRY_PERIOD_MILLISECONDS = 6_000;
 const FLEET_SOURCE = "fleet";
@@ -74,6 +82,8 @@
   #isHierarchical = false;
   #isCollecting = false;
   #source: _CountSource = "reports";
+  /** When the fleet was first known to be large. */
+  #hierarchicalSince: number | undefined;
 
   constructor(options: ReportHierarchyOptions) {
     this.#options = options;
@@ -157,8 +167,10 @@
     const peers = [...this.#options.peers()];
     this.#isHierarchical = peers.length > MAXIMUM_DIRECT_ROUTERS;
     this.#payloads.clear();
-    if (this.#isHierarchical) this.#assignPayloads(peers);
-    else this.#isCollecting = false;
+    if (this.#isHierarchical) {
+      this.#hierarchicalSince ??= this.#options.now();
+      this.#assignPayloads(peers);
+    } else this.#isCollecting = false;
     const source = this.#chooseSource();
     if (source === this.#source) return;
     this.#source = source;
@@ -252,13 +264,15 @@
 
   #assignPayloads(peers: readonly GatewayPeer[]): void {
     const { dataCentre, address } = this.#options;
+    const now = this.#options.now();
     const groups = new Map<DataCentreId, CollectorCandidate[]>();
-    groups.set(dataCentre, [this.#ownCandidate()]);
+    groups.set(dataCentre, [ownCandidate(this.#options)]);
     for (const peer of peers) {
       if (!peer.name) continue;
       const group = groups.get(peer.name.dataCentre) ?? [];
       groups.set(peer.name.dataCentre, group);
-      group.push(this.#candidate(peer, peer.name));
+      const isSilent = this.isSilent(peer);
+      group.push(peerCandidate(peer, { ...peer.name, isSilent, now }));
     }
     const local = chooseCollectors(groups.get(dataCentre) ?? []);
     this.#localCollectors = local.map((candidate) => candidate.address);
@@ -271,7 +285,7 @@
     for (const [other, candidates] of groups) {
       if (other === dataCentre) continue;
       // Without a sum of a data centre, all of its routers are contacted.
-      const collectors = this.#cache.hasDataCentre(other)
+      const collectors = this.#cache.hasDataCentre(other) || this.#isStarting()
         ? chooseCollectors(candidates)
         : candidates;
       for (const collector of collectors) {
@@ -282,7 +296,7 @@
 
   /** Sends sums to local routers that report here, or own reports to ask for a sum. */
   #assignLocal(peers: readonly GatewayPeer[]): void {
-    const { needsSummary } = this;
+    const needsSummary = this.needsSummary && !this.#isStarting();
     const hasSummary = this.#isCollecting || this.#cache.isCurrent();
     for (const peer of peers) {
       const silence = this.#options.now() - peer.reportedAsMemberAt;
@@ -297,36 +311,10 @@
     }
   }
 
-  #ownCandidate(): CollectorCandidate {
-    const { address, host, dataCentre, capacity } = this.#options;
-    return {
-      address,
-      host,
-      dataCentre,
-      capacity,
-      directAgeMilliseconds: 0,
-      seenAgeMilliseconds: 0,
-      unansweredMilliseconds: 0,
-    };
-  }
-
-  #candidate(
-    peer: GatewayPeer,
-    { host, dataCentre }: NonNullable<GatewayPeer["name"]>,
-  ): CollectorCandidate {
-    const now = this.#options.now();
-    const { address, unansweredSince } = peer;
-    return {
-      address,
-      host,
-      dataCentre,
-      capacity: peer.listing?.capacity ?? 0,
-      directAgeMilliseconds: now - peer.directAt,
-      seenAgeMilliseconds: this.isSilent(peer) ? Infinity : now - peer.heardAt,
-      unansweredMilliseconds: unansweredSince === undefined
-        ? 0
-        : now - unansweredSince,
-    };
+  #isStarting(): boolean {
+    const { now } = this.#options;
+    const since = this.#hierarchicalSince ?? now();
+    return now() - since < START_MILLISECONDS;
   }
 
   #receiveDataCentre(peer: GatewayPeer, summary: ReportSummary): void {
--- a/src/report_hierarchy_test.ts
+++ b/src/report_hierarchy_test.ts
@@ -173,7 +173,7 @@
   fleet.memory.setServer(testServer("s0"));
   // The store still holds the records of the routers' previous processes.
   for (const { identity } of fleet.routers) {
-    fleet.memory.routers.set(identity.host, identity);
+    fleet.memory.routers.set(identity.host, { ...identity, capacity: 1 });
   }
   await fleet.start(75);
   t.teardown(() => fleet.stop());
@@ -211,3 +211,32 @@
   t.is(paused.peers.liveRouters(), 1);
   t.true(paused.peers.sharingRouters() > 7, `${paused.peers.sharingRouters()}`);
 });
+
+/** Two strong hosts in each of six data centres. */
+function capacityOf(index: number): number {
+  return index < 12 ? 1.35 : 0.3;
+}
+
+test.serial("guards against every router of a restarting fleet contacting every other one", async (t) => {
+  const perRouter: number[] = [];
+  for (const routers of [48, 96]) {
+    const fleet = new SimulatedGatewayFleet({
+      routers,
+      dataCentres: 6,
+      capacity: capacityOf,
+    });
+    t.teardown(() => fleet.stop());
+    // The store still holds the records of the routers' previous processes.
+    fleet.routers.forEach(({ identity }, index) => {
+      const record = { ...identity, capacity: capacityOf(index) };
+      fleet.memory.routers.set(identity.host, record);
+    });
+    await fleet.start();
+    await fleet.advance(500);
+    perRouter.push(fleet.messagesSent() / routers);
+  }
+  const [small = 0, large = 0] = perRouter;
+  t.log(`${small.toFixed(1)} and ${large.toFixed(1)} messages a router`);
+  t.true(large < 1.3 * small);
+  t.true(large < 30);
+});
--- a/src/router_discovery_test.ts
+++ b/src/router_discovery_test.ts
@@ -21,6 +21,7 @@
     host: brandId<HostId>(name),
     dataCentre: brandId<DataCentreId>("north"),
     address: brandId<SocketAddress>(`${name}:1`),
+    capacity: 1,
   };
 }
 
