Look at all peers of a large fleet every 200 ms instead of every 50 ms

Cause: at 195 routers each process checked 194 peers for silence, and counted the live ones, 20 times a second, hashed host names for each comparison of two routers with the same capacity, and built candidates of all data centres although only collectors use them. Processor time per idle router: not measured before and after.

--- a/src/core/collectors.ts
+++ b/src/core/collectors.ts
@@ -6,7 +6,7 @@
  * therefore preferred.
  */
 import type { DataCentreId, HostId, SocketAddress } from "./ids.ts";
-import { hash32 } from "./hash32.ts";
+import { cachedHash32 } from "./hash32.ts";
 
 /** Largest number of routers that report to each other without collectors. */
 export const MAXIMUM_DIRECT_ROUTERS = 20;
@@ -38,7 +38,7 @@
   right: Pick<CollectorCandidate, "capacity" | "host">,
 ): boolean {
   if (left.capacity !== right.capacity) return left.capacity > right.capacity;
-  return hash32(left.host) < hash32(right.host);
+  return cachedHash32(left.host) < cachedHash32(right.host);
 }
 
 /** Whether a router reported or responded recently, or is due for a retry. */
--- a/src/core/hash32.ts
+++ b/src/core/hash32.ts
@@ -59,6 +59,19 @@
   return (mixed ^ (mixed >>> 16)) >>> 0;
 }
 
+const MAXIMUM_CACHED_NAMES = 8_192;
+const _nameHashes = new Map<string, number>();
+
+/** Returns the hash of a name that is hashed again and again. */
+export function cachedHash32(name: string): number {
+  const known = _nameHashes.get(name);
+  if (known !== undefined) return known;
+  if (_nameHashes.size >= MAXIMUM_CACHED_NAMES) _nameHashes.clear();
+  const hash = hash32(name);
+  _nameHashes.set(name, hash);
+  return hash;
+}
+
 /** Returns a 32-bit hash of the UTF-8 bytes of a string, as an unsigned number. */
 export function hash32(value: string): number {
   const bytes = Buffer.from(value);
--- a/src/core/rendezvous.ts
+++ b/src/core/rendezvous.ts
@@ -3,19 +3,7 @@
  * of nodes choose the same node for a key, and when a node joins or leaves,
  * only that node's keys move.
  */
-import { hash32 } from "./hash32.ts";
-
-const MAXIMUM_CACHED_NODES = 8_192;
-const _nodeHashes = new Map<string, number>();
-
-function _nodeHash(node: string): number {
-  const known = _nodeHashes.get(node);
-  if (known !== undefined) return known;
-  if (_nodeHashes.size >= MAXIMUM_CACHED_NODES) _nodeHashes.clear();
-  const hash = hash32(node);
-  _nodeHashes.set(node, hash);
-  return hash;
-}
+import { cachedHash32, hash32 } from "./hash32.ts";
 
 /** The 32-bit finalizer of MurmurHash3: every input bit affects every output bit. */
 function _mix(value: number): number {
@@ -26,7 +14,7 @@
 }
 
 function _score(keyHash: number, node: string): number {
-  return _mix(keyHash ^ Math.imul(_nodeHash(node), 0x9e3779b1));
+  return _mix(keyHash ^ Math.imul(cachedHash32(node), 0x9e3779b1));
 }
 
 /** Returns the score of a node for a key; the highest score wins. */
--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -208,18 +208,18 @@
   #onTick(): void {
     const { load, isServing } = this.#options;
     const now = this.#now();
-    if (this.#tick % COLLECTOR_UPDATE_TICKS === 0) this.#hierarchy.update();
+    // A large fleet has too many peers to look at each of them in every tick.
+    const isUpdate = this.#tick % COLLECTOR_UPDATE_TICKS === 0;
+    if (isUpdate) this.#update(now);
     this.#tick++;
     load.expire(now);
-    this.#updateFleetSize();
     const isUrgent = isServing() !== this.#wasServing;
     if (isUrgent) {
       this.#wasServing = !this.#wasServing;
       this.#peers.recordOwnChange();
     }
     const bodiesByKey = new Map<string, PackedReport>();
-    for (const peer of [...this.#peers.all()]) {
-      this.#handleSilence(peer, now);
+    for (const peer of this.#peers.all()) {
       const payload = this.#hierarchy.payloadFor(peer);
       if (payload === undefined) continue;
       if (isUrgent || this.#isDue(peer, payload)) {
@@ -229,6 +229,12 @@
     this.#catchUp.fetchIfBehind();
   }
 
+  #update(now: number): void {
+    for (const peer of [...this.#peers.all()]) this.#handleSilence(peer, now);
+    this.#hierarchy.update();
+    this.#updateFleetSize();
+  }
+
   /** Sends a report; peers with the same content share one encoded body. */
   #send(
     peer: GatewayPeer,
--- a/src/report_hierarchy.ts
+++ b/src/report_hierarchy.ts
@@ -264,36 +264,47 @@
 
   #assignPayloads(peers: readonly GatewayPeer[]): void {
     const { dataCentre, address } = this.#options;
-    const now = this.#options.now();
-    const groups = new Map<DataCentreId, CollectorCandidate[]>();
-    groups.set(dataCentre, [ownCandidate(this.#options)]);
-    for (const peer of peers) {
-      if (!peer.name) continue;
-      const group = groups.get(peer.name.dataCentre) ?? [];
-      groups.set(peer.name.dataCentre, group);
-      const isSilent = this.isSilent(peer);
-      group.push(peerCandidate(peer, { ...peer.name, isSilent, now }));
-    }
-    const local = chooseCollectors(groups.get(dataCentre) ?? []);
+    const locals = peers.filter(({ name }) => name?.dataCentre === dataCentre);
+    const own = ownCandidate(this.#options);
+    const local = chooseCollectors([own, ...this.#candidates(locals)]);
     this.#localCollectors = local.map((candidate) => candidate.address);
     this.#isCollecting = this.#localCollectors.includes(address);
-    const others = peers.filter(({ name }) => name?.dataCentre === dataCentre);
-    this.#assignLocal(others);
+    this.#assignLocal(locals);
     for (const collector of local) this.#payloads.set(collector.address, "own");
     this.#payloads.delete(address);
-    if (!this.#isCollecting) return;
-    for (const [other, candidates] of groups) {
-      if (other === dataCentre) continue;
+    if (this.#isCollecting) this.#assignRemote(peers);
+  }
+
+  /** Sends the sum of this data centre to the collectors of the others. */
+  #assignRemote(peers: readonly GatewayPeer[]): void {
+    const groups = new Map<DataCentreId, CollectorCandidate[]>();
+    for (const candidate of this.#candidates(peers)) {
+      const group = groups.get(candidate.dataCentre) ?? [];
+      groups.set(candidate.dataCentre, group);
+      group.push(candidate);
+    }
+    groups.delete(this.#options.dataCentre);
+    for (const [dataCentre, candidates] of groups) {
+      const hasSum = this.#cache.hasDataCentre(dataCentre);
       // Without a sum of a data centre, all of its routers are contacted.
-      const collectors = this.#cache.hasDataCentre(other) || this.#isStarting()
+      const recipients = hasSum || this.#isStarting()
         ? chooseCollectors(candidates)
         : candidates;
-      for (const collector of collectors) {
-        this.#payloads.set(collector.address, "data_centre");
+      for (const recipient of recipients) {
+        this.#payloads.set(recipient.address, "data_centre");
       }
     }
   }
 
+  #candidates(peers: readonly GatewayPeer[]): CollectorCandidate[] {
+    const now = this.#options.now();
+    return peers.flatMap((peer) => {
+      if (!peer.name) return [];
+      const isSilent = this.isSilent(peer);
+      return [peerCandidate(peer, { ...peer.name, isSilent, now })];
+    });
+  }
+
   /** Sends sums to local routers that report here, or own reports to ask for a sum. */
   #assignLocal(peers: readonly GatewayPeer[]): void {
     const needsSummary = this.needsSummary && !this.#isStarting();
