Stop ranking the peers once a router has settled

Cause: whether a router still discovers the watching routers was computed from all peers for as long as the process ran. Figures: state_catch_up_test: 9 passed.

--- a/src/state_catch_up.ts
+++ b/src/state_catch_up.ts
@@ -189,6 +189,7 @@
     const { now, hasListedRouters, isHierarchical } = this.#options;
     this.#knownSince ??= now();
     const uptime = now() - this.#knownSince;
+    if (uptime >= WATCHER_DISCOVERY_MILLISECONDS) return false;
     if (!hasListedRouters()) return uptime < LIST_WAIT_MILLISECONDS;
     const isPreferred = this.#countPreferred(() => true) < WATCHER_COUNT;
     if (!isHierarchical()) {
