--- a/src/core/membership_ring.ts
+++ b/src/core/membership_ring.ts
@@ -6,7 +6,7 @@
  */
 import type { Member } from "../membership_view.ts";
 import type { HostId } from "./ids.ts";
-import { hash32 } from "./hash32.ts";
+import { cachedHash32 } from "./hash32.ts";
 
 const MONITORS_PER_MEMBER = 3;
 const SAME_DATA_CENTRE_MONITORS = 2;
@@ -28,21 +28,9 @@
   dataCentreMembersOf(host: HostId): readonly Member[];
 }
 
-const _positionCache = new Map<HostId, number>();
-const MAXIMUM_CACHED_POSITIONS = 8_192;
-
-function _positionOf(host: HostId): number {
-  const cached = _positionCache.get(host);
-  if (cached !== undefined) return cached;
-  if (_positionCache.size >= MAXIMUM_CACHED_POSITIONS) _positionCache.clear();
-  const position = hash32(host);
-  _positionCache.set(host, position);
-  return position;
-}
-
 /** Compares members by ring position, and by host for equal hashes. */
 export function compareRingPositions(left: Member, right: Member): number {
-  const order = _positionOf(left.host) - _positionOf(right.host);
+  const order = cachedHash32(left.host) - cachedHash32(right.host);
   return order !== 0 ? order : left.host < right.host ? -1 : 1;
 }
 
@@ -56,7 +44,7 @@
       const middle = (low + high) >> 1;
       const candidate = ordered[middle] as Member;
       if (candidate.host === host) return middle;
-      const order = _positionOf(candidate.host) - _positionOf(host);
+      const order = cachedHash32(candidate.host) - cachedHash32(host);
       const precedes = order !== 0 ? order < 0 : candidate.host < host;
       if (precedes) low = middle + 1;
       else high = middle - 1;
