Report a registry watch from its start, and share the first watches too

Cause: a router reported that it watches the registry only after its first watch call had returned, up to six seconds later. In these seconds every router of a small fleet counted no watching router and watched as well: eight of eight in simulated time. Second cause: a preferred router watched before it knew any other, so that routers without a listing of the others all counted as preferred. Change: a router reports the watch when it issues the call.

--- a/src/excess_bytes_test.ts
+++ b/src/excess_bytes_test.ts
@@ -16,6 +16,8 @@
 /** The request must end well before its timeout of three seconds. */
 const MAXIMUM_MILLISECONDS = 1_500;
 const PART_BYTES = 16 * 1024;
+/** Calls after which one of two equal servers has received a request. */
+const MAXIMUM_CALLS_UNTIL_CHOSEN = 40;
 const ONCE = "/once/x";
 
 function head(id: string, ...lines: string[]): string {
@@ -162,38 +164,45 @@
   });
 }
 
-test.serial("guards against reading a discarded response without end", async (t) => {
-  const bench = await startBench({ backends: 2 });
-  const [failing] = bench.backends as [RawBackend, RawBackend];
-  const endless: readonly _Form[] = [
-    {
-      name: "the body of an error that is retried",
-      path: "/safe/x",
-      start: (id) => errorHead(id, CHUNKED),
-      part: CHUNK,
-    },
-    {
-      name: "the body of a response that reports that nothing ran",
-      path: "/safe/x",
-      start: () =>
-        `HTTP/1.1 503 Busy\r\n${NAMES.notRun}: 1\r\n${CHUNKED}\r\n\r\n`,
-      part: CHUNK,
-    },
-    {
-      name: "a byte now and then",
-      path: "/safe/x",
-      start: (id) => errorHead(id, "Content-Length: 1000000"),
-      part: "",
-    },
-  ];
-  for (const form of endless) {
+const DISCARDED_FORMS: readonly _Form[] = [
+  {
+    name: "the body of an error that is retried",
+    path: "/safe/x",
+    start: (id) => errorHead(id, CHUNKED),
+    part: CHUNK,
+  },
+  {
+    name: "the body of a response that reports that nothing ran",
+    path: "/safe/x",
+    start: () =>
+      `HTTP/1.1 503 Busy\r\n${NAMES.notRun}: 1\r\n${CHUNKED}\r\n\r\n`,
+    part: CHUNK,
+  },
+  {
+    name: "a byte now and then",
+    path: "/safe/x",
+    start: (id) => errorHead(id, "Content-Length: 1000000"),
+    part: "",
+  },
+];
+
+// A router avoids a server that failed, so each form has servers of its own.
+for (const form of DISCARDED_FORMS) {
+  test.serial(`guards against reading a discarded response without end: ${form.name}`, async (t) => {
+    const bench = await startBench({ backends: 2 });
+    const [failing] = bench.backends as [RawBackend, RawBackend];
     const sockets = scriptForm(failing, form);
-    for (let index = 0; index < 6 && sockets.length === 0; index++) {
+    for (
+      let index = 0;
+      index < MAXIMUM_CALLS_UNTIL_CHOSEN && sockets.length === 0;
+      index++
+    ) {
       t.is((await call(bench, { path: form.path })).status, 200, form.name);
     }
+    t.true(sockets.length > 0, `${form.name}: the server received a request`);
     await expectBounded(t, sockets, form.name);
-  }
-});
+  });
+}
 
 test.serial("guards against bytes after a complete response, at once or later, reaching the next caller", async (t) => {
   const bench = await startBench({ backends: 1 });
--- a/src/registry_task.ts
+++ b/src/registry_task.ts
@@ -54,7 +54,7 @@
     this.storeHealth = new StoreHealth({ ...options, subject: "registry" });
   }
 
-  /** Whether this router watches the store and the store responds. */
+  /** Whether this router watches the store, and its last call did not fail. */
   get isWatching(): boolean {
     return this.#isWatching && !this.storeHealth.isUnavailable;
   }
@@ -131,13 +131,14 @@
         await timers.sleep(IDLE_CHECK_PERIOD_MILLISECONDS, "registry idle");
         continue;
       }
+      // Reported while the call waits, so that others do not start to watch too.
+      this.#isWatching = this.#isListed;
       const failure: ApplicationError | undefined = this.#isListed
         ? await this.#watch(waitMilliseconds)
         : await this.#list();
       if (!this.#running) return;
       if (!failure) {
         this.storeHealth.recordSuccess();
-        this.#isWatching = true;
         const wasWatched = this.#isListed;
         this.#isListed = true;
         if (wasWatched) waitMilliseconds = WATCH_TIMEOUT_MILLISECONDS;
--- a/src/state_catch_up.ts
+++ b/src/state_catch_up.ts
@@ -32,8 +32,10 @@
 const WATCHER_COUNT = 4;
 /** After its start, a router waits at most this long for the list of the others. */
 const LIST_WAIT_MILLISECONDS = 1_000;
+/** After its start, a router of a small fleet learns for this long which others are preferred. */
+const DIRECT_PREFERRED_DISCOVERY_MILLISECONDS = 200;
 /** Others leave the preferred routers of a small fleet this much time to start to watch. */
-const DIRECT_DISCOVERY_MILLISECONDS = 500;
+const DIRECT_DISCOVERY_MILLISECONDS = 1_000;
 /** After its start, a router of a large fleet learns for this long which others are preferred. */
 const PREFERRED_DISCOVERY_MILLISECONDS = 1_500;
 /** Others leave the preferred routers of a large fleet this much time to start to watch. */
@@ -193,7 +195,10 @@
     if (!hasListedRouters()) return uptime < LIST_WAIT_MILLISECONDS;
     const isPreferred = this.#countPreferred(() => true) < WATCHER_COUNT;
     if (!isHierarchical()) {
-      return !isPreferred && uptime < DIRECT_DISCOVERY_MILLISECONDS;
+      return uptime <
+        (isPreferred
+          ? DIRECT_PREFERRED_DISCOVERY_MILLISECONDS
+          : DIRECT_DISCOVERY_MILLISECONDS);
     }
     return uptime <
       (isPreferred
--- a/src/store_calls_test.ts
+++ b/src/store_calls_test.ts
@@ -10,6 +10,11 @@
 /** Backend servers that start with the fleet register one after the other. */
 const REGISTRATION_PAUSE_MILLISECONDS = 100;
 const CALM_MILLISECONDS = 20_000;
+/** Time in which the routers of a small fleet agree on those that watch. */
+const AGREEMENT_MILLISECONDS = 1_500;
+/** Longer than the first watch calls of a router. */
+const FIRST_WATCHES_MILLISECONDS = 8_000;
+const MAXIMUM_WATCHING_ROUTERS = 4;
 const RELEASED_SERVERS = 6;
 const RELEASE_PAUSE_MILLISECONDS = 1_000;
 const MAXIMUM_CALLS_PER_ROUTER = 8;
@@ -69,3 +74,19 @@
   t.deepEqual([...new Set(versions)], [3]);
   t.true(sum / ROUTERS <= MAXIMUM_CALLS_PER_ROUTER);
 });
+
+test.serial("guards against further routers watching the registry while the first watches of the preferred ones wait", async (t) => {
+  const fleet = new SimulatedGatewayFleet({ routers: 8, dataCentres: 1 });
+  t.teardown(() => fleet.stop());
+  publish(fleet, 1);
+  await fleet.start();
+  await fleet.advance(AGREEMENT_MILLISECONDS);
+  const step = 100;
+  for (let time = 0; time < FIRST_WATCHES_MILLISECONDS; time += step) {
+    await fleet.advance(step);
+    const { length } = fleet.routers.filter(({ store }) =>
+      store.waitingServerWatches > 0
+    );
+    t.true(length > 0 && length <= MAXIMUM_WATCHING_ROUTERS, `${length}`);
+  }
+});
