Decode the routes of a configuration without a schema, and only the newest version

Each router checked every route of every version that a watch returned with two schemas: 170 ms of processor time for 1,857 routes the first time and 25 to 75 ms later; 52 ms for the 249 routes of a start. Ruled out: remembering parsed routes by their text. Comparing the texts costs more (8 to 20 ms for 1,857 routes) than decoding them without a schema (0.3 to 6 ms). Of the versions that a watch returns only the newest valid one is decoded. Configurations of peers are parsed the same way.

--- a/src/core/gateway_configuration.ts
+++ b/src/core/gateway_configuration.ts
@@ -9,7 +9,9 @@
 /** A named group of backend servers that serve the same requests. */
 export type ServiceId = Branded<"ServiceId">;
 
-const _name = z.string().min(1).max(256);
+/** Longest name of a route, service, workspace or host, in UTF-16 code units. */
+export const MAXIMUM_NAME_LENGTH = 256;
+const _name = z.string().min(1).max(MAXIMUM_NAME_LENGTH);
 /** Validates the name of a service. */
 export const serviceIdSchema = _name.transform((text) =>
   brandId<ServiceId>(text)
@@ -29,10 +31,11 @@
   weight: z.number().min(0),
 });
 
-const _route = z.object({
+/** Validates one route. */
+export const gatewayRouteSchema = z.object({
   name: _name,
   /** Host name without a port, in lower case. */
-  hostName: z.string().max(256),
+  hostName: z.string().max(MAXIMUM_NAME_LENGTH),
   /** Begins and ends with a slash. */
   pathPrefix: z.string().startsWith("/").endsWith("/"),
   kind: z.enum(ROUTE_KINDS),
@@ -73,30 +76,40 @@
   idleTimeoutMilliseconds: z.number().positive(),
 });
 
-/** Validates one version of a gateway's configuration. */
-export const gatewayConfigurationSchema = z.object({
+/** Validates one version of a gateway's configuration without its routes. */
+export const gatewayConfigurationPartsSchema = z.object({
   /** Rises with every change; gaps are normal. */
   version: z.number(),
-  routes: z.array(_route),
   services: z.array(_service),
   /** Absent if requests need no key. */
   workspaces: z.array(_workspace).optional(),
   bounds: _bounds,
 });
 
+/** Validates one version of a gateway's configuration. */
+export const gatewayConfigurationSchema = gatewayConfigurationPartsSchema
+  .extend({ routes: z.array(gatewayRouteSchema) });
+
 /** One version of a gateway's configuration. */
 export type GatewayConfiguration = z.infer<typeof gatewayConfigurationSchema>;
 /** Which requests a route matches and how they are handled. */
-export type GatewayRoute = z.infer<typeof _route>;
+export type GatewayRoute = z.infer<typeof gatewayRouteSchema>;
 /** A service and its capabilities. */
 export type GatewayService = z.infer<typeof _service>;
 /** A workspace, the API keys that identify it and its priority. */
 export type GatewayWorkspace = z.infer<typeof _workspace>;
 /** Size and time limits of incoming requests. */
 export type RequestBounds = z.infer<typeof _bounds>;
+/** A service that receives a share of a route's requests. */
+export type RouteTarget = GatewayRoute["targets"][number];
 /** Determines whether a route's requests may be run more than once. */
 export type RouteKind = GatewayRoute["kind"];
 
+/** Whether a value is a route kind. */
+export function isRouteKind(value: unknown): value is RouteKind {
+  return (ROUTE_KINDS as readonly unknown[]).includes(value);
+}
+
 /** Whether a request of a route may run more than once. */
 export function isRepeatable(route: GatewayRoute): boolean {
   return route.kind === "idempotent" ||
--- a/src/fleet_store.ts
+++ b/src/fleet_store.ts
@@ -17,6 +17,8 @@
   readonly revision: number;
   /** Undefined before the first configuration is written. */
   readonly configuration: GatewayConfiguration | undefined;
+  /** Number of older versions that a watch has read before this one. */
+  readonly supersededVersions: number;
 }
 
 /** Registration changes up to a revision. */
--- a/src/gateway_state_task.ts
+++ b/src/gateway_state_task.ts
@@ -3,14 +3,14 @@
  * reads them from the fleet's store, watches the store for changes, and accepts
  * newer versions from peers. Versions never decrease.
  */
+import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
-import {
-  type GatewayConfiguration,
-  gatewayConfigurationSchema,
-} from "./core/gateway_configuration.ts";
+import { safeParseConfiguration } from "./core/configuration_parser.ts";
+import type { GatewayConfiguration } from "./core/gateway_configuration.ts";
 import { createRouteTable, type RouteTable } from "./core/route_table.ts";
 import type { RandomSource } from "./core/random.ts";
 import {
+  type RegistrationList,
   registrationListSchema,
   type ServerRegistry,
 } from "./core/server_registry.ts";
@@ -45,14 +45,26 @@
   readonly log: DecisionLog;
 }
 
-/** Schema of the state that a router fetches from a peer. */
-export const gatewayStateSchema = z.object({
-  configuration: gatewayConfigurationSchema.optional(),
+const _state = z.object({
+  configuration: z.unknown().optional(),
   registrations: registrationListSchema,
 });
 
 /** Configuration and registered servers. */
-export type GatewayState = z.infer<typeof gatewayStateSchema>;
+export interface GatewayState {
+  readonly configuration: GatewayConfiguration | undefined;
+  readonly registrations: RegistrationList;
+}
+
+/** Parses the state of a peer, or describes why it is invalid. */
+export function safeParseState(value: unknown): Result<GatewayState, string> {
+  const state = _state.safeParse(value);
+  if (!state.success) return err(z.prettifyError(state.error));
+  const { configuration, registrations } = state.data;
+  if (configuration === undefined) return ok({ configuration, registrations });
+  return safeParseConfiguration(configuration)
+    .map((parsed) => ({ configuration: parsed, registrations }));
+}
 
 /** Whether a router watches the configuration, for itself or for others. */
 export type ConfigurationWatch = "for_itself" | "for_others" | "not";
--- a/src/state_catch_up.ts
+++ b/src/state_catch_up.ts
@@ -5,10 +5,8 @@
  */
 import { z } from "zod";
 import { isPreferredCollector } from "./core/collectors.ts";
-import {
-  type GatewayConfiguration,
-  gatewayConfigurationSchema,
-} from "./core/gateway_configuration.ts";
+import { safeParseConfiguration } from "./core/configuration_parser.ts";
+import type { GatewayConfiguration } from "./core/gateway_configuration.ts";
 import type { HostId, SocketAddress } from "./core/ids.ts";
 import { registryChangesSchema } from "./core/server_registry.ts";
 import type { DecisionLog } from "./decision_log.ts";
@@ -16,8 +14,8 @@
 import type { RouterListing } from "./gateway_peer_messages.ts";
 import {
   type ConfigurationWatch,
-  gatewayStateSchema,
   type GatewayStateTask,
+  safeParseState,
 } from "./gateway_state_task.ts";
 import type {
   PeerIdentity,
@@ -277,8 +275,8 @@
       this.#readDeadline = this.#options.now() + ANNOUNCED_READ_MILLISECONDS;
       return this.#announce({ version, routes });
     }
-    const parsed = gatewayConfigurationSchema.safeParse(configuration);
-    if (parsed.success) state.adoptConfiguration(parsed.data, from.host);
+    const parsed = safeParseConfiguration(configuration);
+    if (parsed.isOk()) state.adoptConfiguration(parsed.value, from.host);
     else this.#logIgnored(from.host, "gateway.configuration", "malformed");
   }
 
@@ -317,9 +315,9 @@
     if (response.isErr()) {
       return this.#logIgnored(host, "gateway.state", response.error.detail);
     }
-    const parsed = gatewayStateSchema.safeParse(response.value);
-    if (parsed.success) state.adopt(parsed.data, host);
-    else this.#logIgnored(host, "gateway.state", z.prettifyError(parsed.error));
+    const parsed = safeParseState(response.value);
+    if (parsed.isOk()) state.adopt(parsed.value, host);
+    else this.#logIgnored(host, "gateway.state", parsed.error);
   }
 
   #logIgnored(peer: string, kind: PeerMessageKind, detail: string): void {
--- a/stand_ins/memory_fleet_store.ts
+++ b/stand_ins/memory_fleet_store.ts
@@ -32,6 +32,8 @@
   revision = 1;
   configuration: GatewayConfiguration | undefined;
   configurationRevision = 0;
+  /** Revisions of all versions; a watch reads each of them. */
+  readonly configurationRevisions: number[] = [];
   readonly servers = new Map<BackendServerId, RegisteredServer>();
   readonly routers = new Map<HostId, RouterRecord>();
   readonly changes: _Change[] = [];
@@ -42,6 +44,7 @@
   setConfiguration(configuration: GatewayConfiguration): void {
     this.configuration = configuration;
     this.configurationRevision = ++this.revision;
+    this.configurationRevisions.push(this.revision);
     this.#waiters.wake();
   }
 
@@ -76,6 +79,8 @@
   #blocksWatches = false;
   /** Time until lists respond, in milliseconds; needs a timer service. */
   listDelayMilliseconds = 0;
+  /** Number of configurations that this client has read. */
+  configurationCopies = 0;
   /** Number of pending server watches. */
   waitingServerWatches = 0;
   /** Number of pending configuration watches. */
@@ -104,7 +109,8 @@
     await this.#delayList();
     return this.#respond("list", () => ({
       revision: this.#fleet.revision,
-      configuration: this.#fleet.configuration,
+      configuration: this.#countCopies(1, this.#fleet.configuration),
+      supersededVersions: 0,
     }));
   }
 
@@ -118,11 +124,14 @@
       waitMilliseconds,
     );
     this.waitingConfigurationWatches--;
+    const { length: versions } = this.#fleet.configurationRevisions
+      .filter((revision) => revision > afterRevision);
     return this.#respond("watch", () => ({
       revision: this.#fleet.revision,
-      configuration: this.#fleet.configurationRevision > afterRevision
-        ? this.#fleet.configuration
+      configuration: versions > 0
+        ? this.#countCopies(versions, this.#fleet.configuration)
         : undefined,
+      supersededVersions: Math.max(0, versions - 1),
     }));
   }
 
@@ -179,6 +188,11 @@
     return this.#failure ? err(this.#failure) : ok(read());
   }
 
+  #countCopies<T>(copies: number, configuration: T): T {
+    if (configuration !== undefined) this.configurationCopies += copies;
+    return configuration;
+  }
+
   async #delayList(): Promise<void> {
     if (this.listDelayMilliseconds === 0) return;
     await this.#timers?.sleep(this.listDelayMilliseconds, "list delay");
