Read only the current version while versions come in quick succession

Cause: a watch returns the content of every version since the last call. Change: an announced version is read with a list call, which returns the current version only. After a watch that returned several versions, the store is read the same way until a read brings nothing newer; then the router watches again. After a version of more than 300 routes the next call follows 700 ms later instead of 400.

--- a/src/gateway_state_task.ts
+++ b/src/gateway_state_task.ts
@@ -15,7 +15,7 @@
   type ServerRegistry,
 } from "./core/server_registry.ts";
 import type { DecisionLog } from "./decision_log.ts";
-import type { FleetStore } from "./fleet_store.ts";
+import type { FleetStore, StoredConfiguration } from "./fleet_store.ts";
 import { createRegistryTask, type RegistryTask } from "./registry_task.ts";
 import { StoreHealth } from "./store_health.ts";
 import { Task } from "./task.ts";
@@ -34,8 +34,12 @@
 /** Minimum of the random first timeout, which spreads the ends of a fleet's watches. */
 const MINIMUM_FIRST_WATCH_MILLISECONDS = 2_000;
 
-/** Delay before the next watch, to read successive versions together: each wakes every router. */
+/** Delay before the next call, to read successive versions together: each wakes every router. */
 const BATCH_MILLISECONDS = 400;
+/** From this size on, reading a version takes a notable share of a small host. */
+const LARGE_CONFIGURATION_ROUTES = 300;
+/** Delay before the next call after a large configuration. */
+const LARGE_BATCH_MILLISECONDS = 700;
 
 /** Options of the state task. */
 export interface GatewayStateTaskOptions {
@@ -94,6 +98,10 @@
   #configurationRevision = 0;
   /** Newest version that a peer announced without sending its content. */
   #announcedVersion = 0;
+  /** Announced version for which the store was read last. */
+  #readForVersion = 0;
+  /** Whether a watch would probably return several versions. */
+  #isBusy = false;
   #running = false;
 
   constructor(options: GatewayStateTaskOptions) {
@@ -235,10 +243,10 @@
       if (decision === "for_others") {
         timeout = Math.min(timeout, SHARED_WATCH_MILLISECONDS);
       }
-      const isFirst = this.#configurationRevision === 0;
-      const result = isFirst
-        ? await store.readConfiguration()
-        : await store.watchConfiguration(this.#configurationRevision, timeout);
+      const isWatch = !this.#readsCurrent();
+      const result = isWatch
+        ? await store.watchConfiguration(this.#configurationRevision, timeout)
+        : await store.readConfiguration();
       if (!this.#running) return;
       if (result.isErr()) {
         if (result.error.kind === "platform_history_lost") {
@@ -246,17 +254,44 @@
         } else await this.#storeHealth.recordFailure(result.error);
         continue;
       }
-      if (!isFirst) timeout = WATCH_MILLISECONDS;
+      if (isWatch) timeout = WATCH_MILLISECONDS;
       this.#storeHealth.recordSuccess();
-      const { revision, configuration } = result.value;
-      if (configuration) this.#apply(configuration, "store");
-      this.#configurationRevision = revision;
-      if (configuration && !isFirst) {
-        await this.#options.timers.sleep(BATCH_MILLISECONDS, "versions");
-      }
+      await this.#applyStored(result.value, isWatch);
     }
   }
 
+  /**
+   * Whether to read the current version instead of waiting for newer ones. A
+   * watch returns the content of every version since the last call, which would
+   * take a host's link and processor while versions come in quick succession.
+   */
+  #readsCurrent(): boolean {
+    if (this.#configurationRevision === 0 || this.#isBusy) return true;
+    const { configurationVersion } = this.versions();
+    const isAnnounced = this.#announcedVersion > configurationVersion &&
+      this.#announcedVersion > this.#readForVersion;
+    if (isAnnounced) this.#readForVersion = this.#announcedVersion;
+    return isAnnounced;
+  }
+
+  async #applyStored(
+    { revision, configuration, supersededVersions }: StoredConfiguration,
+    isWatch: boolean,
+  ): Promise<void> {
+    const isFirst = this.#configurationRevision === 0;
+    const isNewer = configuration !== undefined &&
+      configuration.version > this.versions().configurationVersion;
+    if (configuration) this.#apply(configuration, "store");
+    this.#configurationRevision = revision;
+    this.#isBusy = !isFirst && (isWatch ? supersededVersions > 0 : isNewer);
+    if (isFirst || !isNewer) return;
+    const isLarge = configuration.routes.length > LARGE_CONFIGURATION_ROUTES;
+    await this.#options.timers.sleep(
+      isLarge ? LARGE_BATCH_MILLISECONDS : BATCH_MILLISECONDS,
+      "versions",
+    );
+  }
+
   /** Whether this router must read the store itself. */
   #mustRead(): boolean {
     return !this.isKnown() ||
--- a/src/store_calls_test.ts
+++ b/src/store_calls_test.ts
@@ -18,6 +18,13 @@
 const RELEASED_SERVERS = 6;
 const RELEASE_PAUSE_MILLISECONDS = 1_000;
 const MAXIMUM_CALLS_PER_ROUTER = 8;
+const STORM_VERSIONS = 40;
+const STORM_PAUSE_MILLISECONDS = 200;
+const STORM_ROUTES = 1_000;
+/** Latest application of a version, as the users' bounds have it. */
+const APPLY_MILLISECONDS = 3_000;
+/** Copies of a large configuration that a host's link may carry each second. */
+const MAXIMUM_COPIES_PER_SECOND = 1.5;
 const ROUTES = Array.from({ length: 130 }, (_, index) => `r${index}`);
 
 type _Calls = Map<StoreOperation, number>;
@@ -31,9 +38,13 @@
   return calls;
 }
 
-function publish(fleet: SimulatedGatewayFleet, version: number): void {
+function publish(
+  fleet: SimulatedGatewayFleet,
+  version: number,
+  routes: readonly string[] = ROUTES,
+): void {
   fleet.memory.setConfiguration(
-    testConfiguration(version, ROUTES.map((name) => testRoute(name))),
+    testConfiguration(version, routes.map((name) => testRoute(name))),
   );
 }
 
@@ -90,3 +101,35 @@
     t.true(length > 0 && length <= MAXIMUM_WATCHING_ROUTERS, `${length}`);
   }
 });
+
+for (const routers of [8, 24]) {
+  test.serial(`guards against reading every version of a large configuration while versions come in quick succession: ${routers} routers`, async (t) => {
+    const fleet = new SimulatedGatewayFleet({ routers, dataCentres: 4 });
+    t.teardown(() => fleet.stop());
+    publish(fleet, 1);
+    await fleet.start();
+    await fleet.advance(CALM_MILLISECONDS);
+    const large = Array.from(
+      { length: STORM_ROUTES },
+      (_, index) => `r${index}`,
+    );
+    for (const { store } of fleet.routers) store.configurationCopies = 0;
+    fleet.configurationCopies = 0;
+    for (let version = 2; version < 2 + STORM_VERSIONS; version++) {
+      publish(fleet, version, large);
+      await fleet.advance(STORM_PAUSE_MILLISECONDS);
+    }
+    await fleet.advance(APPLY_MILLISECONDS);
+    const seconds =
+      (STORM_VERSIONS * STORM_PAUSE_MILLISECONDS + APPLY_MILLISECONDS) / 1_000;
+    for (const { state, store } of fleet.routers) {
+      t.is(state.versions().configurationVersion, 1 + STORM_VERSIONS);
+      t.true(
+        store.configurationCopies <= MAXIMUM_COPIES_PER_SECOND * seconds,
+        `${store.configurationCopies} copies`,
+      );
+    }
+    const fetched = fleet.configurationCopies / routers;
+    t.true(fetched <= 1, `${fetched} copies a router from peers`);
+  });
+}
