Rank routers by the capacity that reports carry

Cause: reports carry a host's capacity in hundredths, while a router ranked itself by the exact value. Found by counting messages of fleets with other layouts.

--- a/src/gateway_peer_messages.ts
+++ b/src/gateway_peer_messages.ts
@@ -78,6 +78,14 @@
 const _text = z.string().min(1).max(256);
 /** Fractions and capacities are encoded as integer hundredths. */
 const HUNDREDTHS = 100;
+
+/**
+ * Rounds a host's capacity as reports carry it. Routers rank each other by it, and
+ * one that ranked itself by the exact value would disagree with the others.
+ */
+export function roundCapacity(capacity: number): number {
+  return Math.round(capacity * HUNDREDTHS) / HUNDREDTHS;
+}
 const SERVING_FLAG = 1;
 const WATCHING_FLAG = 2;
 const NEEDS_SUMMARY_FLAG = 4;
--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -16,6 +16,7 @@
   indexServerIds,
   type PackedReport,
   packReport,
+  roundCapacity,
   safeUnpackReport,
   type ServerIdsByHash,
 } from "./gateway_peer_messages.ts";
@@ -394,5 +395,6 @@
 export function createGatewayPeerTask(
   options: GatewayPeerTaskOptions,
 ): GatewayPeerTask {
-  return new GatewayPeerTask(options);
+  const capacity = roundCapacity(options.capacity);
+  return new GatewayPeerTask({ ...options, capacity });
 }
--- a/src/report_hierarchy_test.ts
+++ b/src/report_hierarchy_test.ts
@@ -12,6 +12,8 @@
 const SERVER = brandId<BackendServerId>("s0");
 /** Time for a started fleet to choose its collectors. */
 const SETTLED_MILLISECONDS = 7_000;
+/** Five reports a second to each of two collectors. */
+const MAXIMUM_MEMBER_MESSAGES = 10;
 /** Time within which a change at one router must reach all others. */
 const PROPAGATION_MILLISECONDS = 1_000;
 /** Time within which a change must reach all routers after a failure. */
@@ -91,6 +93,22 @@
   );
 });
 
+test("guards against routers disagreeing about the collectors because reports carry rounded capacities", async (t) => {
+  const fleet = await startFleet(t, {
+    routers: 48,
+    dataCentres: 2,
+    capacity: () => 0.2274,
+  });
+  const before = fleet.routers.map(({ counters }) => counters.messagesSent);
+  await fleet.advance(PROPAGATION_MILLISECONDS);
+  // Most routers report only to the collectors of their data centre.
+  const rates = fleet.routers
+    .map(({ counters }, index) => counters.messagesSent - before[index]!)
+    .sort((left, right) => left - right);
+  const median = rates[rates.length / 2]!;
+  t.true(median <= MAXIMUM_MEMBER_MESSAGES, `${median} messages a second`);
+});
+
 test("guards against choosing hosts of low capacity as collectors", async (t) => {
   const fleet = await startFleet(t, {
     routers: 48,
