--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -28,28 +28,20 @@
   PeerNetwork,
 } from "./peer_network.ts";
 import { ReportHierarchy, type ReportPayload } from "./report_hierarchy.ts";
+import {
+  isListingDue,
+  isReportDue,
+  recordSentReport,
+  type ReportTime,
+} from "./report_schedule.ts";
 import { RouterDiscovery } from "./router_discovery.ts";
 import { StateCatchUp } from "./state_catch_up.ts";
 import { Task } from "./task.ts";
 import type { Subscription } from "./timer_service.ts";
 
 const TICK_MILLISECONDS = 50;
-/** Minimum ticks between reports of changes within a data centre. */
-const LOCAL_REPORT_TICKS = 1;
-/** Minimum ticks between reports of changes across data centres: costly traffic. */
-const REMOTE_REPORT_TICKS = 5;
-/** Minimum ticks between reports to collectors about changes. */
-const COLLECTOR_REPORT_TICKS = 3;
-/** Ticks between summaries. */
-const SUMMARY_TICKS = 5;
-/** Ticks between summaries that list the live routers. */
-const LISTING_TICKS = 20;
 /** Ticks between selections of the collectors. */
 const COLLECTOR_UPDATE_TICKS = 4;
-/** Ticks between reports of a router without changes. */
-const HEARTBEAT_TICKS = 8;
-/** Interval of reports to a silent peer. */
-const RETRY_MILLISECONDS = 1_000;
 /** Time after the start in which known routers count before they are heard. */
 const START_MILLISECONDS = 5_000;
 /** A silent peer that is not a seed is removed after this time. */
@@ -242,8 +234,9 @@
     payload: ReportPayload,
     bodiesByKey: Map<string, PackedReport>,
   ): void {
-    const { directory, load, network } = this.#options;
-    const withListings = payload !== "own" && this.#isListingDue(peer);
+    const { directory, network } = this.#options;
+    const withListings = payload !== "own" &&
+      isListingDue(peer, this.#reportTime());
     const key = `${payload} ${withListings} ${peer.nextReading}`;
     let body = bodiesByKey.get(key);
     if (!body) {
@@ -257,40 +250,30 @@
       bodiesByKey.set(key, body);
     }
     this.#hierarchy.recordSent(peer);
-    peer.sentTick = this.#tick;
-    peer.sentVersion = load.ownVersion;
-    peer.lastSentAt = this.#now();
-    if (withListings) {
-      peer.listingTick = this.#tick;
-      peer.sentListingVersion = this.#peers.listingVersion;
-    }
+    recordSentReport(peer, this.#reportTime(), withListings);
     if (!this.#hierarchy.isSilent(peer)) {
       peer.nextReading = directory.nextSequence;
     }
     network.send(peer.address, "gateway.report", body);
   }
 
-  #isListingDue(peer: GatewayPeer): boolean {
-    return peer.sentListingVersion !== this.#peers.listingVersion ||
-      this.#tick - peer.listingTick >= LISTING_TICKS;
+  #reportTime(): ReportTime {
+    return {
+      tick: this.#tick,
+      now: this.#now(),
+      loadVersion: this.#options.load.ownVersion,
+      listingVersion: this.#peers.listingVersion,
+    };
   }
 
   #isDue(peer: GatewayPeer, payload: ReportPayload): boolean {
-    const ticks = this.#tick - peer.sentTick;
-    if (this.#hierarchy.isUnanswered(peer)) {
-      return this.#now() - peer.lastSentAt >= RETRY_MILLISECONDS;
-    }
-    if (payload !== "own") return ticks >= SUMMARY_TICKS;
-    if (ticks >= HEARTBEAT_TICKS) return true;
-    return peer.sentVersion !== this.#options.load.ownVersion &&
-      ticks >= this.#reportTicks(peer);
-  }
-
-  /** Minimum ticks between two change reports to a peer. */
-  #reportTicks(peer: GatewayPeer): number {
-    if (this.#hierarchy.isHierarchical) return COLLECTOR_REPORT_TICKS;
-    const isNear = peer.name?.dataCentre === this.#options.dataCentre;
-    return isNear ? LOCAL_REPORT_TICKS : REMOTE_REPORT_TICKS;
+    return isReportDue(peer, {
+      ...this.#reportTime(),
+      payload,
+      isUnanswered: this.#hierarchy.isUnanswered(peer),
+      isHierarchical: this.#hierarchy.isHierarchical,
+      isLocal: peer.name?.dataCentre === this.#options.dataCentre,
+    });
   }
 
   #handleSilence(peer: GatewayPeer, now: number): void {
