--- a/src/excess_bytes_test.ts
+++ b/src/excess_bytes_test.ts
@@ -16,6 +16,11 @@
 /** The request must end well before its timeout of three seconds. */
 const MAXIMUM_MILLISECONDS = 1_500;
 const PART_BYTES = 16 * 1024;
+const ENDLESS_RESPONSES = 100;
+const RESPONSE_DELAY_MILLISECONDS = 300;
+/** Growth of the memory of the router and the servers while they arrive. */
+const MAXIMUM_MEMORY_BYTES = 32 * 1024 * 1024;
+const MEMORY_SAMPLE_MILLISECONDS = 5;
 /** Calls after which one of two equal servers has received a request. */
 const MAXIMUM_CALLS_UNTIL_CHOSEN = 40;
 const ONCE = "/once/x";
@@ -115,13 +120,17 @@
 }
 
 /** Makes a server answer each request in a form; returns its connections. */
-function scriptForm(backend: RawBackend, { start, part }: _Form): Socket[] {
+function scriptForm(
+  backend: RawBackend,
+  { start, part }: _Form,
+  delayMilliseconds = 0,
+): Socket[] {
   const sockets: Socket[] = [];
   backend.script(({ id }, response) => {
     const socket = response.socket as Socket;
     sockets.push(socket);
     socket.write(start(id));
-    writeForever(socket, part);
+    setTimeout(() => writeForever(socket, part), delayMilliseconds);
   });
   return sockets;
 }
@@ -204,6 +213,42 @@
   });
 }
 
+test.serial("guards against a hundred endless responses delaying or failing sound requests, or filling memory", async (t) => {
+  const bench = await startBench({ backends: 2 });
+  const [endless, sound] = bench.backends as [RawBackend, RawBackend];
+  const form = FORMS.find(({ name }) => name === "a chunk size without end")!;
+  // All are running before the first one fails and its server is avoided.
+  const sockets = scriptForm(endless, form, RESPONSE_DELAY_MILLISECONDS);
+  sound.script(({ id, path }, response) => {
+    const socket = response.socket as Socket;
+    setTimeout(
+      () => socket.write(responseBytes(id, path)),
+      RESPONSE_DELAY_MILLISECONDS,
+    );
+  });
+  const memory = process.memoryUsage();
+  let peakBytes = 0;
+  const sampling = setInterval(() => {
+    const { heapUsed, external, arrayBuffers } = process.memoryUsage();
+    peakBytes = Math.max(peakBytes, heapUsed + external + arrayBuffers);
+  }, MEMORY_SAMPLE_MILLISECONDS);
+  t.teardown(() => clearInterval(sampling));
+  const calls = Array.from(
+    { length: 2 * ENDLESS_RESPONSES },
+    () =>
+      call(bench, { path: ONCE }).then(({ status }) => status, () => "aborted"),
+  );
+  const statuses = await Promise.all(calls);
+  await expectBounded(t, sockets, form.name);
+  t.true(sockets.length >= ENDLESS_RESPONSES / 2, `${sockets.length} endless`);
+  const served = statuses.filter((status) => status === 200).length;
+  t.is(served, sound.received.length, "every sound response is delivered");
+  const start = memory.heapUsed + memory.external + memory.arrayBuffers;
+  const grown = peakBytes - start;
+  t.log(`${sockets.length} endless responses, ${grown} bytes of memory`);
+  t.true(grown < MAXIMUM_MEMORY_BYTES, `${grown} bytes of memory`);
+});
+
 test.serial("guards against bytes after a complete response, at once or later, reaching the next caller", async (t) => {
   const bench = await startBench({ backends: 1 });
   const [backend] = bench.backends as [RawBackend];
