Let a router without peers watch the registry at once

Since a router of a small fleet waits 200 ms after its start to learn which others are preferred, also if the store lists no other router. Change: a router that has listed the others and knows none does not wait. The test is unchanged.

--- a/src/gateway_state_task.ts
+++ b/src/gateway_state_task.ts
@@ -100,8 +100,8 @@
   #announcedVersion = 0;
   /** Announced version for which the store was read last. */
   #readForVersion = 0;
-  /** Whether a watch would probably return several versions. */
-  #isBusy = false;
+  /** Whether versions come so quickly that a watch would return several. */
+  #changesQuickly = false;
   #running = false;
 
   constructor(options: GatewayStateTaskOptions) {
@@ -266,7 +266,7 @@
    * take a host's link and processor while versions come in quick succession.
    */
   #readsCurrent(): boolean {
-    if (this.#configurationRevision === 0 || this.#isBusy) return true;
+    if (this.#configurationRevision === 0 || this.#changesQuickly) return true;
     const { configurationVersion } = this.versions();
     const isAnnounced = this.#announcedVersion > configurationVersion &&
       this.#announcedVersion > this.#readForVersion;
@@ -283,7 +283,8 @@
       configuration.version > this.versions().configurationVersion;
     if (configuration) this.#apply(configuration, "store");
     this.#configurationRevision = revision;
-    this.#isBusy = !isFirst && (isWatch ? supersededVersions > 0 : isNewer);
+    this.#changesQuickly = !isFirst &&
+      (isWatch ? supersededVersions > 0 : isNewer);
     if (isFirst || !isNewer) return;
     const isLarge = configuration.routes.length > LARGE_CONFIGURATION_ROUTES;
     await this.#options.timers.sleep(
--- a/src/state_catch_up.ts
+++ b/src/state_catch_up.ts
@@ -191,6 +191,7 @@
     const uptime = now() - this.#knownSince;
     if (uptime >= WATCHER_DISCOVERY_MILLISECONDS) return false;
     if (!hasListedRouters()) return uptime < LIST_WAIT_MILLISECONDS;
+    if (!this.#knowsPeers()) return false;
     const isPreferred = this.#countPreferred(() => true) < WATCHER_COUNT;
     if (!isHierarchical()) {
       return uptime <
@@ -204,6 +205,11 @@
         : WATCHER_DISCOVERY_MILLISECONDS);
   }
 
+  #knowsPeers(): boolean {
+    for (const _peer of this.#options.peers()) return true;
+    return false;
+  }
+
   /** Number of live routers that rank before this one and match. */
   #countPreferred(matches: (listing: RouterListing) => boolean): number {
     let count = 0;
