--- a/src/gateway_state_task.ts
+++ b/src/gateway_state_task.ts
@@ -3,12 +3,13 @@
  * reads them from the fleet's store, watches the store for changes, and accepts
  * newer versions from peers. Versions never decrease.
  */
-import { err, ok, type Result } from "neverthrow";
+import { ok, type Result } from "neverthrow";
 import { z } from "zod";
 import { safeParseConfiguration } from "./core/configuration_parser.ts";
 import type { GatewayConfiguration } from "./core/gateway_configuration.ts";
 import { createRouteTable, type RouteTable } from "./core/route_table.ts";
 import type { RandomSource } from "./core/random.ts";
+import { safeParseWith } from "./core/schema_result.ts";
 import {
   type RegistrationList,
   registrationListSchema,
@@ -62,12 +63,14 @@
 
 /** Parses the state of a peer, or describes why it is invalid. */
 export function safeParseState(value: unknown): Result<GatewayState, string> {
-  const state = _state.safeParse(value);
-  if (!state.success) return err(z.prettifyError(state.error));
-  const { configuration, registrations } = state.data;
-  if (configuration === undefined) return ok({ configuration, registrations });
-  return safeParseConfiguration(configuration)
-    .map((parsed) => ({ configuration: parsed, registrations }));
+  return safeParseWith(_state, value).andThen((state) => {
+    const { configuration, registrations } = state;
+    if (configuration === undefined) {
+      return ok({ configuration, registrations });
+    }
+    return safeParseConfiguration(configuration)
+      .map((parsed) => ({ configuration: parsed, registrations }));
+  });
 }
 
 /** Whether a router watches the configuration, for itself or for others. */
