Compute the time of reports once a tick

Cause: since the schedule was split off, the peer task built the tick's time and versions anew for each peer, and again for each report that was sent. Hundredths were rounded in five places, and the discovery times stood in nested conditionals. Change: one value for each tick, handed to the schedule; _toHundredths; #discoveryMilliseconds. Behaviour is unchanged.

--- a/src/gateway_peer_messages.ts
+++ b/src/gateway_peer_messages.ts
@@ -78,14 +78,6 @@
 const _text = z.string().min(1).max(256);
 /** Fractions and capacities are encoded as integer hundredths. */
 const HUNDREDTHS = 100;
-
-/**
- * Rounds a host's capacity as reports carry it. Routers rank each other by it, and
- * one that ranked itself by the exact value would disagree with the others.
- */
-export function roundCapacity(capacity: number): number {
-  return Math.round(capacity * HUNDREDTHS) / HUNDREDTHS;
-}
 const SERVING_FLAG = 1;
 const WATCHING_FLAG = 2;
 const NEEDS_SUMMARY_FLAG = 4;
@@ -129,6 +121,18 @@
 /** Schema for the router addresses that the sender knows. */
 export const gatewayPeersSchema = z.object({ addresses: z.array(_address) });
 
+function _toHundredths(value: number): number {
+  return Math.round(value * HUNDREDTHS);
+}
+
+/**
+ * Rounds a host's capacity as reports carry it. Routers rank each other by it, and
+ * one that ranked itself by the exact value would disagree with the others.
+ */
+export function roundCapacity(capacity: number): number {
+  return _toHundredths(capacity) / HUNDREDTHS;
+}
+
 function _packFlags(
   { isServing, isWatching }: Pick<GatewayReport, "isServing" | "isWatching">,
 ): number {
@@ -156,8 +160,8 @@
     listing.dataCentre,
     listing.callerAddress,
     _packFlags(listing),
-    Math.round(listing.busyShare * HUNDREDTHS),
-    Math.round(listing.capacity * HUNDREDTHS),
+    _toHundredths(listing.busyShare),
+    _toHundredths(listing.capacity),
     Math.round(listing.ageMilliseconds),
   ];
 }
@@ -181,8 +185,8 @@
   return [
     report.callerAddress,
     _packFlags(report) | summaryFlag,
-    Math.round(report.busyShare * HUNDREDTHS),
-    Math.round(report.capacity * HUNDREDTHS),
+    _toHundredths(report.busyShare),
+    _toHundredths(report.capacity),
     report.configurationVersion,
     report.registryRevision,
     report.registryDigest,
--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -56,6 +56,14 @@
   readonly seeds: readonly SocketAddress[];
 }
 
+/** A report that is sent in a tick. */
+interface _Sending {
+  readonly payload: ReportPayload;
+  readonly time: ReportTime;
+  /** Encoded bodies of the tick, by their content. */
+  readonly bodiesByKey: Map<string, PackedReport>;
+}
+
 /** Exchanges reports with the other gateways. */
 export class GatewayPeerTask extends Task {
   override readonly name = "gateway peers";
@@ -211,12 +219,13 @@
       this.#wasServing = !this.#wasServing;
       this.#peers.recordOwnChange();
     }
+    const time = this.#reportTime(now);
     const bodiesByKey = new Map<string, PackedReport>();
     for (const peer of this.#peers.all()) {
       const payload = this.#hierarchy.payloadFor(peer);
       if (payload === undefined) continue;
-      if (isUrgent || this.#isDue(peer, payload)) {
-        this.#send(peer, payload, bodiesByKey);
+      if (isUrgent || this.#isDue(peer, payload, time)) {
+        this.#send(peer, { payload, time, bodiesByKey });
       }
     }
     this.#catchUp.fetchIfBehind();
@@ -231,12 +240,10 @@
   /** Sends a report; peers with the same content share one encoded body. */
   #send(
     peer: GatewayPeer,
-    payload: ReportPayload,
-    bodiesByKey: Map<string, PackedReport>,
+    { payload, time, bodiesByKey }: _Sending,
   ): void {
     const { directory, network } = this.#options;
-    const withListings = payload !== "own" &&
-      isListingDue(peer, this.#reportTime());
+    const withListings = payload !== "own" && isListingDue(peer, time);
     const key = `${payload} ${withListings} ${peer.nextReading}`;
     let body = bodiesByKey.get(key);
     if (!body) {
@@ -250,25 +257,29 @@
       bodiesByKey.set(key, body);
     }
     this.#hierarchy.recordSent(peer);
-    recordSentReport(peer, this.#reportTime(), withListings);
+    recordSentReport(peer, time, withListings);
     if (!this.#hierarchy.isSilent(peer)) {
       peer.nextReading = directory.nextSequence;
     }
     network.send(peer.address, "gateway.report", body);
   }
 
-  #reportTime(): ReportTime {
+  #reportTime(now: number): ReportTime {
     return {
       tick: this.#tick,
-      now: this.#now(),
+      now,
       loadVersion: this.#options.load.ownVersion,
       listingVersion: this.#peers.listingVersion,
     };
   }
 
-  #isDue(peer: GatewayPeer, payload: ReportPayload): boolean {
+  #isDue(
+    peer: GatewayPeer,
+    payload: ReportPayload,
+    time: ReportTime,
+  ): boolean {
     return isReportDue(peer, {
-      ...this.#reportTime(),
+      ...time,
       payload,
       isUnanswered: this.#hierarchy.isUnanswered(peer),
       isHierarchical: this.#hierarchy.isHierarchical,
--- a/src/state_catch_up.ts
+++ b/src/state_catch_up.ts
@@ -186,23 +186,25 @@
    * once, every registration completes a call of each of them.
    */
   #isDiscovering(): boolean {
-    const { now, hasListedRouters, isHierarchical } = this.#options;
+    const { now, hasListedRouters } = this.#options;
     this.#knownSince ??= now();
     const uptime = now() - this.#knownSince;
     if (uptime >= WATCHER_DISCOVERY_MILLISECONDS) return false;
     if (!hasListedRouters()) return uptime < LIST_WAIT_MILLISECONDS;
     if (!this.#knowsPeers()) return false;
+    return uptime < this.#discoveryMilliseconds();
+  }
+
+  #discoveryMilliseconds(): number {
     const isPreferred = this.#countPreferred(() => true) < WATCHER_COUNT;
-    if (!isHierarchical()) {
-      return uptime <
-        (isPreferred
-          ? DIRECT_PREFERRED_DISCOVERY_MILLISECONDS
-          : DIRECT_DISCOVERY_MILLISECONDS);
-    }
-    return uptime <
-      (isPreferred
+    if (this.#options.isHierarchical()) {
+      return isPreferred
         ? PREFERRED_DISCOVERY_MILLISECONDS
-        : WATCHER_DISCOVERY_MILLISECONDS);
+        : WATCHER_DISCOVERY_MILLISECONDS;
+    }
+    return isPreferred
+      ? DIRECT_PREFERRED_DISCOVERY_MILLISECONDS
+      : DIRECT_DISCOVERY_MILLISECONDS;
   }
 
   #knowsPeers(): boolean {
