--- a/bench/gateway_main.ts
+++ b/bench/gateway_main.ts
@@ -6,7 +6,7 @@
   MemoryFleet,
   MemoryFleetStore,
 } from "../stand_ins/memory_fleet_store.ts";
-import { findFreePorts } from "../stand_ins/free_ports.ts";
+import { findFreeAddresses } from "../stand_ins/free_ports.ts";
 import { testServer } from "../stand_ins/registered_servers.ts";
 
 const SLOTS = 1_000;
@@ -25,8 +25,12 @@
 fleet.setServer(
   testServer("server-1", { address: String(options["backend"]), slots: SLOTS }),
 );
-const [callers, entry, status, peers] = (await findFreePorts(4))
-  .map((port) => `127.0.0.1:${port}`) as [string, string, string, string];
+const [callers, entry, status, peers] = await findFreeAddresses(4) as [
+  string,
+  string,
+  string,
+  string,
+];
 const gateway = createGateway({
   host: "entry-1",
   dataCentre: "north",
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -10,7 +10,7 @@
   StoreStandIn,
 } from "../platform/soak_fleet.ts";
 import { createSeededRandom } from "../src/core/random.ts";
-import { findFreePorts } from "../stand_ins/free_ports.ts";
+import { findFreeAddresses } from "../stand_ins/free_ports.ts";
 import { Disturbances } from "./disturbances.ts";
 import { type FaultKind, scheduleFaults } from "./fault_schedule.ts";
 import { LoopbackProxy } from "./loopback_proxy.ts";
@@ -62,8 +62,7 @@
   count: number,
   store: string,
 ): Promise<SoakRouter[]> {
-  const ports = await findFreePorts(count * 4);
-  const addresses = ports.map((port) => `127.0.0.1:${port}`);
+  const addresses = await findFreeAddresses(count * 4);
   return Array.from({ length: count }, (_, index) => {
     const [callers, status, entry, peers] = addresses.slice(index * 4) as [
       string,
--- a/src/core/configuration_parser_test.ts
+++ b/src/core/configuration_parser_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { changedRecords } from "../../stand_ins/changed_records.ts";
 import {
   safeParseConfiguration,
   safeParseRoute,
@@ -31,40 +32,24 @@
     idleTimeoutMilliseconds: 15_000,
   },
 };
-/** Values that take the place of a field, valid and invalid ones. */
-const FIELD_VALUES: readonly unknown[] = [
-  undefined,
-  null,
-  "",
-  "idempotent",
-  "/a",
-  "/",
-  "x".repeat(256),
-  "x".repeat(257),
-  0,
-  -1,
-  1.5,
-  2 ** 53,
-  Infinity,
-  NaN,
-  true,
-  [],
-  [{ service: "", weight: 1 }],
-  [{ service: "desk", weight: 0, extra: 1 }, { service: "pool", weight: 1 }],
-  [{ service: "desk", weight: -1 }],
-  [null],
-  {},
-];
-
 test("guards against accepting a route that the schema rejects, and against rejecting or changing one that it accepts", (t) => {
-  const random = createSeededRandom(2);
-  const fields = [...Object.keys(ROUTE), "extra"];
-  for (let index = 0; index < 5_000; index++) {
-    const route: Record<string, unknown> = { ...ROUTE };
-    for (let changes = random.integer(3); changes > 0; changes--) {
-      const field = fields[random.integer(fields.length)]!;
-      route[field] = FIELD_VALUES[random.integer(FIELD_VALUES.length)];
-    }
+  const routes = changedRecords({
+    random: createSeededRandom(2),
+    count: 5_000,
+    record: ROUTE,
+    extraFields: ["extra"],
+    extraValues: [
+      "idempotent",
+      [{ service: "", weight: 1 }],
+      [{ service: "desk", weight: 0, extra: 1 }, {
+        service: "pool",
+        weight: 1,
+      }],
+      [{ service: "desk", weight: -1 }],
+      [null],
+    ],
+  });
+  for (const route of routes) {
     const plain = checkPlainRoute(route);
     const parsed = gatewayRouteSchema.safeParse(route);
     t.is(plain !== undefined, parsed.success, JSON.stringify(route));
--- a/src/gateway_incidents_test.ts
+++ b/src/gateway_incidents_test.ts
@@ -2,10 +2,10 @@
 import { once } from "node:events";
 import { Agent, type IncomingMessage, request } from "node:http";
 import test from "ava";
-import { DEFAULT_HEADER_NAMES as NAMES } from "./gateway_protocol.ts";
 import {
   type Bench,
   call,
+  callerHeaders,
   startBench,
   stopBenches,
 } from "../stand_ins/gateway_test_bench.ts";
@@ -33,12 +33,7 @@
     port: Number(port),
     path: "/once/x",
     agent,
-    headers: {
-      host: "shop.example",
-      authorization: "Bearer temple-key",
-      [NAMES.requestId]: id,
-      [NAMES.deadline]: "3000",
-    },
+    headers: callerHeaders(id),
   });
   let isConnected = false;
   sent.once("socket", (socket) => {
--- a/stand_ins/fleet_in_process.ts
+++ b/stand_ins/fleet_in_process.ts
@@ -21,7 +21,7 @@
 } from "./fleet_text.ts";
 import { startPlainService } from "./plain_service.ts";
 import { createPlatformStandIn, type PlatformStandIn } from "./platform.ts";
-import { findFreePorts } from "./free_ports.ts";
+import { findFreeAddresses } from "./free_ports.ts";
 
 /** Size and configuration of the fleet. */
 export interface FleetInProcessOptions {
@@ -112,8 +112,7 @@
       ._unsafeUnwrap();
   }
   await client.close();
-  const ports = await findFreePorts(2 * options.routers);
-  const addresses = ports.map((port) => `127.0.0.1:${port}`);
+  const addresses = await findFreeAddresses(2 * options.routers);
   const [callerAddresses, peerAddresses] = [
     addresses.slice(0, options.routers),
     addresses.slice(options.routers),
--- a/stand_ins/fleet_processes.ts
+++ b/stand_ins/fleet_processes.ts
@@ -16,7 +16,7 @@
   STAND_IN_MODEL_VERSION,
   type StandInServer,
 } from "./fleet_text.ts";
-import { findFreePorts } from "./free_ports.ts";
+import { findFreeAddresses } from "./free_ports.ts";
 import { createProcessGroup, type ManagedProcess } from "./processes.ts";
 
 const COMMAND_TIMEOUT_MILLISECONDS = 30_000;
@@ -89,13 +89,9 @@
 ): Promise<FleetProcesses> {
   const group = createProcessGroup();
   const directory = await mkdtemp(join(tmpdir(), "sapphirecart-"));
-  const ports = await findFreePorts(2 * options.routers);
-  const callerAddresses = ports.slice(0, options.routers).map((port) =>
-    `127.0.0.1:${port}`
-  );
-  const peerAddresses = ports.slice(options.routers).map((port) =>
-    `127.0.0.1:${port}`
-  );
+  const addresses = await findFreeAddresses(2 * options.routers);
+  const callerAddresses = addresses.slice(0, options.routers);
+  const peerAddresses = addresses.slice(options.routers);
 
   async function stop(): Promise<void> {
     await group.stop();
--- a/stand_ins/free_ports.ts
+++ b/stand_ins/free_ports.ts
@@ -17,6 +17,12 @@
   });
 }
 
+/** Returns distinct loopback addresses with free ports, as `ip:port`. */
+export async function findFreeAddresses(count: number): Promise<string[]> {
+  const ports = await findFreePorts(count);
+  return ports.map((port) => `127.0.0.1:${port}`);
+}
+
 /** Returns distinct ports that are free on the loopback address. */
 export async function findFreePorts(count: number): Promise<number[]> {
   const ports = new Set<number>();
--- a/stand_ins/gateway_fleet.ts
+++ b/stand_ins/gateway_fleet.ts
@@ -7,7 +7,7 @@
 import type { MemoryFleet } from "./memory_fleet_store.ts";
 import { MemoryFleetStore } from "./memory_fleet_store.ts";
 import { createMemoryOutput } from "./memory_output.ts";
-import { findFreePorts } from "./free_ports.ts";
+import { findFreeAddresses } from "./free_ports.ts";
 
 /** A gateway with its store client, addresses and log lines. */
 export interface GatewayInTest {
@@ -63,12 +63,15 @@
   count: number,
   graceMilliseconds = 4_000,
 ): Promise<GatewayInTest[]> {
-  const ports = await findFreePorts(count * 4);
+  const addresses = await findFreeAddresses(count * 4);
   const gateways: GatewayInTest[] = [];
   for (let index = 0; index < count; index++) {
-    const [callers, entry, status, peers] = ports
-      .slice(index * 4, index * 4 + 4)
-      .map((port) => `127.0.0.1:${port}`) as [string, string, string, string];
+    const [callers, entry, status, peers] = addresses.slice(index * 4) as [
+      string,
+      string,
+      string,
+      string,
+    ];
     const store = new MemoryFleetStore(fleet);
     const lines: string[] = [];
     const gateway = createGateway({
--- a/stand_ins/gateway_test_bench.ts
+++ b/stand_ins/gateway_test_bench.ts
@@ -109,6 +109,16 @@
   return client;
 }
 
+/** Returns the headers of a caller with a valid key. */
+export function callerHeaders(id: string): Record<string, string> {
+  return {
+    host: "shop.example",
+    authorization: "Bearer temple-key",
+    [NAMES.requestId]: id,
+    [NAMES.deadline]: "3000",
+  };
+}
+
 /** Sends a request through a gateway and reads the whole response. */
 export async function call(bench: Bench, options: Call = {}) {
   const { path = "/safe/x", method = "GET", body, headers, gateway = 0 } =
@@ -118,13 +128,7 @@
   const response = await client.request({
     path,
     method,
-    headers: {
-      host: "shop.example",
-      authorization: "Bearer temple-key",
-      [NAMES.requestId]: id,
-      [NAMES.deadline]: "3000",
-      ...headers,
-    },
+    headers: { ...callerHeaders(id), ...headers },
     ...(body === undefined ? {} : { body }),
   });
   return {
