--- a/eslint.config.js
+++ b/eslint.config.js
@@ -30,7 +30,11 @@
     languageOptions: {
       parserOptions: {
         projectService: {
-          allowDefaultProject: ["eslint.config.js", "deploy/build.js"],
+          allowDefaultProject: [
+            "eslint.config.js",
+            "deploy/build.js",
+            "tools/format.js",
+          ],
         },
         tsconfigRootDir: import.meta.dirname,
       },
@@ -79,13 +83,14 @@
   },
   { files: ["**/*_test.ts"], rules: { "max-lines": "off" } },
   {
-    files: ["eslint.config.js", "deploy/*.js"],
+    files: ["eslint.config.js", "deploy/*.js", "tools/*.js"],
     ...tseslint.configs.disableTypeChecked,
   },
   {
     files: [
       "bin/**",
       "demo/**",
+      "tools/**",
       "soak/**",
       "bench/**",
       "invariants/**",
