--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -16,10 +16,8 @@
 } from "./backend_exchange.ts";
 import { createError, type ErrorKind } from "./core/errors.ts";
 import { isRepeatable } from "./core/gateway_configuration.ts";
-import type { BackendServerId } from "./core/ids.ts";
 import {
   type AttemptFailure,
-  decideNextStep,
   type NextStep,
   responseTimeoutMilliseconds,
 } from "./core/next_attempt.ts";
@@ -35,12 +33,12 @@
 import { readRequestBody, type RequestBody } from "./request_body.ts";
 import type { CheckedRequest } from "./request_check.ts";
 import { forwardRequest } from "./request_forwarding.ts";
+import { RequestHistory } from "./request_history.ts";
 import {
   type RequestEnd,
   type RequestFields,
   RequestLog,
   type RequestLogContext,
-  type RequestProgress,
 } from "./request_log.ts";
 import { chooseServer, type ServerChoiceContext } from "./server_choice.ts";
 import type { Subscription } from "./timer_service.ts";
@@ -71,18 +69,11 @@
   readonly #response: ServerResponse;
   readonly #checked: CheckedRequest;
   readonly #log: RequestLog;
-  readonly #startedAt: number;
-  readonly #tried = new Set<BackendServerId>();
+  readonly #history: RequestHistory;
   #body: RequestBody | undefined;
   #relay: ResponseRelay | undefined;
   #attempt: RequestAttempt | undefined;
   #timeout: Subscription | undefined;
-  #attempts = 0;
-  /** Number of servers that may have run the request. */
-  #runs = 0;
-  #firstByteMilliseconds: number | undefined;
-  /** When a part of the response was last relayed. */
-  #lastRelayAt = 0;
   #isFinished = false;
 
   constructor(
@@ -96,7 +87,7 @@
     this.#response = response;
     this.#checked = checked;
     this.#log = new RequestLog(context);
-    this.#startedAt = this.#now();
+    this.#history = new RequestHistory(checked, context.timers.clock);
   }
 
   start(): void {
@@ -118,25 +109,10 @@
     return this.#context.timers.clock.monotonicMilliseconds();
   }
 
-  #remaining(): number {
-    return this.#checked.timeoutMilliseconds - (this.#now() - this.#startedAt);
-  }
-
   #retries(): RetryBudget {
     return this.#context.retries(this.#checked.service);
   }
 
-  #progress(): RequestProgress {
-    return {
-      requestId: this.#checked.requestId,
-      route: this.#checked.route,
-      attempts: this.#attempts,
-      runs: this.#runs,
-      milliseconds: this.#now() - this.#startedAt,
-      firstByteMilliseconds: this.#firstByteMilliseconds,
-    };
-  }
-
   #onBody(body: RequestBody): void {
     if (this.#isFinished) return;
     this.#body = body;
@@ -149,16 +125,18 @@
   }
 
   #choose(): Placement | undefined {
-    return chooseServer(this.#context, this.#checked, this.#tried);
+    return chooseServer(this.#context, this.#checked, this.#history.tried);
   }
 
   #chooseAndSend(): void {
     const placement = this.#choose();
     if (!placement) {
-      const kind = this.#runs > 0 ? "outcome_unknown" : "no_backend_server";
+      const kind = this.#history.runs > 0
+        ? "outcome_unknown"
+        : "no_backend_server";
       return this.#reject(kind, "no backend server is left", "no_server");
     }
-    this.#log.placed(this.#progress(), placement);
+    this.#log.placed(this.#history.progress(), placement);
     this.#send(placement);
   }
 
@@ -166,14 +144,13 @@
     const { server } = placement;
     const { route, metadata } = this.#checked;
     this.#context.directory.record(metadata.promptParts, server.id);
-    this.#attempts++;
-    this.#tried.add(server.id);
+    this.#history.recordAttempt(server.id);
     this.#attempt = forwardRequest(this.#context, {
       request: this.#request,
       checked: this.#checked,
       placement,
       body: this.#body,
-      remainingMilliseconds: this.#remaining(),
+      remainingMilliseconds: this.#history.remainingMilliseconds(),
       lastEventId: this.#relay?.lastEventId,
       silenceMilliseconds: responseTimeoutMilliseconds(route),
       listener: {
@@ -190,13 +167,17 @@
   #onResponseTimeout(): void {
     const { route } = this.#checked;
     const mayRepeat = isRepeatable(route) &&
-      this.#runs + 1 < route.maximumBackendServers &&
+      this.#history.runs + 1 < route.maximumBackendServers &&
       this.#body?.kind === "whole" && this.#choose() !== undefined;
     if (!mayRepeat) return;
     if (!this.#retries().tryTake("outcome_unknown", true, this.#now())) return;
     this.#attempt?.cancel("silent");
-    this.#runs++;
-    this.#log.retried(this.#progress(), "silent", "no response in time");
+    this.#history.recordRun();
+    this.#log.retried(
+      this.#history.progress(),
+      "silent",
+      "no response in time",
+    );
     this.#chooseAndSend();
   }
 
@@ -209,7 +190,9 @@
     if (server && reason === "unreachable") {
       this.#context.outcomes.recordUnreachable(server, this.#now());
     }
-    if (server && reason === "connection_closed") this.#tried.delete(server);
+    if (server && reason === "connection_closed") {
+      this.#history.allowAgain(server);
+    }
     this.#onFailure("not_sent", detail);
   }
 
@@ -219,13 +202,13 @@
   }
 
   #onOutcomeUnknown(detail: string): void {
-    this.#runs++;
+    this.#history.recordRun();
     this.#attempt?.cancel("unknown");
     this.#onFailure("unknown", detail);
   }
 
   #onResponse(head: ResponseHead): ResponseSink {
-    this.#runs++;
+    this.#history.recordRun();
     if (this.#response.headersSent && head.status >= FIRST_ERROR_STATUS) {
       // An error response cannot continue a stream that has begun.
       this.#attempt?.discard("server_error");
@@ -247,7 +230,7 @@
     }
     this.#attempt?.discard("server_error");
     this.#log.retried(
-      this.#progress(),
+      this.#history.progress(),
       "server_error",
       "the server responded with an error",
     );
@@ -270,16 +253,13 @@
   }
 
   #onFirstByte(): void {
-    this.#lastRelayAt = this.#now();
-    this.#firstByteMilliseconds = this.#lastRelayAt - this.#startedAt;
-    this.#log.begun(this.#progress());
+    this.#history.recordFirstByte();
+    this.#log.begun(this.#history.progress());
   }
 
   #onEvents(): void {
-    const now = this.#now();
-    const gap = (now - this.#lastRelayAt) / MILLISECONDS_IN_SECOND;
+    const gap = this.#history.recordPart() / MILLISECONDS_IN_SECOND;
     this.#context.metrics.eventGapSeconds.observe(gap);
-    this.#lastRelayAt = now;
   }
 
   #onResponseEnd(isComplete: boolean, detail: string): void {
@@ -301,17 +281,9 @@
   }
 
   #nextStep(failure: AttemptFailure): NextStep {
-    const { route } = this.#checked;
-    return decideNextStep({
-      failure,
-      isRepeatable: isRepeatable(route),
+    return this.#history.nextStep(failure, {
       hasBody: this.#body?.kind === "whole",
-      runs: this.#runs,
-      maximumRuns: route.maximumBackendServers,
-      attempts: this.#attempts,
       hasBegun: this.#response.headersSent,
-      isResumable: route.isResumable,
-      remainingMilliseconds: this.#remaining(),
       takeRetry: () => this.#retries().tryTake("overloaded", true, this.#now()),
     });
   }
@@ -319,7 +291,7 @@
   #onFailure(failure: AttemptFailure, detail: string): void {
     switch (this.#nextStep(failure)) {
       case "retry":
-        this.#log.retried(this.#progress(), failure, detail);
+        this.#log.retried(this.#history.progress(), failure, detail);
         return this.#chooseAndSend();
       case "reject":
         return this.#reject("overloaded", detail, "full");
@@ -343,7 +315,7 @@
     }
     const wasSent = this.#attempt?.exchange.wasSent() ?? false;
     this.#attempt?.cancel("timeout");
-    const mayHaveRun = wasSent || this.#runs > 0;
+    const mayHaveRun = wasSent || this.#history.runs > 0;
     const kind = mayHaveRun ? "answer_timeout" : "overloaded";
     this.#reject(kind, detail, "full");
   }
@@ -368,7 +340,7 @@
     if (this.#response.headersSent) return this.#truncate(detail);
     const rejection = sendRejection(this.#response, createError(kind, detail), {
       cause,
-      remainingMilliseconds: this.#remaining(),
+      remainingMilliseconds: this.#history.remainingMilliseconds(),
       random: this.#context.random,
       isClosing: this.#context.isStopping() || !this.#request.complete,
     });
@@ -381,7 +353,7 @@
   #finish(end: RequestEnd, outcome: string, fields: RequestFields): void {
     this.#isFinished = true;
     this.#timeout?.cancel();
-    this.#log.ended(end, this.#progress(), outcome, fields);
+    this.#log.ended(end, this.#history.progress(), outcome, fields);
     this.#context.onFinished();
   }
 }
--- /dev/null
+++ b/src/request_history.ts
@@ -0,0 +1,108 @@
+/** What has happened to a request so far: its attempts, runs and times. */
+import { isRepeatable } from "./core/gateway_configuration.ts";
+import type { BackendServerId } from "./core/ids.ts";
+import {
+  type AttemptFailure,
+  type AttemptState,
+  decideNextStep,
+  type NextStep,
+} from "./core/next_attempt.ts";
+import type { CheckedRequest } from "./request_check.ts";
+import type { RequestProgress } from "./request_log.ts";
+import type { Clock } from "./timer_service.ts";
+
+/** The parts of an attempt's state that the history does not hold. */
+export type FailureCircumstances = Pick<
+  AttemptState,
+  "hasBody" | "hasBegun" | "takeRetry"
+>;
+
+/** The history of one request. */
+export class RequestHistory {
+  readonly #checked: CheckedRequest;
+  readonly #clock: Clock;
+  readonly #startedAt: number;
+  readonly #tried = new Set<BackendServerId>();
+  #attempts = 0;
+  #runs = 0;
+  #firstByteMilliseconds: number | undefined;
+  /** When a part of the response was last relayed. */
+  #lastRelayAt = 0;
+
+  constructor(checked: CheckedRequest, clock: Clock) {
+    this.#checked = checked;
+    this.#clock = clock;
+    this.#startedAt = clock.monotonicMilliseconds();
+  }
+
+  /** Servers to which the request was sent. */
+  get tried(): ReadonlySet<BackendServerId> {
+    return this.#tried;
+  }
+
+  /** Number of servers that may have run the request. */
+  get runs(): number {
+    return this.#runs;
+  }
+
+  remainingMilliseconds(): number {
+    const elapsed = this.#clock.monotonicMilliseconds() - this.#startedAt;
+    return this.#checked.timeoutMilliseconds - elapsed;
+  }
+
+  progress(): RequestProgress {
+    return {
+      requestId: this.#checked.requestId,
+      route: this.#checked.route,
+      attempts: this.#attempts,
+      runs: this.#runs,
+      milliseconds: this.#clock.monotonicMilliseconds() - this.#startedAt,
+      firstByteMilliseconds: this.#firstByteMilliseconds,
+    };
+  }
+
+  recordAttempt(server: BackendServerId): void {
+    this.#attempts++;
+    this.#tried.add(server);
+  }
+
+  /** Lets the request be sent to a server again that it did not reach. */
+  allowAgain(server: BackendServerId): void {
+    this.#tried.delete(server);
+  }
+
+  recordRun(): void {
+    this.#runs++;
+  }
+
+  recordFirstByte(): void {
+    this.#lastRelayAt = this.#clock.monotonicMilliseconds();
+    this.#firstByteMilliseconds = this.#lastRelayAt - this.#startedAt;
+  }
+
+  /** Records a further part; returns the time since the part before it. */
+  recordPart(): number {
+    const now = this.#clock.monotonicMilliseconds();
+    const milliseconds = now - this.#lastRelayAt;
+    this.#lastRelayAt = now;
+    return milliseconds;
+  }
+
+  /** Decides what to do after a failed attempt. */
+  nextStep(
+    failure: AttemptFailure,
+    circumstances: FailureCircumstances,
+  ): NextStep {
+    const { route } = this.#checked;
+    return decideNextStep({
+      ...circumstances,
+      failure,
+      isRepeatable: isRepeatable(route),
+      runs: this.#runs,
+      maximumRuns: route.maximumBackendServers,
+      attempts: this.#attempts,
+      isResumable: route.isResumable,
+      remainingMilliseconds: this.remainingMilliseconds(),
+    });
+  }
+}
