Cancel pipelined requests whose caller has left

What callers saw: nothing, they had left. A server went on working for a request that had been pipelined behind another one. Cause: a request learned of its caller's leaving from the close event of its response. Node.js gives a response its socket, and so this event, only when its turn on the connection comes. A request behind another one never heard of it, and the count of requests in flight never fell. Change: caller_connection.ts watches the socket for its end and its close once for all requests on it. Conclusion: each request on a connection ends with it.

--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -3,6 +3,10 @@
  * response, and retries where that is safe. Bodies are not modified.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  type CallerConnection,
+  callerConnectionOf,
+} from "./caller_connection.ts";
 import {
   chooseRelayMode,
   createResponseRelay,
@@ -70,6 +74,8 @@
   readonly #checked: CheckedRequest;
   readonly #log: RequestLog;
   readonly #history: RequestHistory;
+  readonly #caller: CallerConnection;
+  #ignoreCaller: () => void = () => undefined;
   #body: RequestBody | undefined;
   #relay: ResponseRelay | undefined;
   #attempt: RequestAttempt | undefined;
@@ -86,13 +92,14 @@
     this.#request = request;
     this.#response = response;
     this.#checked = checked;
+    this.#caller = callerConnectionOf(request.socket);
     this.#log = new RequestLog(context);
     this.#history = new RequestHistory(checked, context.timers.clock);
   }
 
   start(): void {
     const { bounds, timeoutMilliseconds } = this.#checked;
-    this.#response.on("close", () => this.#onClose());
+    this.#ignoreCaller = this.#caller.onLeft(() => this.#onClose());
     this.#timeout = this.#context.timers.after(
       timeoutMilliseconds + TIMEOUT_GRACE_MILLISECONDS,
       "request limit",
@@ -353,6 +360,7 @@
   #finish(end: RequestEnd, outcome: string, fields: RequestFields): void {
     this.#isFinished = true;
     this.#timeout?.cancel();
+    this.#ignoreCaller();
     this.#log.ended(end, this.#history.progress(), outcome, fields);
     this.#context.onFinished();
   }
