Send no request whose caller left while the event loop stood still

What callers saw: nothing, they had left; the users saw work that went on for callers that had left (GONE). Cause: an event loop that stood still (a process that starts, a burst on a part of a core) finds a request and the close behind it at the same time, and reads the request first. It was sent on in the same turn of the loop, before its caller's close could be read. The class: acting on a state that was read before the process stood still, without looking again. Change: a request is sent, for the first time or again, only after the event loop has polled once more and its caller is still there. That costs two turns of the loop for each attempt.

--- a/src/caller_connection_test.ts
+++ b/src/caller_connection_test.ts
@@ -9,12 +9,19 @@
   stopBenches,
   waitUntil,
 } from "../stand_ins/gateway_test_bench.ts";
+import {
+  ABANDONED_PREFIX,
+  startLeavingCallers,
+} from "../stand_ins/leaving_callers.ts";
 import {
   type ReceivedRequest,
   responseHeaders,
   type Script,
 } from "../stand_ins/raw_backend.ts";
 
+const CALLERS = 30;
+/** Longer than the time after a close in which a server may still get work. */
+const STALL_MILLISECONDS = 1_200;
 /** A server must be free of the work of a caller that left after this time. */
 const CANCEL_MILLISECONDS = 500;
 
@@ -24,6 +31,28 @@
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
+for (const isKept of [false, true]) {
+  for (const end of ["close", "reset"] as const) {
+    const connections = isKept ? "kept" : "new";
+    test.serial(`guards against forwarding requests that are read after their callers left (${connections} connections, ${end})`, async (t) => {
+      const bench = await startBench();
+      const callers = await startLeavingCallers({
+        callers: bench.gateways[0]!.callers,
+        path: "/safe/x",
+        count: CALLERS,
+        isKept,
+        end,
+      });
+      callers.leaveDuringStall(STALL_MILLISECONDS);
+      await wait(CANCEL_MILLISECONDS);
+      const abandoned = received(bench)
+        .filter(({ id }) => id.startsWith(ABANDONED_PREFIX));
+      t.is(abandoned.length, 0);
+      await callers.stop();
+    });
+  }
+}
+
 function open({ gateways }: Bench): Socket {
   const [host, port] = gateways[0]!.callers.split(":") as [string, string];
   const socket = connect(Number(port), host);
--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -136,6 +136,12 @@
   }
 
   #chooseAndSend(): void {
+    this.#caller.whenStillThere(() => {
+      if (!this.#isFinished) this.#placeAndSend();
+    });
+  }
+
+  #placeAndSend(): void {
     const placement = this.#choose();
     if (!placement) {
       const kind = this.#history.runs > 0
