Write no request in the turn in which its connection was established

Cause: a connection to a server that was established while the event loop stood still was written to before the caller's close, found in the same poll, was read. Change: the connection is handed over after all events of that poll.

--- a/src/backend_connections.ts
+++ b/src/backend_connections.ts
@@ -89,10 +89,17 @@
       connect: (options, callback) =>
         connector(options, (error, socket) => {
           if (error) return callback(error, null);
-          this.socket = socket;
-          // Registered before the parser's own listener.
-          socket.on("readable", () => this.#readListener());
-          callback(null, socket);
+          // Connecting may have taken long, so what arrived in the same turn,
+          // such as the caller's close, comes before the request is written.
+          setImmediate(() => {
+            if (socket.destroyed) {
+              return callback(new Error("the connection closed"), null);
+            }
+            this.socket = socket;
+            // Registered before the parser's own listener.
+            socket.on("readable", () => this.#readListener());
+            callback(null, socket);
+          });
         }),
     });
   }
--- a/src/caller_connection_test.ts
+++ b/src/caller_connection_test.ts
@@ -11,6 +11,7 @@
 } from "../stand_ins/gateway_test_bench.ts";
 import {
   ABANDONED_PREFIX,
+  stall,
   startLeavingCallers,
 } from "../stand_ins/leaving_callers.ts";
 import {
@@ -43,7 +44,8 @@
         isKept,
         end,
       });
-      callers.leaveDuringStall(STALL_MILLISECONDS);
+      callers.leave();
+      stall(STALL_MILLISECONDS);
       await wait(CANCEL_MILLISECONDS);
       const abandoned = received(bench)
         .filter(({ id }) => id.startsWith(ABANDONED_PREFIX));
--- a/stand_ins/leaving_callers.ts
+++ b/stand_ins/leaving_callers.ts
@@ -28,8 +28,8 @@
 
 /** Callers that are ready to send. */
 export interface LeavingCallers {
-  /** Blocks this thread's event loop while the callers send and leave. */
-  leaveDuringStall(milliseconds: number): void;
+  /** Makes each caller send its request and leave soon after. */
+  leave(): void;
   stop(): Promise<void>;
 }
 
@@ -100,13 +100,15 @@
   const worker = new Worker(new URL(import.meta.url), { workerData: options });
   await once(worker, "message");
   return {
-    leaveDuringStall(milliseconds) {
-      worker.postMessage("leave");
-      const never = new Int32Array(new SharedArrayBuffer(4));
-      Atomics.wait(never, 0, 0, milliseconds);
-    },
+    leave: () => worker.postMessage("leave"),
     async stop() {
       await worker.terminate();
     },
   };
 }
+
+/** Blocks this thread's event loop. */
+export function stall(milliseconds: number): void {
+  const never = new Int32Array(new SharedArrayBuffer(4));
+  Atomics.wait(never, 0, 0, milliseconds);
+}
