Handle input that arrived during a stall before timeouts that fell due

What callers saw: after a router had stood still, requests went to a second server, or ended as timed out, although the response had arrived. Cause: timers run before the event loop polls. A timeout that fell due during the stall acted on a state from before it; the server also counted as failing. Change: a one-time timer calls its listener after the next poll. A listener that is cancelled by then is not called. Conclusion: a timeout means that nothing arrived, not that nothing was read.

--- a/src/timer_service.ts
+++ b/src/timer_service.ts
@@ -70,11 +70,19 @@
     _name: string,
     listener: () => void,
   ): Subscription {
+    let immediate: NodeJS.Immediate | undefined;
     const timer = setTimeout(() => {
-      this.#pending.delete(subscription);
-      listener();
+      // Timers run before the input that arrived while the event loop stood
+      // still is read, and that input may make a timeout needless.
+      immediate = setImmediate(() => {
+        this.#pending.delete(subscription);
+        listener();
+      });
     }, delayMilliseconds);
-    const subscription = this.#track(() => clearTimeout(timer));
+    const subscription = this.#track(() => {
+      clearTimeout(timer);
+      clearImmediate(immediate);
+    });
     return subscription;
   }
 
