--- a/src/decision_log.ts
+++ b/src/decision_log.ts
@@ -11,6 +11,7 @@
 /** All events, each with the class whose rate limit applies to it. */
 export const LOG_EVENTS = {
   "process.started": "state",
+  "process.stalled": "state",
   "process.stopping": "state",
   "process.stopped": "state",
   "settings.reloaded": "state",
--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -22,6 +22,7 @@
 import { createRetryBudget, type RetryBudget } from "./core/retry_budget.ts";
 import { createServerIncarnations } from "./core/server_incarnations.ts";
 import { createServerOutcomes } from "./core/server_outcomes.ts";
+import { createStallDetector } from "./core/stall_detector.ts";
 import {
   createDecisionLog,
   createStandardOutput,
@@ -171,6 +172,7 @@
   let utilization = performance.eventLoopUtilization();
   let busyShare = 0;
   const subscriptions: Subscription[] = [];
+  const stalls = createStallDetector(LOG_FLUSH_MILLISECONDS);
 
   const peers = createGatewayPeerTask({
     network,
@@ -290,6 +292,18 @@
     connections.retain((server) => state.registry.get(server) !== undefined);
   }
 
+  function flushLog(): void {
+    const stall = stalls.observe(clock.monotonicMilliseconds());
+    if (stall !== undefined) {
+      metrics.stallSeconds.inc(stall / 1_000);
+      log.write("process.stalled", {
+        milliseconds: Math.round(stall),
+        inFlight,
+      });
+    }
+    log.flush();
+  }
+
   function applyState(): void {
     const { servers } = state.registry.list();
     for (const server of incarnations.update(servers)) {
@@ -316,7 +330,7 @@
         "housekeeping",
         runHousekeeping,
       ),
-      timers.every(LOG_FLUSH_MILLISECONDS, "log", () => log.flush()),
+      timers.every(LOG_FLUSH_MILLISECONDS, "log", flushLog),
     );
   }
 
--- a/src/gateway_metrics.ts
+++ b/src/gateway_metrics.ts
@@ -115,6 +115,11 @@
       labelNames: ["phase"],
       registers,
     }),
+    stallSeconds: new Counter({
+      name: `${prefix}stall_seconds_total`,
+      help: "Time in which the process stood still for half a second or more",
+      registers,
+    }),
     droppedLines: new Gauge({
       name: `${prefix}dropped_log_lines`,
       help: "Log lines dropped to keep the volume bounded",
--- a/src/operations_page_test.ts
+++ b/src/operations_page_test.ts
@@ -32,6 +32,7 @@
       "server_requests_in_flight",
       "store_calls_total",
       "retries_left",
+      "stall_seconds_total",
     ]
   ) {
     t.true(PAGE.includes(`\`${name}\``), name);
