Keep a peer's position in a list of announcements in one place

Change: AnnouncementLog holds the announcements and their sequence numbers; the prompt directory uses it. No behaviour changes. Conclusion: one piece of code for both.

--- a/src/core/prompt_directory.ts
+++ b/src/core/prompt_directory.ts
@@ -7,6 +7,7 @@
  * Servers join and leave all day. Without the directory, every such change
  * would route parts that are in use to servers that have not processed them.
  */
+import { AnnouncementLog } from "./announcement_log.ts";
 import type { BackendServerId } from "./ids.ts";
 import type { PromptPart } from "./prompt.ts";
 import { hash32 } from "./hash32.ts";
@@ -43,23 +44,23 @@
 /** The directory of one router. */
 export class PromptDirectory {
   readonly #parts = new Map<PartKey, Set<BackendServerId>>();
-  #announcements: PartEntry[] = [];
-  /** Sequence number of the oldest retained announcement. */
-  #firstAnnouncement = 0;
+  readonly #announcements = new AnnouncementLog<PartEntry>(
+    MAXIMUM_ANNOUNCEMENTS,
+  );
 
   /** Records the shared parts of a prompt that is sent to a server. */
   record(parts: readonly PromptPart[], server: BackendServerId): void {
     for (const part of sharedPartsOf(parts)) {
       const key = partKeyOf(part);
       if (this.add({ part: key, server })) {
-        this.#announce({ part: key, server });
+        this.#announcements.add({ part: key, server });
       }
     }
   }
 
   /** Adds an entry from a peer and announces it to other peers if it is new. */
   addAndAnnounce(entry: PartEntry): void {
-    if (this.add(entry)) this.#announce(entry);
+    if (this.add(entry)) this.#announcements.add(entry);
   }
 
   /** Adds an entry and returns whether it was new. */
@@ -90,13 +91,12 @@
 
   /** Sequence number of the next announcement. */
   get nextSequence(): number {
-    return this.#firstAnnouncement + this.#announcements.length;
+    return this.#announcements.nextSequence;
   }
 
   /** Returns the announcements from a sequence number on. */
   announcementsSince(sequence: number): readonly PartEntry[] {
-    const start = Math.max(0, sequence - this.#firstAnnouncement);
-    return this.#announcements.slice(start);
+    return this.#announcements.since(sequence);
   }
 
   /** Returns all entries, for a peer that has just joined. */
@@ -108,14 +108,6 @@
     return entries;
   }
 
-  #announce(entry: PartEntry): void {
-    this.#announcements.push(entry);
-    if (this.#announcements.length <= MAXIMUM_ANNOUNCEMENTS) return;
-    const dropped = MAXIMUM_ANNOUNCEMENTS / 2;
-    this.#announcements = this.#announcements.slice(dropped);
-    this.#firstAnnouncement += dropped;
-  }
-
   #evictOldest(): void {
     if (this.#parts.size <= MAXIMUM_PARTS) return;
     const [oldest] = this.#parts.keys();
