Reject prompts whose parts crash one server after the other

Cause: a prompt part made each server crash that began to write a response on it. Each crash came from a request of its own, so no limit on retries applied, and every router saw one or two of them. Nothing connected the crashes by what the requests had in common. The class: a fault that comes with the work, taken for one of the server that got it. Change: a server that drops a request and then refuses a connection has crashed. The shared prompt parts of what it dropped are suspect. A part is quarantined after three crashes half a second or more apart without a completed request with it in the whole fleet; routers tell each other of crashes and of completed suspects in their reports. Requests with a quarantined part get 503 with the rest of ten minutes as Retry-After. The budgets of retries and the context of requests moved to files of their own.

--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -117,6 +117,12 @@
     "not_run",
     true,
   ),
+  prompt_quarantined: _response(
+    503,
+    "a part of the prompt has crashed backend servers",
+    "not_run",
+    true,
+  ),
   stopping: _response(503, "the router is stopping", "not_run", true),
   not_ready: _response(
     503,
--- a/src/core/log_explanation.ts
+++ b/src/core/log_explanation.ts
@@ -36,6 +36,7 @@
   "registry.",
   "peer.",
   "server.",
+  "prompt.",
   "lines.",
 ];
 
--- /dev/null
+++ b/src/core/prompt_crashes_test.ts
@@ -0,0 +1,136 @@
+import test from "ava";
+import fc from "fast-check";
+import { testServer } from "../../stand_ins/registered_servers.ts";
+import type { PromptPart } from "./prompt.ts";
+import { createPromptCrashes, type PromptCrashes } from "./prompt_crashes.ts";
+
+const MINUTE_MILLISECONDS = 60_000;
+const SYSTEM: PromptPart = { id: "system", tokens: 600 };
+const DEADLY: PromptPart = { id: "deadly", tokens: 400 };
+
+let nextId = 0;
+
+/** Returns a prompt with a last part of its own. */
+function prompt(...shared: PromptPart[]): PromptPart[] {
+  return [...shared, { id: `own-${nextId++}`, tokens: 100 }];
+}
+
+function crash(
+  crashes: PromptCrashes,
+  index: number,
+  now: number,
+  ...shared: PromptPart[]
+): void {
+  crashes.recordCrash(testServer(`s${index}`), prompt(...shared), now);
+}
+
+test("guards against a part that crashes one server after the other, whatever else its requests hold", (t) => {
+  const crashes = createPromptCrashes();
+  crashes.recordCompleted(prompt(SYSTEM), 0);
+  crash(crashes, 0, 1_000, SYSTEM, DEADLY);
+  crash(crashes, 1, 2_000, SYSTEM, { id: "other", tokens: 9 }, DEADLY);
+  t.is(crashes.findQuarantine(prompt(DEADLY), 2_000), undefined);
+  crash(crashes, 2, 3_000, DEADLY);
+  const quarantine = crashes.findQuarantine(prompt(SYSTEM, DEADLY), 3_000);
+  t.is(quarantine?.crashes, 3);
+  t.is(quarantine?.remainingMilliseconds, 10 * MINUTE_MILLISECONDS);
+  t.is(crashes.findQuarantine(prompt(SYSTEM), 3_000), undefined);
+  t.is(crashes.quarantines(3_000).length, 1);
+});
+
+test("guards against rejecting sound parts after servers crashed together, or because they were read during crashes", (t) => {
+  const crashes = createPromptCrashes();
+  for (let index = 0; index < 8; index++) {
+    crash(crashes, index, 1_000 + 40 * index, DEADLY);
+  }
+  t.is(crashes.findQuarantine(prompt(DEADLY), 2_000), undefined);
+  const busy = createPromptCrashes();
+  for (let index = 0; index < 8; index++) {
+    crash(busy, index, 1_000 * index, SYSTEM);
+    busy.recordCompleted(prompt(SYSTEM), 1_000 * index + 500);
+  }
+  t.is(busy.findQuarantine(prompt(SYSTEM), 8_000), undefined);
+  t.is(busy.nextSequence, 2);
+});
+
+test("guards against counting one crash several times, and against keeping a quarantine that a completed request disproved or that ended", (t) => {
+  const cleared: number[] = [];
+  const crashes = createPromptCrashes({
+    onCleared: (part) => cleared.push(part),
+  });
+  for (let index = 0; index < 5; index++) {
+    crash(crashes, 0, 1_000 * index, DEADLY);
+  }
+  t.is(crashes.quarantines(5_000).length, 0);
+  for (let index = 1; index < 4; index++) {
+    crash(crashes, index, 5_000 + 1_000 * index, DEADLY);
+  }
+  t.is(crashes.quarantines(9_000).length, 1);
+  crashes.recordCompleted(prompt(DEADLY), 9_000);
+  t.is(crashes.quarantines(9_000).length, 0);
+  t.is(cleared.length, 1);
+  const other = createPromptCrashes();
+  for (let index = 1; index < 4; index++) {
+    crash(other, index, 1_000 * index, DEADLY);
+  }
+  const end = 3_000 + 10 * MINUTE_MILLISECONDS;
+  t.is(other.quarantines(end - 1).length, 1);
+  t.is(other.quarantines(end).length, 0);
+  // A further crash quarantines the part again at once.
+  crash(other, 9, end + 1_000, DEADLY);
+  t.is(other.quarantines(end + 1_000).length, 1);
+  other.expire(end + 21 * MINUTE_MILLISECONDS);
+  crash(other, 10, end + 21 * MINUTE_MILLISECONDS, DEADLY);
+  t.is(other.quarantines(end + 21 * MINUTE_MILLISECONDS).length, 0);
+});
+
+test("guards against a router that acts on its own crashes alone, and against one that lets a peer's crashes stand against a part that it knows to be sound", (t) => {
+  const crashes = createPromptCrashes();
+  const peer = createPromptCrashes();
+  crash(crashes, 0, 1_000, DEADLY, SYSTEM);
+  crash(peer, 1, 2_000, DEADLY, SYSTEM);
+  crash(peer, 2, 3_000, DEADLY, SYSTEM);
+  crashes.recordCompleted(prompt(SYSTEM), 2_500);
+  for (const evidence of peer.announcementsSince(0)) {
+    crashes.addEvidence(evidence, 3_000, false);
+  }
+  t.deepEqual(
+    crashes.quarantines(3_000).map(({ crashes: count }) => count),
+    [3],
+  );
+  t.is(crashes.findQuarantine(prompt(SYSTEM), 3_000), undefined);
+  for (const evidence of crashes.announcementsSince(0)) {
+    peer.addEvidence(evidence, 3_100, false);
+  }
+  t.is(peer.findQuarantine(prompt(SYSTEM), 3_100), undefined);
+  t.not(peer.findQuarantine(prompt(DEADLY), 3_100), undefined);
+});
+
+test("guards against quarantining a part of which a request completed within the last minute, in any history", (t) => {
+  const event = fc.record({
+    after: fc.integer({ min: 0, max: 20_000 }),
+    server: fc.nat(9),
+    completes: fc.boolean(),
+  });
+  fc.assert(
+    fc.property(fc.array(event, { maxLength: 40 }), (events) => {
+      const crashes = createPromptCrashes();
+      let now = 0;
+      let completedAt = Number.NEGATIVE_INFINITY;
+      for (const { after, server, completes } of events) {
+        now += after;
+        if (completes) {
+          crashes.recordCompleted(prompt(DEADLY), now);
+          completedAt = now;
+        } else crash(crashes, server, now, DEADLY);
+        const isQuarantined = crashes.quarantines(now).length > 0;
+        if (isQuarantined && now - completedAt < MINUTE_MILLISECONDS) {
+          return false;
+        }
+      }
+      return true;
+    }),
+    { seed: 24 },
+  );
+  t.pass();
+});
--- a/src/core/retry_after.ts
+++ b/src/core/retry_after.ts
@@ -30,6 +30,26 @@
  */
 const MAXIMUM_RETRY_DELAY_RATIO = 1 / 3;
 
+/** Part of a known wait over which the retries after it are spread. */
+const KNOWN_WAIT_SPREAD_RATIO = 0.1;
+const MINIMUM_SPREAD_MILLISECONDS = 400;
+
+/**
+ * Returns the value of a Retry-After header for a request that cannot be served
+ * for a known time. An earlier retry would be in vain, however little time the
+ * caller has left.
+ */
+export function retryAfterKnownWait(
+  waitMilliseconds: number,
+  random: RandomSource,
+): number {
+  const spread = Math.max(
+    MINIMUM_SPREAD_MILLISECONDS,
+    waitMilliseconds * KNOWN_WAIT_SPREAD_RATIO,
+  );
+  return Math.round(waitMilliseconds + random.next() * spread) / 1_000;
+}
+
 /** Returns the value of a Retry-After header in seconds. */
 export function retryAfterSeconds(
   cause: RejectionCause,
--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -16,10 +16,10 @@
   type IncarnationId,
   type SocketAddress,
 } from "./core/ids.ts";
+import { createPromptCrashes } from "./core/prompt_crashes.ts";
 import { createPromptDirectory } from "./core/prompt_directory.ts";
 import type { LoadBound } from "./core/placement.ts";
 import { createSeededRandom } from "./core/random.ts";
-import { createRetryBudget, type RetryBudget } from "./core/retry_budget.ts";
 import { createServerIncarnations } from "./core/server_incarnations.ts";
 import { createServerOutcomes } from "./core/server_outcomes.ts";
 import { createStallDetector } from "./core/stall_detector.ts";
@@ -45,8 +45,10 @@
 import { applyRequestBounds, createGatewayServer } from "./gateway_server.ts";
 import { createGatewayStateTask } from "./gateway_state_task.ts";
 import { handleRequest } from "./gateway_requests.ts";
+import { createServerCrashTask } from "./server_crash_task.ts";
 import { toListenAddress } from "./listen_address.ts";
-import type { PassThroughContext } from "./pass_through.ts";
+import type { PassThroughContext } from "./pass_through_context.ts";
+import { createRetryBudgets, type RetryAllowance } from "./retry_budgets.ts";
 import { createTcpPeerNetwork } from "./tcp_peer_network.ts";
 import {
   createSystemTimerService,
@@ -64,8 +66,6 @@
 /** Shutdown stops waiting for requests this long before the grace time ends. */
 const STOP_MARGIN_MILLISECONDS = 400;
 const STOP_POLL_MILLISECONDS = 50;
-/** Part of the configured retry allowance that the routers use. */
-const RETRY_ALLOWANCE_RATIO = 0.8;
 
 /** Listen addresses of the gateway's interfaces, as `ip:port`. */
 export interface GatewayAddresses {
@@ -75,14 +75,6 @@
   readonly peers: string;
 }
 
-/** Retries that the fleet may send to each service. */
-export interface RetryAllowance {
-  /** Retries per request. */
-  readonly ratio: number;
-  /** Retries of the whole fleet in ten seconds, in addition to the ratio. */
-  readonly fleetAllowance: number;
-}
-
 /** Settings that can be reloaded while a gateway runs. */
 export interface GatewayTuning {
   readonly retries: RetryAllowance;
@@ -147,6 +139,18 @@
     onExcluded: (exclusion) => log.write("server.excluded", { ...exclusion }),
   });
   const directory = createPromptDirectory();
+  const crashes = createPromptCrashes({
+    onQuarantined: (quarantine) =>
+      log.write("prompt.quarantined", { ...quarantine }),
+    onCleared: (part) => log.write("prompt.cleared", { part }),
+  });
+  const serverCrashes = createServerCrashTask({
+    crashes,
+    outcomes,
+    timers,
+    log,
+    metrics,
+  });
   const incarnations = createServerIncarnations();
   const connections = createBackendConnections({
     onIdleLimit: (service, milliseconds) =>
@@ -165,7 +169,6 @@
     fleetKey: options.fleetKey,
     identity: { host, dataCentre, incarnation },
   });
-  const budgets = new Map<string, RetryBudget>();
   let isStopping = false;
   let isListening = false;
   let inFlight = 0;
@@ -184,6 +187,7 @@
     load,
     outcomes,
     directory,
+    crashes,
     host,
     dataCentre,
     capacity: options.capacity ?? 1,
@@ -193,16 +197,23 @@
     isServing,
     busyShare: () => busyShare,
   });
+  const budgets = createRetryBudgets({
+    random,
+    allowance: () => tuning.retries,
+    sharingRouters: () => peers.sharingRouters(),
+  });
   const context: PassThroughContext = {
     state,
     connections,
     protocol,
     load,
     outcomes,
-    retries: retryBudgetFor,
+    retries: (service) => budgets.of(service),
     timers,
     random,
     directory,
+    crashes,
+    serverCrashes,
     log,
     metrics,
     dataCentre,
@@ -231,21 +242,6 @@
     return isListening && !isStopping && state.isKnown();
   }
 
-  function retryBudgetFor(service: string): RetryBudget {
-    let budget = budgets.get(service);
-    if (!budget) {
-      budget = createRetryBudget({
-        random,
-        ratio: () => tuning.retries.ratio * RETRY_ALLOWANCE_RATIO,
-        allowance: () =>
-          tuning.retries.fleetAllowance * RETRY_ALLOWANCE_RATIO /
-          peers.sharingRouters(),
-      });
-      budgets.set(service, budget);
-    }
-    return budget;
-  }
-
   function describe(): unknown {
     return {
       host,
@@ -258,6 +254,7 @@
       peers: peers.describe(),
       loads: load.ownLoads(),
       excluded: outcomes.excludedServers(clock.monotonicMilliseconds()),
+      quarantined: crashes.quarantines(clock.monotonicMilliseconds()),
     };
   }
 
@@ -273,12 +270,14 @@
     metrics.backendConnections.set(connections.openedCount());
     metrics.strayResponses.set(connections.strayResponseCount());
     metrics.droppedLines.set(log.dropped());
+    const quarantines = crashes.quarantines(clock.monotonicMilliseconds());
+    metrics.quarantinedParts.set(quarantines.length);
     metrics.serverRequests.reset();
     for (const { id } of state.registry.list().servers) {
       metrics.serverRequests.set({ server: id }, load.inFlight(id));
     }
-    for (const [service, budget] of budgets) {
-      const left = budget.remaining(clock.monotonicMilliseconds());
+    const retries = budgets.remaining(clock.monotonicMilliseconds());
+    for (const [service, left] of retries) {
       metrics.retriesLeft.set({ service }, left);
     }
     return await metrics.registry.metrics();
@@ -289,6 +288,7 @@
     busyShare = performance.eventLoopUtilization(latest, utilization)
       .utilization;
     utilization = latest;
+    crashes.expire(clock.monotonicMilliseconds());
     connections.retain((server) => state.registry.get(server) !== undefined);
   }
 
--- a/src/gateway_metrics.ts
+++ b/src/gateway_metrics.ts
@@ -115,6 +115,18 @@
       labelNames: ["phase"],
       registers,
     }),
+    serverCrashes: new Counter({
+      name: `${prefix}server_crashes_total`,
+      help:
+        "Backend servers that dropped requests and then refused connections",
+      registers,
+    }),
+    quarantinedParts: new Gauge({
+      name: `${prefix}quarantined_prompt_parts`,
+      help:
+        "Prompt parts whose requests are rejected because they crash servers",
+      registers,
+    }),
     stallSeconds: new Counter({
       name: `${prefix}stall_seconds_total`,
       help: "Time in which the process stood still for half a second or more",
--- a/src/gateway_peer.ts
+++ b/src/gateway_peer.ts
@@ -40,6 +40,8 @@
   sentListingVersion: number;
   /** Sequence number of the first reading not yet sent to the peer. */
   nextReading: number;
+  /** Sequence number of the first crash evidence not yet sent to the peer. */
+  nextEvidence: number;
   /** Since when this router has been missing state that the peer has. */
   behindSince: number | undefined;
 }
@@ -67,6 +69,7 @@
     listingTick: Number.NEGATIVE_INFINITY,
     sentListingVersion: -1,
     nextReading: 0,
+    nextEvidence: 0,
     behindSince: undefined,
   };
 }
--- a/src/gateway_peer_messages.ts
+++ b/src/gateway_peer_messages.ts
@@ -11,11 +11,17 @@
   type HostId,
   type SocketAddress,
 } from "./core/ids.ts";
+import type { PartEvidence } from "./core/prompt_crashes.ts";
 import type { PartEntry } from "./core/prompt_directory.ts";
 import { hash32 } from "./core/hash32.ts";
 import type { ServerCounts } from "./core/report_sums.ts";
 import type { OutcomeCount } from "./core/server_outcomes.ts";
 
+/** Evidence of a crash or of a completed request, with its age. */
+export interface ReportedEvidence extends Omit<PartEvidence, "at"> {
+  readonly ageMilliseconds: number;
+}
+
 /** What a collector reports about a router. */
 export interface RouterListing {
   readonly address: SocketAddress;
@@ -65,6 +71,8 @@
   readonly outcomes: readonly OutcomeCount[];
   /** Prompt parts that a further server has processed. */
   readonly readings: readonly PartEntry[];
+  /** Crashes that interrupted requests, and suspects that completed. */
+  readonly evidence: readonly ReportedEvidence[];
   /** Whether the router lacks the fleet summary and asks all peers for one. */
   readonly needsSummary: boolean;
   /** Sums over several routers, from collectors. */
@@ -83,6 +91,8 @@
 const NEEDS_SUMMARY_FLAG = 4;
 const DATA_CENTRE_SCOPE = 0;
 const FLEET_SCOPE = 1;
+/** Stands for a crash in evidence of a completed request. */
+const NO_CRASH = -1;
 const _packedListing = z.tuple([
   _address,
   _text,
@@ -113,6 +123,8 @@
   z.array(_number),
   z.array(_number),
   _packedSummary.nullable(),
+  // Left out without evidence, as routers of earlier releases expect.
+  z.array(_number).optional(),
 ]);
 
 /** A report in its encoded form. */
@@ -179,10 +191,18 @@
   ];
 }
 
+function _packEvidence(evidence: readonly ReportedEvidence[]): number[] {
+  return evidence.flatMap(({ part, crash, ageMilliseconds }) => [
+    part,
+    crash ?? NO_CRASH,
+    Math.round(ageMilliseconds),
+  ]);
+}
+
 /** Encodes a report. */
 export function packReport(report: GatewayReport): PackedReport {
   const summaryFlag = report.needsSummary ? NEEDS_SUMMARY_FLAG : 0;
-  return [
+  const packed = [
     report.callerAddress,
     _packFlags(report) | summaryFlag,
     _toHundredths(report.busyShare),
@@ -194,7 +214,11 @@
     _packOutcomes(report.outcomes),
     report.readings.flatMap(({ part, server }) => [part, hash32(server)]),
     report.summary ? _packSummary(report.summary) : null,
-  ];
+  ] as const satisfies PackedReport;
+  const { evidence } = report;
+  return evidence.length > 0
+    ? [...packed, _packEvidence(evidence)]
+    : [...packed];
 }
 
 /** Server ids by their hash. */
@@ -249,6 +273,19 @@
   return readings;
 }
 
+function _unpackEvidence(packed: readonly number[]): ReportedEvidence[] {
+  const evidence: ReportedEvidence[] = [];
+  for (let index = 0; index + 2 < packed.length; index += 3) {
+    const crash = packed[index + 1] as number;
+    evidence.push({
+      part: packed[index] as number,
+      crash: crash === NO_CRASH ? undefined : crash,
+      ageMilliseconds: packed[index + 2] as number,
+    });
+  }
+  return evidence;
+}
+
 function _unpackListing(
   packed: z.infer<typeof _packedListing>,
 ): RouterListing {
@@ -311,6 +348,7 @@
     loads: _unpackLoads(packed.data[7], serverIds),
     outcomes: _unpackOutcomes(packed.data[8], serverIds),
     readings: _unpackReadings(packed.data[9], serverIds),
+    evidence: _unpackEvidence(packed.data[11] ?? []),
     needsSummary: (flags & NEEDS_SUMMARY_FLAG) !== 0,
     summary: summary ? _unpackSummary(summary, serverIds) : undefined,
   };
--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -22,6 +22,7 @@
 } from "./gateway_peer_messages.ts";
 import { GatewayPeers } from "./gateway_peers.ts";
 import { ReportBuilder, type ReportBuilderOptions } from "./report_builder.ts";
+import { PeerAnnouncements } from "./peer_announcements.ts";
 import type {
   PeerIdentity,
   PeerMessageKind,
@@ -74,6 +75,7 @@
   readonly #catchUp: StateCatchUp;
   readonly #discovery: RouterDiscovery;
   readonly #hierarchy: ReportHierarchy;
+  readonly #announcements: PeerAnnouncements;
   readonly #fleetSize = createFleetSize();
   #startedAt = Number.NEGATIVE_INFINITY;
   #serverIds: ServerIdsByHash = new Map();
@@ -94,6 +96,11 @@
       own: this.#ownReport,
       now: () => this.#now(),
     });
+    this.#announcements = new PeerAnnouncements({
+      ...options,
+      relays: () => this.#hierarchy.isCollecting,
+      now: () => this.#now(),
+    });
     this.#catchUp = new StateCatchUp({
       network,
       state,
@@ -242,9 +249,10 @@
     peer: GatewayPeer,
     { payload, time, bodiesByKey }: _Sending,
   ): void {
-    const { directory, network } = this.#options;
+    const { network } = this.#options;
     const withListings = payload !== "own" && isListingDue(peer, time);
-    const key = `${payload} ${withListings} ${peer.nextReading}`;
+    const first = this.#announcements.first(peer);
+    const key = `${payload} ${withListings} ${first.reading} ${first.evidence}`;
     let body = bodiesByKey.get(key);
     if (!body) {
       const summary = payload === "own"
@@ -252,14 +260,14 @@
         : this.#hierarchy.summaryFor(payload, withListings);
       const { needsSummary } = this.#hierarchy;
       body = packReport(
-        this.#ownReport.build(peer.nextReading, needsSummary, summary),
+        this.#ownReport.build(first, needsSummary, summary),
       );
       bodiesByKey.set(key, body);
     }
     this.#hierarchy.recordSent(peer);
     recordSentReport(peer, time, withListings);
     if (!this.#hierarchy.isSilent(peer)) {
-      peer.nextReading = directory.nextSequence;
+      this.#announcements.recordSent(peer);
     }
     network.send(peer.address, "gateway.report", body);
   }
@@ -321,7 +329,7 @@
     const isNew = this.#peers.recordReport(peer, report, from);
     this.#hierarchy.receive(peer, report);
     this.#markUnlistedLost(peer, report);
-    this.#recordReadings(report);
+    this.#announcements.receive(report);
     if (isNew) this.#onConnected(peer);
   }
 
@@ -332,14 +340,6 @@
     }
   }
 
-  #recordReadings({ readings }: GatewayReport): void {
-    const { directory } = this.#options;
-    for (const reading of readings) {
-      if (this.#hierarchy.isCollecting) directory.addAndAnnounce(reading);
-      else directory.add(reading);
-    }
-  }
-
   #onConnected(peer: GatewayPeer): void {
     this.#options.log.write("peer.connected", {
       peer: peer.identity?.host,
@@ -347,8 +347,7 @@
     });
     peer.sentVersion = -1;
     peer.sentListingVersion = -1;
-    // A peer that has just joined has no readings and gets all that are kept.
-    peer.nextReading = 0;
+    this.#announcements.restart(peer);
     // In a large fleet the collectors' summaries list the routers.
     if (this.#hierarchy.isHierarchical) return;
     this.#options.network.send(peer.address, "gateway.peers", {
--- a/src/gateway_requests.ts
+++ b/src/gateway_requests.ts
@@ -1,7 +1,8 @@
 /** Handles the requests that arrive at the caller port. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { ApplicationError } from "./core/errors.ts";
-import { passThrough, type PassThroughContext } from "./pass_through.ts";
+import { passThrough } from "./pass_through.ts";
+import type { PassThroughContext } from "./pass_through_context.ts";
 import { sendRejection } from "./rejection.ts";
 import { checkRequest } from "./request_check.ts";
 import { RequestLog } from "./request_log.ts";
--- a/src/operations_page_test.ts
+++ b/src/operations_page_test.ts
@@ -33,6 +33,8 @@
       "store_calls_total",
       "retries_left",
       "stall_seconds_total",
+      "server_crashes_total",
+      "quarantined_prompt_parts",
     ]
   ) {
     t.true(PAGE.includes(`\`${name}\``), name);
--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -26,14 +26,12 @@
   responseTimeoutMilliseconds,
 } from "./core/next_attempt.ts";
 import type { Placement } from "./core/placement.ts";
+import type { Quarantine } from "./core/prompt_crashes.ts";
 import type { RejectionCause } from "./core/retry_after.ts";
 import type { RetryBudget } from "./core/retry_budget.ts";
 import { sendRejection } from "./rejection.ts";
-import {
-  type AttemptContext,
-  type RequestAttempt,
-  SERVER_ERROR_STATUS,
-} from "./request_attempt.ts";
+import type { PassThroughContext } from "./pass_through_context.ts";
+import { type RequestAttempt, SERVER_ERROR_STATUS } from "./request_attempt.ts";
 import { readRequestBody, type RequestBody } from "./request_body.ts";
 import type { CheckedRequest } from "./request_check.ts";
 import { forwardRequest } from "./request_forwarding.ts";
@@ -42,9 +40,8 @@
   type RequestEnd,
   type RequestFields,
   RequestLog,
-  type RequestLogContext,
 } from "./request_log.ts";
-import { chooseServer, type ServerChoiceContext } from "./server_choice.ts";
+import { chooseServer } from "./server_choice.ts";
 import type { Subscription } from "./timer_service.ts";
 
 /** A response may arrive this much after the request's timeout. */
@@ -52,18 +49,6 @@
 /** A response that has begun may end this much after the timeout. */
 const STREAM_GRACE_MILLISECONDS = 300;
 
-const MILLISECONDS_IN_SECOND = 1_000;
-
-/** Dependencies shared by all requests. */
-export interface PassThroughContext
-  extends AttemptContext, RequestLogContext, ServerChoiceContext {
-  readonly retries: (service: string) => RetryBudget;
-  /** Whether this router is shutting down. */
-  readonly isStopping: () => boolean;
-  /** Called once when a request has ended, whatever its outcome. */
-  readonly onFinished: () => void;
-}
-
 const _discardingSink: ResponseSink = { onData: () => {}, onEnd: () => {} };
 
 /** State of a request that passed the checks. */
@@ -142,6 +127,10 @@
   }
 
   #placeAndSend(): void {
+    const { promptParts } = this.#checked.metadata;
+    const quarantine = this.#context.crashes
+      .findQuarantine(promptParts, this.#now());
+    if (quarantine) return this.#rejectQuarantined(quarantine);
     const placement = this.#choose();
     if (!placement) {
       const kind = this.#history.runs > 0
@@ -153,6 +142,15 @@
     this.#send(placement);
   }
 
+  #rejectQuarantined(quarantine: Quarantine): void {
+    const { crashes, remainingMilliseconds } = quarantine;
+    const detail = `a part of the prompt has crashed ${crashes} servers`;
+    const kind = this.#history.runs > 0
+      ? "outcome_unknown"
+      : "prompt_quarantined";
+    this.#reject(kind, detail, "full", remainingMilliseconds);
+  }
+
   #send(placement: Placement): void {
     const { server } = placement;
     const { route, metadata } = this.#checked;
@@ -214,8 +212,16 @@
     this.#onFailure("not_run", `the server responded with ${status}`);
   }
 
+  /** Records that a server dropped the request, which a crash may explain. */
+  #recordDropped(): void {
+    const server = this.#attempt?.server;
+    const { promptParts } = this.#checked.metadata;
+    if (server) this.#context.serverCrashes.recordDropped(server, promptParts);
+  }
+
   #onOutcomeUnknown(detail: string): void {
     this.#history.recordRun();
+    this.#recordDropped();
     this.#attempt?.cancel("unknown");
     this.#onFailure("unknown", detail);
   }
@@ -271,14 +277,14 @@
   }
 
   #onEvents(): void {
-    const gap = this.#history.recordPart() / MILLISECONDS_IN_SECOND;
-    this.#context.metrics.eventGapSeconds.observe(gap);
+    this.#log.continued(this.#history.recordPart());
   }
 
   #onResponseEnd(isComplete: boolean, detail: string): void {
     const server = this.#attempt?.server.id;
     if (!isComplete) {
       this.#attempt?.recordOutcome(true);
+      this.#recordDropped();
       this.#attempt?.cancel("broken");
       return this.#onFailure("broken", detail);
     }
@@ -286,6 +292,10 @@
     const status = this.#relay?.status ?? 0;
     const outcome = status >= SERVER_ERROR_STATUS ? "server_error" : "ok";
     const isSuccess = status < FIRST_ERROR_STATUS;
+    if (isSuccess) {
+      const { promptParts } = this.#checked.metadata;
+      this.#context.crashes.recordCompleted(promptParts, this.#now());
+    }
     this.#finish(
       "request.ended",
       outcome,
@@ -348,11 +358,17 @@
     else this.#response.destroy();
   }
 
-  #reject(kind: ErrorKind, detail: string, cause: RejectionCause): void {
+  #reject(
+    kind: ErrorKind,
+    detail: string,
+    cause: RejectionCause,
+    waitMilliseconds?: number,
+  ): void {
     if (this.#isFinished) return;
     if (this.#response.headersSent) return this.#truncate(detail);
     const rejection = sendRejection(this.#response, createError(kind, detail), {
       cause,
+      waitMilliseconds,
       remainingMilliseconds: this.#history.remainingMilliseconds(),
       random: this.#context.random,
       isClosing: this.#context.isStopping() || !this.#request.complete,
--- /dev/null
+++ b/src/peer_announcements.ts
@@ -0,0 +1,60 @@
+/**
+ * What routers tell each peer once: readings of prompt parts and evidence of
+ * crashes. Collectors pass on what they hear.
+ */
+import type { PromptCrashes } from "./core/prompt_crashes.ts";
+import type { PromptDirectory } from "./core/prompt_directory.ts";
+import type { GatewayPeer } from "./gateway_peer.ts";
+import type { GatewayReport } from "./gateway_peer_messages.ts";
+import type { FirstAnnouncements } from "./report_builder.ts";
+
+/** Where announcements come from and go to. */
+export interface PeerAnnouncementsOptions {
+  readonly directory: PromptDirectory;
+  readonly crashes: PromptCrashes;
+  /** Whether this router passes on what peers announce. */
+  readonly relays: () => boolean;
+  /** The monotonic time in milliseconds. */
+  readonly now: () => number;
+}
+
+/** The announcements to and from the peers of one router. */
+export class PeerAnnouncements {
+  readonly #options: PeerAnnouncementsOptions;
+
+  constructor(options: PeerAnnouncementsOptions) {
+    this.#options = options;
+  }
+
+  /** Sequence numbers of the first announcements that a peer has not had. */
+  first(peer: GatewayPeer): FirstAnnouncements {
+    return { reading: peer.nextReading, evidence: peer.nextEvidence };
+  }
+
+  /** Records that a peer got all announcements. */
+  recordSent(peer: GatewayPeer): void {
+    peer.nextReading = this.#options.directory.nextSequence;
+    peer.nextEvidence = this.#options.crashes.nextSequence;
+  }
+
+  /** Sends a peer that has just joined all announcements that are kept. */
+  restart(peer: GatewayPeer): void {
+    peer.nextReading = 0;
+    peer.nextEvidence = 0;
+  }
+
+  /** Applies the announcements of a peer's report. */
+  receive({ readings, evidence }: GatewayReport): void {
+    const { directory, crashes } = this.#options;
+    const relays = this.#options.relays();
+    const now = this.#options.now();
+    for (const reading of readings) {
+      if (relays) directory.addAndAnnounce(reading);
+      else directory.add(reading);
+    }
+    for (const { part, crash, ageMilliseconds } of evidence) {
+      const at = now - ageMilliseconds;
+      crashes.addEvidence({ part, crash, at }, now, relays);
+    }
+  }
+}
--- a/src/rejection.ts
+++ b/src/rejection.ts
@@ -7,7 +7,11 @@
   toErrorBody,
 } from "./core/errors.ts";
 import type { RandomSource } from "./core/random.ts";
-import { type RejectionCause, retryAfterSeconds } from "./core/retry_after.ts";
+import {
+  type RejectionCause,
+  retryAfterKnownWait,
+  retryAfterSeconds,
+} from "./core/retry_after.ts";
 
 const SERVICE_UNAVAILABLE = 503;
 /** Remaining time assumed for a request without a known deadline. */
@@ -18,6 +22,8 @@
   readonly cause: RejectionCause;
   readonly remainingMilliseconds: number | undefined;
   readonly random: RandomSource;
+  /** Time for which no retry can succeed, if it is known. */
+  readonly waitMilliseconds?: number | undefined;
   /** Whether the connection is closed after the response. */
   readonly isClosing: boolean;
 }
@@ -37,11 +43,13 @@
     String(Buffer.byteLength(body)),
   ];
   if (errorResponse.status === SERVICE_UNAVAILABLE) {
-    const seconds = retryAfterSeconds(
-      options.cause,
-      options.remainingMilliseconds ?? DEFAULT_REMAINING_MILLISECONDS,
-      options.random,
-    );
+    const seconds = options.waitMilliseconds === undefined
+      ? retryAfterSeconds(
+        options.cause,
+        options.remainingMilliseconds ?? DEFAULT_REMAINING_MILLISECONDS,
+        options.random,
+      )
+      : retryAfterKnownWait(options.waitMilliseconds, options.random);
     headers.push("Retry-After", String(seconds));
   }
   if (options.isClosing) headers.push("Connection", "close");
--- a/src/report_builder.ts
+++ b/src/report_builder.ts
@@ -1,11 +1,13 @@
 /** Builds the reports that a router sends about itself. */
 import type { FleetLoad } from "./core/fleet_load.ts";
 import type { DataCentreId, HostId, SocketAddress } from "./core/ids.ts";
+import type { PromptCrashes } from "./core/prompt_crashes.ts";
 import type { PromptDirectory } from "./core/prompt_directory.ts";
 import type { ServerCounts } from "./core/report_sums.ts";
 import type { ServerOutcomes } from "./core/server_outcomes.ts";
 import type {
   GatewayReport,
+  ReportedEvidence,
   ReportSummary,
   RouterListing,
 } from "./gateway_peer_messages.ts";
@@ -19,6 +21,7 @@
   readonly load: FleetLoad;
   readonly outcomes: ServerOutcomes;
   readonly directory: PromptDirectory;
+  readonly crashes: PromptCrashes;
   readonly host: HostId;
   readonly dataCentre: DataCentreId;
   /** Relative capacity of the host, for example its number of cores. */
@@ -32,6 +35,12 @@
   readonly busyShare: () => number;
 }
 
+/** Sequence numbers from which on a peer has not had the announcements. */
+export interface FirstAnnouncements {
+  readonly reading: number;
+  readonly evidence: number;
+}
+
 /** Builds the reports of one router. */
 export class ReportBuilder {
   readonly #options: ReportBuilderOptions;
@@ -67,9 +76,9 @@
     };
   }
 
-  /** Builds a report with the readings from sequence number `firstReading` on. */
+  /** Builds a report with the announcements from `first` on. */
   build(
-    firstReading: number,
+    first: FirstAnnouncements,
     needsSummary: boolean,
     summary: ReportSummary | undefined,
   ): GatewayReport {
@@ -81,9 +90,20 @@
       configurationVersion,
       registryRevision,
       registryDigest: state.registry.digest,
-      readings: directory.announcementsSince(firstReading),
+      readings: directory.announcementsSince(first.reading),
+      evidence: this.#evidenceSince(first.evidence),
       needsSummary,
       summary,
     };
   }
+
+  #evidenceSince(sequence: number): ReportedEvidence[] {
+    const { crashes, timers } = this.#options;
+    const now = timers.clock.monotonicMilliseconds();
+    return crashes.announcementsSince(sequence).map(({ part, crash, at }) => ({
+      part,
+      crash,
+      ageMilliseconds: now - at,
+    }));
+  }
 }
--- a/src/report_hierarchy_test.ts
+++ b/src/report_hierarchy_test.ts
@@ -54,6 +54,23 @@
   );
 }
 
+test("guards against routers of a large fleet that go on sending a prompt part that crashed servers elsewhere", async (t) => {
+  const fleet = await startFleet(t, { routers: 36, dataCentres: 3 });
+  const parts = [{ id: "deadly", tokens: 400 }, { id: "own", tokens: 100 }];
+  for (let index = 0; index < 3; index++) {
+    const router = fleet.routers[11 * index] as SimulatedGateway;
+    const { clock } = fleet.timers;
+    const server = testServer(`crashed-${index}`);
+    router.crashes.recordCrash(server, parts, clock.monotonicMilliseconds());
+    await fleet.advance(PROPAGATION_MILLISECONDS);
+  }
+  const now = fleet.timers.clock.monotonicMilliseconds();
+  t.deepEqual(
+    fleet.routers.filter(({ crashes }) => !crashes.findQuarantine(parts, now)),
+    [],
+  );
+});
+
 test("guards against routers of a large fleet seeing different or partial loads", async (t) => {
   const fleet = await startFleet(t, { routers: 36, dataCentres: 3 });
   startRequests(fleet.routers, SERVER);
--- a/src/request_log.ts
+++ b/src/request_log.ts
@@ -109,6 +109,11 @@
     );
   }
 
+  /** Records a further part of the response and the time since the last. */
+  continued(gapMilliseconds: number): void {
+    this.#context.metrics.eventGapSeconds.observe(gapMilliseconds / 1_000);
+  }
+
   /** Records the end of the request. */
   ended(
     end: RequestEnd,
--- a/stand_ins/gateway_peer_fleet.ts
+++ b/stand_ins/gateway_peer_fleet.ts
@@ -15,6 +15,10 @@
   type IncarnationId,
   type SocketAddress,
 } from "../src/core/ids.ts";
+import {
+  createPromptCrashes,
+  type PromptCrashes,
+} from "../src/core/prompt_crashes.ts";
 import { createPromptDirectory } from "../src/core/prompt_directory.ts";
 import { createSeededRandom } from "../src/core/random.ts";
 import {
@@ -57,6 +61,7 @@
   readonly peers: GatewayPeerTask;
   readonly load: FleetLoad;
   readonly outcomes: ServerOutcomes;
+  readonly crashes: PromptCrashes;
   readonly state: GatewayStateTask;
   readonly store: MemoryFleetStore;
   readonly counters: PeerCounters;
@@ -232,6 +237,7 @@
     const state = createGatewayStateTask({ store, timers, random, log });
     const load = createFleetLoad();
     const outcomes = createServerOutcomes();
+    const crashes = createPromptCrashes();
     const network = new _Network(this, () => router);
     const peers = createGatewayPeerTask({
       network,
@@ -243,6 +249,7 @@
       load,
       outcomes,
       directory: createPromptDirectory(),
+      crashes,
       host,
       dataCentre,
       capacity: options.capacity?.(index) ?? 1,
@@ -257,6 +264,7 @@
       peers,
       load,
       outcomes,
+      crashes,
       state,
       store,
       counters: createPeerCounters(),
