Let requests through whose suspect part may be innocent

Cause: a part that was read beside the deadly one in all three crashes had the same evidence against it and was quarantined too. Its requests were rejected, so none could complete and clear it. Change: a quarantine does not apply to a prompt that lacks another suspect which was read in all of the part's crashes. A request without it shows which of the two is sound: it completes, or it adds a crash to one of them alone. Figures: prompt_crashes_test.ts has the case; it fails without the change.

--- a/src/core/prompt_crashes.ts
+++ b/src/core/prompt_crashes.ts
@@ -142,16 +142,21 @@
     if (isNew && relays) this.#announcements.add(evidence);
   }
 
-  /** Returns the longest quarantine of a prompt's shared parts. */
+  /**
+   * Returns the longest quarantine that applies to a prompt. A part that was only
+   * ever read beside another one is as suspect as that one; without the other in
+   * the prompt, a request tells which of the two is sound.
+   */
   findQuarantine(
     parts: readonly PromptPart[],
     now: number,
   ): Quarantine | undefined {
     if (this.#suspects.size === 0) return undefined;
+    const keys = new Set(sharedPartsOf(parts).map(partKeyOf));
     let longest: Quarantine | undefined;
-    for (const part of sharedPartsOf(parts)) {
-      const quarantine = this.#quarantineOf(partKeyOf(part), now);
-      if (!quarantine) continue;
+    for (const key of keys) {
+      const quarantine = this.#quarantineOf(key, now);
+      if (!quarantine || this.#isExplained(key, keys)) continue;
       const { remainingMilliseconds } = quarantine;
       if (remainingMilliseconds > (longest?.remainingMilliseconds ?? 0)) {
         longest = quarantine;
@@ -188,6 +193,16 @@
     return this.#announcements.since(sequence);
   }
 
+  /** Whether a suspect that the prompt lacks was read in all crashes of a part. */
+  #isExplained(part: PartKey, prompt: ReadonlySet<PartKey>): boolean {
+    const crashes = [...this.#suspects.get(part)?.crashes.keys() ?? []];
+    for (const [other, suspect] of this.#suspects) {
+      if (prompt.has(other)) continue;
+      if (crashes.every((crash) => suspect.crashes.has(crash))) return true;
+    }
+    return false;
+  }
+
   #quarantineOf(part: PartKey, now: number): Quarantine | undefined {
     const suspect = this.#suspects.get(part);
     if (!suspect || now >= suspect.quarantinedUntil) return undefined;
--- a/src/core/prompt_crashes_test.ts
+++ b/src/core/prompt_crashes_test.ts
@@ -53,6 +53,21 @@
   t.is(busy.nextSequence, 2);
 });
 
+test("guards against rejecting a sound part that was only read beside the one that crashes servers, and against sparing the latter", (t) => {
+  const beside: PromptPart = { id: "beside", tokens: 300 };
+  const crashes = createPromptCrashes();
+  for (let index = 0; index < 3; index++) {
+    crash(crashes, index, 1_000 * index, beside, DEADLY);
+  }
+  t.not(crashes.findQuarantine(prompt(beside, DEADLY), 3_000), undefined);
+  t.is(crashes.findQuarantine(prompt(beside), 3_000), undefined);
+  crash(crashes, 3, 3_000, DEADLY);
+  t.not(crashes.findQuarantine(prompt(DEADLY), 3_000), undefined);
+  t.is(crashes.findQuarantine(prompt(beside), 3_000), undefined);
+  crashes.recordCompleted(prompt(beside), 3_500);
+  t.not(crashes.findQuarantine(prompt(beside, DEADLY), 3_500), undefined);
+});
+
 test("guards against counting one crash several times, and against keeping a quarantine that a completed request disproved or that ended", (t) => {
   const cleared: number[] = [];
   const crashes = createPromptCrashes({
