Trust a refusal without an id only on a new connection

Cause: a refusal that carried the id of another request was dropped as stray, but one without an id was believed. A faulty server that repeats an earlier refusal on a kept connection so refused a request that it ran. Change: on a connection that was used before, a refusal counts only with the id of the request; without one the outcome is unknown. The stand-in servers echo the id in refusals, as real ones do. Conclusion: a refusal is proof only if it names what it refuses.

--- a/soak/soak_backends.ts
+++ b/soak/soak_backends.ts
@@ -122,12 +122,16 @@
     let body = "";
     for await (const chunk of request) body += String(chunk);
     const requestId = String(request.headers[headerNames.requestId]);
+    const refusal = {
+      [headerNames.notRun]: "1",
+      [headerNames.requestId]: requestId,
+    };
     if (request.headers[headerNames.expectedServer] !== id) {
-      response.writeHead(421, { [headerNames.notRun]: "1" }).end();
+      response.writeHead(421, refusal).end();
       return;
     }
     if (this.#inFlight >= this.slots) {
-      response.writeHead(503, { [headerNames.notRun]: "1" }).end();
+      response.writeHead(503, refusal).end();
       return;
     }
     const path = request.url ?? "";
--- a/src/backend_exchange.ts
+++ b/src/backend_exchange.ts
@@ -103,13 +103,18 @@
 function _classifyResponse(
   status: number,
   metadata: ResponseMetadata,
-  requestId: string,
+  { requestId, isReused }: { requestId: string; isReused: boolean },
 ): _ResponseKind {
   const declinesRequest = metadata.notRun || status === MISDIRECTED_REQUEST;
   if (metadata.requestId !== undefined && metadata.requestId !== requestId) {
     return "stray";
   }
-  if (declinesRequest && !metadata.isSigned) return "not_run";
+  if (declinesRequest && !metadata.isSigned) {
+    // On a reused connection, a refusal without an id may be that of an earlier
+    // request, sent once more, while this one runs.
+    const isProven = metadata.requestId !== undefined || !isReused;
+    return isProven ? "not_run" : "stray";
+  }
   if (metadata.requestId === undefined) return "stray";
   const isSuccess = status >= 200 && status < 300;
   return isSuccess && !metadata.isSigned ? "invalid" : "answer";
@@ -221,7 +226,8 @@
     if (this.#cancelled || status < 200) return;
     const { protocol, requestId } = this.#options;
     const metadata = protocol.readResponse(headers);
-    const kind = _classifyResponse(status, metadata, requestId);
+    const isReused = this.#connection.idleMilliseconds !== undefined;
+    const kind = _classifyResponse(status, metadata, { requestId, isReused });
     if (kind === "not_run") {
       this.#reportOnce(() => this.#options.listener.onNotRun(status));
     } else if (kind === "answer") {
--- a/src/gateway_incidents_test.ts
+++ b/src/gateway_incidents_test.ts
@@ -6,14 +6,17 @@
   type Bench,
   call,
   callerHeaders,
+  sendRaw,
   startBench,
   stopBenches,
 } from "../stand_ins/gateway_test_bench.ts";
 import {
   type RawBackend,
+  refuse,
   responseHeaders,
   type Script,
 } from "../stand_ins/raw_backend.ts";
+import { DEFAULT_HEADER_NAMES as NAMES } from "./gateway_protocol.ts";
 
 const STOP_REQUESTS = 200;
 const STOP_SPREAD_MILLISECONDS = 400;
@@ -109,3 +112,104 @@
   // The caller's deadline is three seconds.
   t.true(performance.now() - started < 3_600);
 });
+
+/** Returns a refusal as sent on the wire; it may lack the id of its request. */
+function refusalBytes(id: string | undefined): string {
+  const echoed = id === undefined ? "" : `${NAMES.requestId}: ${id}\r\n`;
+  return `HTTP/1.1 503 Busy\r\n${echoed}${NAMES.notRun}: 1\r\n` +
+    "Content-Length: 0\r\n\r\n";
+}
+
+for (const hasId of [true, false]) {
+  test.serial(`guards against taking an earlier refusal, sent once more on a kept connection, for the refusal of a request that runs (${hasId ? "with" : "without"} an id)`, async (t) => {
+    const bench = await startBench({ backends: 2 });
+    const runs: string[] = [];
+    for (const backend of bench.backends) {
+      const firstByPort = new Map<number, string>();
+      backend.script((received, response) => {
+        const { id, callerPort } = received;
+        const earlier = firstByPort.get(callerPort);
+        if (earlier === undefined) {
+          firstByPort.set(callerPort, id);
+          refuse(received, response);
+          return;
+        }
+        runs.push(id);
+        const refusal = refusalBytes(hasId ? earlier : undefined);
+        response.socket?.write(refusal);
+      });
+    }
+    const statuses: [string, number][] = [];
+    for (let index = 0; index < 8; index++) {
+      const { id, status } = await call(bench, { path: "/once/x" });
+      statuses.push([id, status]);
+    }
+    t.true(runs.length > 0);
+    t.is(new Set(runs).size, runs.length);
+    const toldNotRun = statuses.filter(([id, status]) =>
+      status === 503 && runs.includes(id)
+    );
+    t.deepEqual(toldNotRun, []);
+  });
+}
+
+test.serial("guards against a response whose server stopped in its head or body looking whole, wherever it stopped", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  const [backend] = bench.backends as [RawBackend];
+  const forms = [
+    "Content-Length: 6\r\n\r\nevents",
+    "Transfer-Encoding: chunked\r\n\r\n6\r\nevents\r\n0\r\n\r\n",
+  ];
+  for (const form of forms) {
+    const whole = `HTTP/1.1 200 OK\r\n${NAMES.signature}: s\r\n` +
+      `${NAMES.requestId}: IDENTIFIER\r\n${form}`;
+    for (let length = 0; length < whole.length; length++) {
+      backend.script(({ id }, { socket }) => {
+        const padded = id.padEnd("IDENTIFIER".length, "x");
+        socket?.end(whole.replace("IDENTIFIER", padded).slice(0, length));
+      });
+      const outcome = await call(bench, {
+        path: "/once/x",
+        id: `cut-${length}`.padEnd("IDENTIFIER".length, "x"),
+      }).then(({ status }) => status, () => "broken off");
+      const isHonest = outcome === 502 || outcome === "broken off";
+      t.true(isHonest, `${outcome} after ${length} bytes of ${form}`);
+    }
+  }
+});
+
+test.serial("guards against the head or the text of a resuming server's error in a caller's stream", async (t) => {
+  const bench = await startBench();
+  const errors = [
+    (id: string) =>
+      `HTTP/1.1 500 Error\r\n${NAMES.requestId}: ${id}\r\n` +
+      `${NAMES.signature}: s\r\nContent-Length: 14\r\n\r\ndata: wrong\n\n\n`,
+    (id: string) =>
+      `HTTP/1.1 500 Error\r\n${NAMES.requestId}: ${id}\r\n` +
+      `${NAMES.signature}: s\r\n\r\ndata: wrong\n\n`,
+    () => refusalBytes(undefined).replace("503 Busy", "429 Busy"),
+    () => "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\ndata: wrong\n\n",
+    (id: string) => `HTTP/1.1 500 Error\r\n${NAMES.requestId}: ${id}\r\n`,
+  ];
+  for (const [index, error] of errors.entries()) {
+    for (const backend of bench.backends) {
+      backend.script(({ id, headers }, response) => {
+        if (headers["last-event-id"] !== undefined) {
+          response.socket?.end(error(id));
+          return;
+        }
+        response.writeHead(200, responseHeaders(id));
+        response.write("id: 1\ndata: a\n\n");
+        setTimeout(() => response.destroy(), 50);
+      });
+    }
+    const text = await sendRaw(
+      bench,
+      `GET /stream/x HTTP/1.1\r\nHost: shop.example\r\n${NAMES.requestId}: e-${index}\r\n` +
+        "Authorization: Bearer temple-key\r\nConnection: close\r\n\r\n",
+    );
+    t.regex(text, /data: a\n\n/, `${index}`);
+    t.notRegex(text, /wrong|HTTP.*HTTP/s, `${index}`);
+    t.false(text.endsWith("0\r\n\r\n"), `${index}`);
+  }
+});
--- a/stand_ins/raw_backend.ts
+++ b/stand_ins/raw_backend.ts
@@ -47,8 +47,8 @@
 }
 
 /** Rejects a request without executing it. */
-export function refuse(_received: ReceivedRequest, response: ServerResponse) {
-  response.writeHead(503, { [NAMES.notRun]: "1" });
+export function refuse({ id }: ReceivedRequest, response: ServerResponse) {
+  response.writeHead(503, { [NAMES.notRun]: "1", [NAMES.requestId]: id });
   response.end();
 }
 
