Take a stream without a length that ends before its first event as broken off

Cause: an event stream with neither a length nor chunks ends with its connection. A server that closed it after the head, as one does that crashes, left a stream that looked complete, and a crash would count as a completed request. Change: such a stream is complete only if it held an event; otherwise the request is repeated or fails as broken off. Figures: the new test gets 200 before and a failure after.

--- a/src/gateway_incidents_test.ts
+++ b/src/gateway_incidents_test.ts
@@ -178,6 +178,19 @@
   }
 });
 
+test.serial("guards against a stream that begins and breaks off without an event looking complete", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  const [backend] = bench.backends as [RawBackend];
+  backend.script(({ id }, { socket }) => {
+    socket?.end(
+      `HTTP/1.1 200 OK\r\n${NAMES.requestId}: ${id}\r\n${NAMES.signature}: s\r\n\r\n`,
+    );
+  });
+  const outcome = await call(bench, { path: "/single/x" })
+    .then(({ status }) => status, () => "broken off");
+  t.not(outcome, 200);
+});
+
 test.serial("guards against the head or the text of a resuming server's error in a caller's stream", async (t) => {
   const bench = await startBench();
   const errors = [
--- a/src/response_relay.ts
+++ b/src/response_relay.ts
@@ -124,16 +124,26 @@
 
   #onEnd(isComplete: boolean, detail: string): void {
     const { response, listener } = this.#options;
-    const hasPartialEvent = (this.#splitter?.pendingBytes ?? 0) > 0;
-    if (isComplete && !hasPartialEvent) {
+    const truncation = this.#findTruncation();
+    const isWhole = isComplete && truncation === undefined;
+    if (isWhole) {
       this.#writeBuffered();
       this.#writeHead();
       response.end();
     }
-    listener.onEnd(
-      isComplete && !hasPartialEvent,
-      hasPartialEvent ? "the stream ended in the middle of an event" : detail,
-    );
+    listener.onEnd(isWhole, truncation ?? detail);
+  }
+
+  /** Returns why an event stream is incomplete although its framing is not. */
+  #findTruncation(): string | undefined {
+    if (!this.#splitter) return undefined;
+    if (this.#splitter.pendingBytes > 0) {
+      return "the stream ended in the middle of an event";
+    }
+    const hasEnded = this.#head?.endsWithConnection ?? false;
+    return hasEnded && !this.hasBegun
+      ? "the connection closed before the first event"
+      : undefined;
   }
 
   #writeBuffered(): void {
