Heed servers that say they are leaving or want a pause

Cause: two new rules. A server that leaves says so in its responses, and one that rejects with 503 may name a time for which it wants nothing from a router. Routers read neither. Change: core/server_notices.ts holds both for each incarnation of a server: drains from the registry, from a response or from a peer, and pauses. The choice of a server leaves out what they name, also as a last resort, for first attempts, retries and resumed streams; idle connections to leaving servers are closed. Routers tell each other of responses that said so in their reports. The first request after a pause goes alone while others can serve. Malformed headers count as absent, with a counter and a log line. The status page of the gateway and the decision where a request goes moved to files of their own.

--- a/src/backend_connections_test.ts
+++ b/src/backend_connections_test.ts
@@ -44,6 +44,7 @@
     headers: [],
     body: undefined,
     listener: {
+      onNotices: () => undefined,
       onNotSent: () => t.fail("not sent"),
       onNotRun: () => t.fail("not run"),
       onOutcomeUnknown: () => t.fail("outcome unknown"),
--- a/src/backend_exchange.ts
+++ b/src/backend_exchange.ts
@@ -56,8 +56,10 @@
   /** The request is not valid HTTP. */
   | "malformed";
 
-/** Receives the result of a request: exactly one method is called, once. */
+/** Receives the result of a request: one of its other methods is called, once. */
 export interface ExchangeListener {
+  /** What the server says about itself, before the result; called at most once. */
+  onNotices(metadata: ResponseMetadata): void;
   /** No byte of the request reached the server. */
   onNotSent(reason: NotSentReason, detail: string): void;
   /** The server declares that it did not run the request and never will. */
@@ -225,9 +227,10 @@
   ): void {
     if (this.#cancelled || status < 200) return;
     const { protocol, requestId } = this.#options;
-    const metadata = protocol.readResponse(headers);
+    const metadata = protocol.readResponse(status, headers);
     const isReused = this.#connection.idleMilliseconds !== undefined;
     const kind = _classifyResponse(status, metadata, { requestId, isReused });
+    if (kind !== "stray") this.#options.listener.onNotices(metadata);
     if (kind === "not_run") {
       this.#reportOnce(() => this.#options.listener.onNotRun(status));
     } else if (kind === "answer") {
--- a/src/backend_exchange_test.ts
+++ b/src/backend_exchange_test.ts
@@ -70,6 +70,7 @@
     headers: [],
     body: undefined,
     listener: {
+      onNotices: () => undefined,
       onNotSent: () => undefined,
       onNotRun: () => undefined,
       onOutcomeUnknown: () => undefined,
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -30,6 +30,8 @@
   readonly servers: readonly RegisteredServer[];
   /** Requests in flight at a server. */
   readonly inFlight: (server: BackendServerId) => number;
+  /** Whether a server gets no request at all: it is leaving or pausing. */
+  readonly isUnavailable: (server: RegisteredServer) => boolean;
   /** Whether a server is avoided while others are available. */
   readonly isExcluded: (server: BackendServerId) => boolean;
   /** Servers to which this request was already sent. */
@@ -174,7 +176,9 @@
 /** Chooses a server, or returns undefined if there is none left to try. */
 export function choosePlacement(input: PlacementInput): Placement | undefined {
   const mean = _meanInFlight(input);
-  const untried = input.servers.filter(({ id }) => !input.tried.has(id));
+  const untried = input.servers.filter((server) =>
+    !input.tried.has(server.id) && !input.isUnavailable(server)
+  );
   const healthy = untried.filter(({ id }) => !input.isExcluded(id));
   const isLastResort = healthy.length === 0;
   const servers = isLastResort ? untried : healthy;
--- a/src/core/placement_test.ts
+++ b/src/core/placement_test.ts
@@ -32,6 +32,7 @@
   return {
     servers,
     inFlight: () => 0,
+    isUnavailable: () => false,
     isExcluded: () => false,
     tried: new Set(),
     promptParts: [],
--- a/src/core/prompt_crashes.ts
+++ b/src/core/prompt_crashes.ts
@@ -11,9 +11,12 @@
  * since every router sees few requests of a part.
  */
 import { AnnouncementLog } from "./announcement_log.ts";
-import { hash32 } from "./hash32.ts";
 import type { PromptPart } from "./prompt.ts";
 import { type PartKey, partKeyOf, sharedPartsOf } from "./prompt_directory.ts";
+import {
+  type IncarnationKey,
+  incarnationKeyOf,
+} from "./server_incarnations.ts";
 import type { RegisteredServer } from "./server_registry.ts";
 
 /** Crashes, apart in time, after which a part is quarantined. */
@@ -32,14 +35,11 @@
 const MAXIMUM_CRASHES = 16;
 const MAXIMUM_ANNOUNCEMENTS = 2_048;
 
-/** Identifies the crash of one incarnation of a server. */
-export type CrashKey = number;
-
 /** What a request showed about a part of its prompt. */
 export interface PartEvidence {
   readonly part: PartKey;
-  /** The crash that interrupted it; undefined if the request completed. */
-  readonly crash: CrashKey | undefined;
+  /** The server whose crash interrupted it; undefined if the request completed. */
+  readonly crash: IncarnationKey | undefined;
   /** When that was, on the receiver's monotonic clock, in milliseconds. */
   readonly at: number;
 }
@@ -60,15 +60,10 @@
 }
 
 interface _Suspect {
-  readonly crashes: Map<CrashKey, number>;
+  readonly crashes: Map<IncarnationKey, number>;
   quarantinedUntil: number;
 }
 
-/** Returns the key of a crash of a server's present incarnation. */
-export function crashKeyOf({ id, started }: RegisteredServer): CrashKey {
-  return hash32(`${id}\0${started}`);
-}
-
 /** Returns the number of crashes without those that follow another closely. */
 function _countSeparate(times: readonly number[]): number {
   let count = 0;
@@ -112,7 +107,7 @@
     parts: readonly PromptPart[],
     now: number,
   ): void {
-    const crash = crashKeyOf(server);
+    const crash = incarnationKeyOf(server);
     for (const part of sharedPartsOf(parts)) {
       const evidence = { part: partKeyOf(part), crash, at: now };
       if (this.#addCrash(evidence.part, crash, now, now)) {
@@ -235,7 +230,7 @@
   /** Adds a crash; returns whether the part is suspect and the crash was new. */
   #addCrash(
     part: PartKey,
-    crash: CrashKey,
+    crash: IncarnationKey,
     at: number,
     now: number,
   ): boolean {
--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -10,6 +10,7 @@
 import type { ApplicationError } from "./core/errors.ts";
 import { createFleetLoad } from "./core/fleet_load.ts";
 import {
+  type BackendServerId,
   brandId,
   type DataCentreId,
   type HostId,
@@ -21,6 +22,7 @@
 import type { LoadBound } from "./core/placement.ts";
 import { createSeededRandom } from "./core/random.ts";
 import { createServerIncarnations } from "./core/server_incarnations.ts";
+import { createServerNotices } from "./core/server_notices.ts";
 import { createServerOutcomes } from "./core/server_outcomes.ts";
 import { createStallDetector } from "./core/stall_detector.ts";
 import {
@@ -44,6 +46,7 @@
 } from "./gateway_protocol.ts";
 import { applyRequestBounds, createGatewayServer } from "./gateway_server.ts";
 import { createGatewayStateTask } from "./gateway_state_task.ts";
+import { createGatewayStatus } from "./gateway_status.ts";
 import { handleRequest } from "./gateway_requests.ts";
 import { createServerCrashTask } from "./server_crash_task.ts";
 import { toListenAddress } from "./listen_address.ts";
@@ -138,6 +141,12 @@
   const outcomes = createServerOutcomes({
     onExcluded: (exclusion) => log.write("server.excluded", { ...exclusion }),
   });
+  const notices = createServerNotices({
+    onLeaving: ({ id }, source) =>
+      log.write("server.leaving", { server: id, source }),
+    onPausing: ({ id }, milliseconds) =>
+      log.write("server.pausing", { server: id, milliseconds }),
+  });
   const directory = createPromptDirectory();
   const crashes = createPromptCrashes({
     onQuarantined: (quarantine) =>
@@ -188,6 +197,7 @@
     outcomes,
     directory,
     crashes,
+    notices,
     host,
     dataCentre,
     capacity: options.capacity ?? 1,
@@ -208,6 +218,7 @@
     protocol,
     load,
     outcomes,
+    notices,
     retries: (service) => budgets.of(service),
     timers,
     random,
@@ -221,13 +232,26 @@
     isStopping: () => isStopping,
     onFinished: () => inFlight--,
   };
+  const status = createGatewayStatus({
+    ...context,
+    peers,
+    budgets,
+    describeProcess: () => ({
+      host,
+      incarnation,
+      isServing: isServing(),
+      isStopping,
+      inFlight,
+      busyShare,
+    }),
+  });
   const interfaces: GatewayInterfacesOptions = {
     isServing,
     routers: () => peers.servingRouters(),
     entryFormat: options.entryFormat ?? new DefaultEntryFormat(),
     keepMilliseconds: ENTRY_LIFETIME_MILLISECONDS,
-    metricsText: renderMetrics,
-    describe,
+    metricsText: () => status.renderMetrics(),
+    describe: () => status.describe(),
   };
   const callerServer = createGatewayServer((request, response) => {
     inFlight++;
@@ -242,54 +266,21 @@
     return isListening && !isStopping && state.isKnown();
   }
 
-  function describe(): unknown {
-    return {
-      host,
-      incarnation,
-      isServing: isServing(),
-      isStopping,
-      inFlight,
-      busyShare,
-      state: state.describe(),
-      peers: peers.describe(),
-      loads: load.ownLoads(),
-      excluded: outcomes.excludedServers(clock.monotonicMilliseconds()),
-      quarantined: crashes.quarantines(clock.monotonicMilliseconds()),
-    };
-  }
-
-  async function renderMetrics(): Promise<string> {
-    const { configurationVersion } = state.versions();
-    metrics.configurationVersion.set(configurationVersion);
-    for (const subject of ["configuration", "registry"] as const) {
-      const age = state.ageMilliseconds(subject);
-      metrics.stateAgeSeconds.set({ subject }, age < 0 ? -1 : age / 1_000);
-    }
-    metrics.routers.set(peers.liveRouters());
-    metrics.inFlight.set(inFlight);
-    metrics.backendConnections.set(connections.openedCount());
-    metrics.strayResponses.set(connections.strayResponseCount());
-    metrics.droppedLines.set(log.dropped());
-    const quarantines = crashes.quarantines(clock.monotonicMilliseconds());
-    metrics.quarantinedParts.set(quarantines.length);
-    metrics.serverRequests.reset();
-    for (const { id } of state.registry.list().servers) {
-      metrics.serverRequests.set({ server: id }, load.inFlight(id));
-    }
-    const retries = budgets.remaining(clock.monotonicMilliseconds());
-    for (const [service, left] of retries) {
-      metrics.retriesLeft.set({ service }, left);
-    }
-    return await metrics.registry.metrics();
-  }
-
   function runHousekeeping(): void {
     const latest = performance.eventLoopUtilization();
     busyShare = performance.eventLoopUtilization(latest, utilization)
       .utilization;
     utilization = latest;
     crashes.expire(clock.monotonicMilliseconds());
-    connections.retain((server) => state.registry.get(server) !== undefined);
+    connections.retain(isUsed);
+  }
+
+  /** Whether idle connections to a server may get further requests. */
+  function isUsed(id: BackendServerId): boolean {
+    const server = state.registry.get(id);
+    const now = clock.monotonicMilliseconds();
+    return server !== undefined &&
+      notices.unavailability(server, now)?.reason !== "leaving";
   }
 
   function flushLog(): void {
@@ -306,6 +297,10 @@
 
   function applyState(): void {
     const { servers } = state.registry.list();
+    for (const server of servers) {
+      if (!server.isDraining) continue;
+      notices.recordLeaving(server, "registry", clock.monotonicMilliseconds());
+    }
     for (const server of incarnations.update(servers)) {
       directory.removeServer(server);
       outcomes.forget(server);
--- a/src/gateway_metrics.ts
+++ b/src/gateway_metrics.ts
@@ -115,6 +115,18 @@
       labelNames: ["phase"],
       registers,
     }),
+    unavailableServers: new Gauge({
+      name: `${prefix}unavailable_servers`,
+      help: "Registered servers that said they are leaving or want a pause",
+      labelNames: ["reason"],
+      registers,
+    }),
+    malformedHeaders: new Counter({
+      name: `${prefix}malformed_headers_total`,
+      help: "Headers of backend servers that could not be read, by name",
+      labelNames: ["header"],
+      registers,
+    }),
     serverCrashes: new Counter({
       name: `${prefix}server_crashes_total`,
       help:
--- a/src/gateway_peer.ts
+++ b/src/gateway_peer.ts
@@ -42,6 +42,8 @@
   nextReading: number;
   /** Sequence number of the first crash evidence not yet sent to the peer. */
   nextEvidence: number;
+  /** Sequence number of the first drain notice not yet sent to the peer. */
+  nextNotice: number;
   /** Since when this router has been missing state that the peer has. */
   behindSince: number | undefined;
 }
@@ -70,6 +72,7 @@
     sentListingVersion: -1,
     nextReading: 0,
     nextEvidence: 0,
+    nextNotice: 0,
     behindSince: undefined,
   };
 }
--- a/src/gateway_peer_messages.ts
+++ b/src/gateway_peer_messages.ts
@@ -15,6 +15,7 @@
 import type { PartEntry } from "./core/prompt_directory.ts";
 import { hash32 } from "./core/hash32.ts";
 import type { ServerCounts } from "./core/report_sums.ts";
+import type { IncarnationKey } from "./core/server_incarnations.ts";
 import type { OutcomeCount } from "./core/server_outcomes.ts";
 
 /** Evidence of a crash or of a completed request, with its age. */
@@ -73,6 +74,8 @@
   readonly readings: readonly PartEntry[];
   /** Crashes that interrupted requests, and suspects that completed. */
   readonly evidence: readonly ReportedEvidence[];
+  /** Incarnations of servers that said in a response that they are leaving. */
+  readonly leaving: readonly IncarnationKey[];
   /** Whether the router lacks the fleet summary and asks all peers for one. */
   readonly needsSummary: boolean;
   /** Sums over several routers, from collectors. */
@@ -123,7 +126,8 @@
   z.array(_number),
   z.array(_number),
   _packedSummary.nullable(),
-  // Left out without evidence, as routers of earlier releases expect.
+  // Left out while empty, as routers of earlier releases expect.
+  z.array(_number).optional(),
   z.array(_number).optional(),
 ]);
 
@@ -215,10 +219,9 @@
     report.readings.flatMap(({ part, server }) => [part, hash32(server)]),
     report.summary ? _packSummary(report.summary) : null,
   ] as const satisfies PackedReport;
-  const { evidence } = report;
-  return evidence.length > 0
-    ? [...packed, _packEvidence(evidence)]
-    : [...packed];
+  const { evidence, leaving } = report;
+  if (evidence.length === 0 && leaving.length === 0) return [...packed];
+  return [...packed, _packEvidence(evidence), [...leaving]];
 }
 
 /** Server ids by their hash. */
@@ -349,6 +352,7 @@
     outcomes: _unpackOutcomes(packed.data[8], serverIds),
     readings: _unpackReadings(packed.data[9], serverIds),
     evidence: _unpackEvidence(packed.data[11] ?? []),
+    leaving: packed.data[12] ?? [],
     needsSummary: (flags & NEEDS_SUMMARY_FLAG) !== 0,
     summary: summary ? _unpackSummary(summary, serverIds) : undefined,
   };
--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -252,7 +252,7 @@
     const { network } = this.#options;
     const withListings = payload !== "own" && isListingDue(peer, time);
     const first = this.#announcements.first(peer);
-    const key = `${payload} ${withListings} ${first.reading} ${first.evidence}`;
+    const key = `${payload} ${withListings} ${JSON.stringify(first)}`;
     let body = bodiesByKey.get(key);
     if (!body) {
       const summary = payload === "own"
--- a/src/gateway_protocol.ts
+++ b/src/gateway_protocol.ts
@@ -25,6 +25,8 @@
   readonly notRun: string;
   /** Set on every response that results from running the request. */
   readonly signature: string;
+  /** Set on responses of backend servers that are leaving. */
+  readonly leaving: string;
   /** Load of the backend server at the time of the response. */
   readonly serverLoad: string;
   /** Other headers that are removed from callers' requests. */
@@ -42,6 +44,7 @@
   cacheSource: "x-cache-source",
   notRun: "x-not-run",
   signature: "x-answer-signature",
+  leaving: "x-server-leaving",
   serverLoad: "x-server-load",
   reserved: [],
 };
@@ -86,6 +89,11 @@
   readonly requestId: string | undefined;
   readonly notRun: boolean;
   readonly isSigned: boolean;
+  readonly isLeaving: boolean;
+  /** Time for which the server wants no request; undefined if it does not say. */
+  readonly pauseMilliseconds: number | undefined;
+  /** Names of headers whose value is malformed; they count as absent. */
+  readonly malformed: readonly string[];
 }
 
 /** Response header values by lower-case name. */
@@ -107,6 +115,40 @@
     : undefined;
 }
 
+/** Value of the header of a server that is leaving. */
+const LEAVING_VALUE = "1";
+const RETRY_AFTER = "retry-after";
+/** Seconds with or without a fraction; a date would need synchronized clocks. */
+const RETRY_AFTER_SECONDS = /^\s*\d{1,9}(\.\d{1,9})?\s*$/;
+const SERVICE_UNAVAILABLE = 503;
+
+type _Notices = Pick<
+  ResponseMetadata,
+  "isLeaving" | "pauseMilliseconds" | "malformed"
+>;
+
+function _readNotices(
+  status: number,
+  headers: ResponseHeaders,
+  leavingName: string,
+): _Notices {
+  const malformed: string[] = [];
+  const leaving = _firstValue(headers[leavingName]);
+  const isLeaving = leaving?.trim() === LEAVING_VALUE;
+  if (leaving !== undefined && !isLeaving) malformed.push(leavingName);
+  const pause = status === SERVICE_UNAVAILABLE
+    ? _firstValue(headers[RETRY_AFTER])
+    : undefined;
+  if (pause === undefined) {
+    return { isLeaving, pauseMilliseconds: undefined, malformed };
+  }
+  if (!RETRY_AFTER_SECONDS.test(pause)) {
+    malformed.push(RETRY_AFTER);
+    return { isLeaving, pauseMilliseconds: undefined, malformed };
+  }
+  return { isLeaving, pauseMilliseconds: Number(pause) * 1_000, malformed };
+}
+
 /** Returns the header names that a Connection header marks as hop-by-hop. */
 function _parseConnectionHeader(value: string | undefined): readonly string[] {
   if (!value) return [];
@@ -121,7 +163,7 @@
     rawHeaders: readonly string[],
     metadata: ForwardMetadata,
   ): string[];
-  readResponse(headers: ResponseHeaders): ResponseMetadata;
+  readResponse(status: number, headers: ResponseHeaders): ResponseMetadata;
   /** Returns the response headers for the caller as a flat name-value list. */
   responseHeaders(rawHeaders: readonly Buffer[]): string[];
 }
@@ -141,6 +183,7 @@
     names.cacheSource,
     names.notRun,
     names.signature,
+    names.leaving,
     names.serverLoad,
     ...names.reserved,
     ...HOP_BY_HOP_HEADERS,
@@ -205,8 +248,9 @@
       }
       return forwarded;
     },
-    readResponse(headers) {
+    readResponse(status, headers) {
       return {
+        ..._readNotices(status, headers, names.leaving),
         requestId: _firstValue(headers[names.requestId]),
         notRun: headers[names.notRun] !== undefined,
         isSigned: headers[names.signature] !== undefined,
--- /dev/null
+++ b/src/gateway_status.ts
@@ -0,0 +1,103 @@
+/** The metrics and the state dump that a gateway serves. */
+import type { UnavailableServer } from "./core/server_notices.ts";
+import type { GatewayPeerTask } from "./gateway_peer_task.ts";
+import type { PassThroughContext } from "./pass_through_context.ts";
+import type { RetryBudgets } from "./retry_budgets.ts";
+
+/** What a process says about itself in the state dump. */
+export interface ProcessDescription {
+  readonly host: string;
+  readonly incarnation: string;
+  readonly isServing: boolean;
+  readonly isStopping: boolean;
+  /** Requests that are being served. */
+  readonly inFlight: number;
+  readonly busyShare: number;
+}
+
+/** Sources of the metrics and of the dump. */
+export interface GatewayStatusOptions extends
+  Pick<
+    PassThroughContext,
+    | "state"
+    | "connections"
+    | "load"
+    | "outcomes"
+    | "notices"
+    | "crashes"
+    | "metrics"
+    | "log"
+    | "timers"
+  > {
+  readonly peers: GatewayPeerTask;
+  readonly budgets: RetryBudgets;
+  readonly describeProcess: () => ProcessDescription;
+}
+
+/** Serves the metrics and the dump. */
+export interface GatewayStatus {
+  describe(): unknown;
+  renderMetrics(): Promise<string>;
+}
+
+/** Creates the status of a gateway. */
+export function createGatewayStatus(
+  options: GatewayStatusOptions,
+): GatewayStatus {
+  const { state, connections, load, outcomes, notices, crashes } = options;
+  const { metrics, log, timers, peers, budgets, describeProcess } = options;
+
+  function now(): number {
+    return timers.clock.monotonicMilliseconds();
+  }
+
+  function unavailableServers(): UnavailableServer[] {
+    return notices.unavailableServers(state.registry.list().servers, now());
+  }
+
+  function updateStateMetrics(): void {
+    const { configurationVersion } = state.versions();
+    metrics.configurationVersion.set(configurationVersion);
+    for (const subject of ["configuration", "registry"] as const) {
+      const age = state.ageMilliseconds(subject);
+      metrics.stateAgeSeconds.set({ subject }, age < 0 ? -1 : age / 1_000);
+    }
+    metrics.routers.set(peers.liveRouters());
+  }
+
+  function updateServerMetrics(): void {
+    metrics.backendConnections.set(connections.openedCount());
+    metrics.strayResponses.set(connections.strayResponseCount());
+    metrics.unavailableServers.reset();
+    for (const { reason } of unavailableServers()) {
+      metrics.unavailableServers.inc({ reason });
+    }
+    metrics.quarantinedParts.set(crashes.quarantines(now()).length);
+    metrics.serverRequests.reset();
+    for (const { id } of state.registry.list().servers) {
+      metrics.serverRequests.set({ server: id }, load.inFlight(id));
+    }
+    for (const [service, retries] of budgets.remaining(now())) {
+      metrics.retriesLeft.set({ service }, retries);
+    }
+  }
+
+  return {
+    describe: () => ({
+      ...describeProcess(),
+      state: state.describe(),
+      peers: peers.describe(),
+      loads: load.ownLoads(),
+      excluded: outcomes.excludedServers(now()),
+      unavailable: unavailableServers(),
+      quarantined: crashes.quarantines(now()),
+    }),
+    async renderMetrics() {
+      updateStateMetrics();
+      updateServerMetrics();
+      metrics.inFlight.set(describeProcess().inFlight);
+      metrics.droppedLines.set(log.dropped());
+      return await metrics.registry.metrics();
+    },
+  };
+}
--- a/src/operations_page_test.ts
+++ b/src/operations_page_test.ts
@@ -34,6 +34,8 @@
       "retries_left",
       "stall_seconds_total",
       "server_crashes_total",
+      "unavailable_servers",
+      "malformed_headers_total",
       "quarantined_prompt_parts",
     ]
   ) {
--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -26,7 +26,6 @@
   responseTimeoutMilliseconds,
 } from "./core/next_attempt.ts";
 import type { Placement } from "./core/placement.ts";
-import type { Quarantine } from "./core/prompt_crashes.ts";
 import type { RejectionCause } from "./core/retry_after.ts";
 import type { RetryBudget } from "./core/retry_budget.ts";
 import { sendRejection } from "./rejection.ts";
@@ -41,7 +40,8 @@
   type RequestFields,
   RequestLog,
 } from "./request_log.ts";
-import { chooseServer } from "./server_choice.ts";
+import { placeRequest } from "./request_placement.ts";
+import { chooseServer, unavailableServers } from "./server_choice.ts";
 import type { Subscription } from "./timer_service.ts";
 
 /** A response may arrive this much after the request's timeout. */
@@ -127,28 +127,17 @@
   }
 
   #placeAndSend(): void {
-    const { promptParts } = this.#checked.metadata;
-    const quarantine = this.#context.crashes
-      .findQuarantine(promptParts, this.#now());
-    if (quarantine) return this.#rejectQuarantined(quarantine);
-    const placement = this.#choose();
-    if (!placement) {
-      const kind = this.#history.runs > 0
-        ? "outcome_unknown"
-        : "no_backend_server";
-      return this.#reject(kind, "no backend server is left", "no_server");
+    const placed = placeRequest(this.#context, this.#checked, this.#history);
+    if (placed.isErr()) {
+      const { kind, detail, cause, waitMilliseconds } = placed.error;
+      return this.#reject(kind, detail, cause, waitMilliseconds);
     }
-    this.#log.placed(this.#history.progress(), placement);
-    this.#send(placement);
-  }
-
-  #rejectQuarantined(quarantine: Quarantine): void {
-    const { crashes, remainingMilliseconds } = quarantine;
-    const detail = `a part of the prompt has crashed ${crashes} servers`;
-    const kind = this.#history.runs > 0
-      ? "outcome_unknown"
-      : "prompt_quarantined";
-    this.#reject(kind, detail, "full", remainingMilliseconds);
+    this.#log.placed(
+      this.#history.progress(),
+      placed.value,
+      unavailableServers(this.#context, this.#checked),
+    );
+    this.#send(placed.value);
   }
 
   #send(placement: Placement): void {
--- a/src/peer_announcements.ts
+++ b/src/peer_announcements.ts
@@ -1,9 +1,10 @@
 /**
- * What routers tell each peer once: readings of prompt parts and evidence of
- * crashes. Collectors pass on what they hear.
+ * What routers tell each peer once: readings of prompt parts, evidence of
+ * crashes and servers that are leaving. Collectors pass on what they hear.
  */
 import type { PromptCrashes } from "./core/prompt_crashes.ts";
 import type { PromptDirectory } from "./core/prompt_directory.ts";
+import type { ServerNotices } from "./core/server_notices.ts";
 import type { GatewayPeer } from "./gateway_peer.ts";
 import type { GatewayReport } from "./gateway_peer_messages.ts";
 import type { FirstAnnouncements } from "./report_builder.ts";
@@ -12,6 +13,7 @@
 export interface PeerAnnouncementsOptions {
   readonly directory: PromptDirectory;
   readonly crashes: PromptCrashes;
+  readonly notices: ServerNotices;
   /** Whether this router passes on what peers announce. */
   readonly relays: () => boolean;
   /** The monotonic time in milliseconds. */
@@ -28,24 +30,30 @@
 
   /** Sequence numbers of the first announcements that a peer has not had. */
   first(peer: GatewayPeer): FirstAnnouncements {
-    return { reading: peer.nextReading, evidence: peer.nextEvidence };
+    return {
+      reading: peer.nextReading,
+      evidence: peer.nextEvidence,
+      notice: peer.nextNotice,
+    };
   }
 
   /** Records that a peer got all announcements. */
   recordSent(peer: GatewayPeer): void {
     peer.nextReading = this.#options.directory.nextSequence;
     peer.nextEvidence = this.#options.crashes.nextSequence;
+    peer.nextNotice = this.#options.notices.nextSequence;
   }
 
   /** Sends a peer that has just joined all announcements that are kept. */
   restart(peer: GatewayPeer): void {
     peer.nextReading = 0;
     peer.nextEvidence = 0;
+    peer.nextNotice = 0;
   }
 
   /** Applies the announcements of a peer's report. */
-  receive({ readings, evidence }: GatewayReport): void {
-    const { directory, crashes } = this.#options;
+  receive({ readings, evidence, leaving }: GatewayReport): void {
+    const { directory, crashes, notices } = this.#options;
     const relays = this.#options.relays();
     const now = this.#options.now();
     for (const reading of readings) {
@@ -56,5 +64,8 @@
       const at = now - ageMilliseconds;
       crashes.addEvidence({ part, crash, at }, now, relays);
     }
+    for (const incarnation of leaving) {
+      notices.addPeerNotice(incarnation, now, relays);
+    }
   }
 }
--- a/src/report_builder.ts
+++ b/src/report_builder.ts
@@ -4,6 +4,7 @@
 import type { PromptCrashes } from "./core/prompt_crashes.ts";
 import type { PromptDirectory } from "./core/prompt_directory.ts";
 import type { ServerCounts } from "./core/report_sums.ts";
+import type { ServerNotices } from "./core/server_notices.ts";
 import type { ServerOutcomes } from "./core/server_outcomes.ts";
 import type {
   GatewayReport,
@@ -22,6 +23,7 @@
   readonly outcomes: ServerOutcomes;
   readonly directory: PromptDirectory;
   readonly crashes: PromptCrashes;
+  readonly notices: ServerNotices;
   readonly host: HostId;
   readonly dataCentre: DataCentreId;
   /** Relative capacity of the host, for example its number of cores. */
@@ -39,6 +41,7 @@
 export interface FirstAnnouncements {
   readonly reading: number;
   readonly evidence: number;
+  readonly notice: number;
 }
 
 /** Builds the reports of one router. */
@@ -92,6 +95,7 @@
       registryDigest: state.registry.digest,
       readings: directory.announcementsSince(first.reading),
       evidence: this.#evidenceSince(first.evidence),
+      leaving: this.#options.notices.announcementsSince(first.notice),
       needsSummary,
       summary,
     };
--- a/src/request_attempt.ts
+++ b/src/request_attempt.ts
@@ -13,9 +13,11 @@
 } from "./backend_exchange.ts";
 import type { FleetLoad } from "./core/fleet_load.ts";
 import type { RegisteredServer } from "./core/server_registry.ts";
+import type { ServerNotices } from "./core/server_notices.ts";
 import type { ServerOutcomes } from "./core/server_outcomes.ts";
+import type { DecisionLog } from "./decision_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
-import type { GatewayProtocol } from "./gateway_protocol.ts";
+import type { GatewayProtocol, ResponseMetadata } from "./gateway_protocol.ts";
 import type { Subscription, TimerService } from "./timer_service.ts";
 
 /** Lowest status that counts as a failure of the server. */
@@ -30,6 +32,8 @@
   readonly protocol: GatewayProtocol;
   readonly load: FleetLoad;
   readonly outcomes: ServerOutcomes;
+  readonly notices: ServerNotices;
+  readonly log: DecisionLog;
   readonly timers: TimerService;
   readonly metrics: GatewayMetrics;
 }
@@ -40,7 +44,9 @@
     ExchangeOptions,
     "server" | "requestId" | "method" | "path" | "headers" | "body"
   > {
-  readonly listener: ExchangeListener & { onSilent(): void };
+  readonly listener: Omit<ExchangeListener, "onNotices"> & {
+    onSilent(): void;
+  };
   /** A server that does not respond within this time is recorded as failing. */
   readonly silenceMilliseconds: number;
 }
@@ -51,14 +57,17 @@
   readonly exchange: Exchange;
   readonly #context: AttemptContext;
   readonly #responseTimer: Subscription;
+  readonly #endTrial: ((hasResponse: boolean) => void) | undefined;
+  #hasResponse = false;
   #isFinished = false;
 
   constructor(context: AttemptContext, options: AttemptOptions) {
-    const { connections, protocol, load, timers } = context;
+    const { connections, protocol, load, timers, notices } = context;
     const { listener, silenceMilliseconds, ...sent } = options;
     this.#context = context;
     this.server = options.server;
     load.requestStarted(options.server.id);
+    this.#endTrial = notices.recordSent(options.server, this.#now());
     this.#responseTimer = timers.after(
       silenceMilliseconds,
       "silent server",
@@ -73,6 +82,7 @@
       protocol,
       clock: timers.clock,
       listener: {
+        onNotices: (metadata) => this.#onNotices(metadata),
         onNotSent: (reason, detail) => listener.onNotSent(reason, detail),
         onNotRun: (status) => listener.onNotRun(status),
         onOutcomeUnknown: (detail) => {
@@ -86,9 +96,7 @@
 
   /** Records an outcome of the server. */
   recordOutcome(isFailure: boolean): void {
-    const { outcomes, timers } = this.#context;
-    const now = timers.clock.monotonicMilliseconds();
-    outcomes.record(this.server.id, isFailure, now);
+    this.#context.outcomes.record(this.server.id, isFailure, this.#now());
   }
 
   /** Ends the attempt and cancels its exchange. */
@@ -112,13 +120,38 @@
 
   #finish(result: string): void {
     this.#isFinished = true;
+    this.#endTrial?.(this.#hasResponse);
     this.#responseTimer.cancel();
     this.#context.load.requestEnded(this.server.id);
     this.#context.metrics.attempts.inc({ result });
   }
 
-  #onResponse(head: ResponseHead, listener: ExchangeListener): ResponseSink {
+  #now(): number {
+    return this.#context.timers.clock.monotonicMilliseconds();
+  }
+
+  #onNotices(metadata: ResponseMetadata): void {
+    const { notices, metrics, log } = this.#context;
+    const { isLeaving, pauseMilliseconds, malformed } = metadata;
+    if (isLeaving) {
+      notices.recordLeaving(this.server, "response", this.#now());
+    }
+    if (pauseMilliseconds !== undefined) {
+      notices.recordPause(this.server, pauseMilliseconds, this.#now());
+    }
+    for (const header of malformed) {
+      metrics.malformedHeaders.inc({ header });
+      log.write("server.malformed_header", { server: this.server.id, header });
+    }
+  }
+
+  #onResponse(
+    head: ResponseHead,
+    listener: AttemptOptions["listener"],
+  ): ResponseSink {
     this.#responseTimer.cancel();
+    this.#hasResponse = true;
+    this.#endTrial?.(true);
     this.recordOutcome(head.status >= SERVER_ERROR_STATUS);
     return listener.onResponse(head);
   }
--- a/src/request_log.ts
+++ b/src/request_log.ts
@@ -2,11 +2,15 @@
 import type { FleetLoad } from "./core/fleet_load.ts";
 import type { GatewayRoute } from "./core/gateway_configuration.ts";
 import type { Placement } from "./core/placement.ts";
+import type { UnavailableServer } from "./core/server_notices.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewayStateTask } from "./gateway_state_task.ts";
 import type { TimerService } from "./timer_service.ts";
 
+/** Leaving and pausing servers that a line about a placement names. */
+const MAXIMUM_LOGGED_SERVERS = 4;
+
 /** Log event of a request's end. */
 export type RequestEnd =
   | "request.ended"
@@ -74,7 +78,11 @@
   }
 
   /** Records that a server was chosen. */
-  placed(progress: RequestProgress, placement: Placement): void {
+  placed(
+    progress: RequestProgress,
+    placement: Placement,
+    unavailable: readonly UnavailableServer[],
+  ): void {
     const { log, metrics, state, load, timers } = this.#context;
     const { server, reason, inFlight, meanInFlight, cacheSource } = placement;
     metrics.placements.inc({ reason });
@@ -84,6 +92,9 @@
       reason,
       inFlight,
       ...(cacheSource === undefined ? {} : { cacheSource }),
+      ...(unavailable.length === 0 ? {} : {
+        unavailable: unavailable.slice(0, MAXIMUM_LOGGED_SERVERS),
+      }),
       meanInFlight: Math.round(meanInFlight * 100) / 100,
       loadAge: Math.round(
         load.ageMilliseconds(timers.clock.monotonicMilliseconds()),
--- /dev/null
+++ b/src/request_placement.ts
@@ -0,0 +1,72 @@
+/** Decides where a request goes, or why it cannot be served now. */
+import { err, ok, type Result } from "neverthrow";
+import type { ErrorKind } from "./core/errors.ts";
+import type { Placement } from "./core/placement.ts";
+import type { PromptCrashes, Quarantine } from "./core/prompt_crashes.ts";
+import type { RejectionCause } from "./core/retry_after.ts";
+import type { CheckedRequest } from "./request_check.ts";
+import type { RequestHistory } from "./request_history.ts";
+import {
+  chooseServer,
+  pauseOfService,
+  type ServerChoiceContext,
+} from "./server_choice.ts";
+
+/** Dependencies of the decision. */
+export interface PlacementContext extends ServerChoiceContext {
+  readonly crashes: PromptCrashes;
+}
+
+/** Why a request cannot be sent to a server. */
+export interface PlacementRefusal {
+  readonly kind: ErrorKind;
+  readonly detail: string;
+  readonly cause: RejectionCause;
+  /** Time for which no retry can succeed, if it is known. */
+  readonly waitMilliseconds: number | undefined;
+}
+
+function _refuseQuarantined(
+  { crashes, remainingMilliseconds }: Quarantine,
+): PlacementRefusal {
+  return {
+    kind: "prompt_quarantined",
+    detail: `a part of the prompt has crashed ${crashes} servers`,
+    cause: "full",
+    waitMilliseconds: remainingMilliseconds,
+  };
+}
+
+function _refuseWithoutServer(
+  waitMilliseconds: number | undefined,
+): PlacementRefusal {
+  const isPaused = waitMilliseconds !== undefined;
+  return {
+    kind: "no_backend_server",
+    detail: isPaused
+      ? "all backend servers want a pause"
+      : "no backend server is left",
+    cause: "no_server",
+    waitMilliseconds,
+  };
+}
+
+/** Returns the server for the next attempt of a request. */
+export function placeRequest(
+  context: PlacementContext,
+  checked: CheckedRequest,
+  { tried, runs }: RequestHistory,
+): Result<Placement, PlacementRefusal> {
+  const now = context.timers.clock.monotonicMilliseconds();
+  const { promptParts } = checked.metadata;
+  const quarantine = context.crashes.findQuarantine(promptParts, now);
+  const placement = quarantine
+    ? undefined
+    : chooseServer(context, checked, tried);
+  if (placement) return ok(placement);
+  const refusal = quarantine
+    ? _refuseQuarantined(quarantine)
+    : _refuseWithoutServer(pauseOfService(context, checked));
+  // An earlier attempt may have run, so it cannot be said that none did.
+  return err(runs > 0 ? { ...refusal, kind: "outcome_unknown" } : refusal);
+}
--- a/src/server_choice.ts
+++ b/src/server_choice.ts
@@ -8,6 +8,10 @@
 } from "./core/placement.ts";
 import type { PromptDirectory } from "./core/prompt_directory.ts";
 import type { RandomSource } from "./core/random.ts";
+import type {
+  ServerNotices,
+  UnavailableServer,
+} from "./core/server_notices.ts";
 import type { ServerOutcomes } from "./core/server_outcomes.ts";
 import type { GatewayStateTask } from "./gateway_state_task.ts";
 import type { CheckedRequest } from "./request_check.ts";
@@ -18,6 +22,7 @@
   readonly state: GatewayStateTask;
   readonly load: FleetLoad;
   readonly outcomes: ServerOutcomes;
+  readonly notices: ServerNotices;
   readonly directory: PromptDirectory;
   readonly random: RandomSource;
   readonly timers: TimerService;
@@ -31,14 +36,20 @@
   { service, metadata }: CheckedRequest,
   tried: ReadonlySet<BackendServerId>,
 ): Placement | undefined {
-  const { state, load, outcomes, directory } = context;
+  const { state, load, outcomes, notices, directory } = context;
   const now = context.timers.clock.monotonicMilliseconds();
   const servers = state.registry.readyServers(service);
   outcomes.evaluate(service, servers, now);
+  const trying = new Set(
+    servers.filter((server) => notices.isTrying(server)).map(({ id }) => id),
+  );
   return choosePlacement({
     servers,
     inFlight: (server) => load.inFlight(server),
-    isExcluded: (server) => outcomes.isExcluded(server, now),
+    isUnavailable: (server) =>
+      notices.unavailability(server, now) !== undefined,
+    isExcluded: (server) =>
+      outcomes.isExcluded(server, now) || trying.has(server),
     tried,
     promptParts: metadata.promptParts,
     holders: (part) => directory.serversWith(part),
@@ -48,6 +59,35 @@
   });
 }
 
+/** Returns the servers of a service that get no requests, and why. */
+export function unavailableServers(
+  { state, notices, timers }: ServerChoiceContext,
+  { service }: CheckedRequest,
+): UnavailableServer[] {
+  const now = timers.clock.monotonicMilliseconds();
+  return notices.unavailableServers(state.registry.readyServers(service), now);
+}
+
+/**
+ * Returns the time until a server of a service may get requests again, if none
+ * may now because all that stay want a pause.
+ */
+export function pauseOfService(
+  { state, notices, timers }: ServerChoiceContext,
+  { service }: CheckedRequest,
+): number | undefined {
+  const now = timers.clock.monotonicMilliseconds();
+  let shortest: number | undefined;
+  for (const server of state.registry.readyServers(service)) {
+    const reason = notices.unavailability(server, now)?.reason;
+    if (reason === "leaving") continue;
+    if (reason === undefined) return undefined;
+    const pause = notices.pauseMilliseconds(server, now);
+    shortest = Math.min(shortest ?? pause, pause);
+  }
+  return shortest;
+}
+
 /** Returns the address from which the chosen server can copy a prefix cache. */
 export function cacheSourceAddress(
   { state }: ServerChoiceContext,
--- a/stand_ins/gateway_peer_fleet.ts
+++ b/stand_ins/gateway_peer_fleet.ts
@@ -21,6 +21,7 @@
 } from "../src/core/prompt_crashes.ts";
 import { createPromptDirectory } from "../src/core/prompt_directory.ts";
 import { createSeededRandom } from "../src/core/random.ts";
+import { createServerNotices } from "../src/core/server_notices.ts";
 import {
   createServerOutcomes,
   type ServerOutcomes,
@@ -250,6 +251,7 @@
       outcomes,
       directory: createPromptDirectory(),
       crashes,
+      notices: createServerNotices(),
       host,
       dataCentre,
       capacity: options.capacity?.(index) ?? 1,
