Play leaving and pausing servers in the soak

Cause: the two new rules were shown by tests of one or two gateways only. Change: the soak's servers say that they are leaving, four seconds before the registry does, and ask for pauses, mixed with the other faults. Two guarantees: no request that was sent more than 2 s after a response that said so reaches a leaving server from that router, and no more than two reach a pausing one from half a second after it asked. Notices are drawn from a source of their own, so the faults of known seeds stay as they were.

--- a/soak/fault_schedule.ts
+++ b/soak/fault_schedule.ts
@@ -19,8 +19,19 @@
   key_revoked: 2,
 } as const;
 
+/** Notices that servers give in their responses, drawn from a source of their own. */
+export const NOTICE_KINDS = ["backend_leaves", "backend_pauses"] as const;
+
 /** Name of a kind of fault that schedules contain. */
-export type FaultKind = keyof typeof FAULT_WEIGHTS;
+export type FaultKind =
+  | keyof typeof FAULT_WEIGHTS
+  | (typeof NOTICE_KINDS)[number];
+
+/** Whether a text names a kind of fault. */
+export function isFaultKind(text: string): text is FaultKind {
+  return text in FAULT_WEIGHTS ||
+    (NOTICE_KINDS as readonly string[]).includes(text);
+}
 
 /** A fault with its start time and its duration. */
 export interface ScheduledFault {
@@ -37,8 +48,18 @@
 const LONGEST_FAULT_MILLISECONDS = 2_500;
 const FIRST_FAULT_AT_MILLISECONDS = 1_000;
 const SELECTOR_RANGE = 1_000;
+/** Keeps the faults of a seed as they are when notices are drawn. */
+const NOTICE_SEED_OFFSET = 1_000_003;
+/** Notices are this much rarer than other faults. */
+const NOTICE_INTERVAL_FACTOR = 3;
+
+type _DrawKind = (random: RandomSource) => FaultKind;
 
-function _drawKind(random: RandomSource): FaultKind {
+function _drawNoticeKind(random: RandomSource): FaultKind {
+  return NOTICE_KINDS[random.integer(NOTICE_KINDS.length)] ?? "backend_leaves";
+}
+
+function _drawFaultKind(random: RandomSource): FaultKind {
   const kinds = Object.entries(FAULT_WEIGHTS) as [FaultKind, number][];
   const total = kinds.reduce((sum, [, weight]) => sum + weight, 0);
   let remaining = random.integer(total);
@@ -49,19 +70,18 @@
   return "router_killed";
 }
 
-/** Draws faults that may overlap, one per `meanIntervalMilliseconds` on average. */
-export function scheduleFaults(
-  seed: number,
+function _draw(
+  random: RandomSource,
+  drawKind: _DrawKind,
   durationMilliseconds: number,
   meanIntervalMilliseconds: number,
 ): ScheduledFault[] {
-  const random = createSeededRandom(seed);
   const faults: ScheduledFault[] = [];
   let at = FIRST_FAULT_AT_MILLISECONDS;
   while (at < durationMilliseconds) {
     const range = LONGEST_FAULT_MILLISECONDS - SHORTEST_FAULT_MILLISECONDS;
     faults.push({
-      kind: _drawKind(random),
+      kind: drawKind(random),
       atMilliseconds: at,
       forMilliseconds: SHORTEST_FAULT_MILLISECONDS + random.integer(range),
       target: random.integer(SELECTOR_RANGE),
@@ -71,3 +91,29 @@
   }
   return faults;
 }
+
+/**
+ * Draws faults that may overlap, one per `meanIntervalMilliseconds` on average,
+ * and notices of servers between them.
+ */
+export function scheduleFaults(
+  seed: number,
+  durationMilliseconds: number,
+  meanIntervalMilliseconds: number,
+): ScheduledFault[] {
+  const faults = _draw(
+    createSeededRandom(seed),
+    _drawFaultKind,
+    durationMilliseconds,
+    meanIntervalMilliseconds,
+  );
+  const notices = _draw(
+    createSeededRandom(seed + NOTICE_SEED_OFFSET),
+    _drawNoticeKind,
+    durationMilliseconds,
+    NOTICE_INTERVAL_FACTOR * meanIntervalMilliseconds,
+  );
+  return [...faults, ...notices].sort((left, right) =>
+    left.atMilliseconds - right.atMilliseconds
+  );
+}
--- a/soak/guarantees.ts
+++ b/soak/guarantees.ts
@@ -1,7 +1,9 @@
 /** Checks the guarantees of the gateways against what callers and servers saw. */
 import type { Disturbances } from "./disturbances.ts";
+import { findNoticeViolations } from "./notice_guarantees.ts";
 import {
   eventText,
+  type Notice,
   responseText,
   type Run,
   STREAM_EVENTS,
@@ -25,6 +27,7 @@
 export interface SoakRecord {
   readonly attempts: readonly Attempt[];
   readonly runs: readonly Run[];
+  readonly notices: readonly Notice[];
   readonly disturbances: Disturbances;
   /** Time at which each key was revoked. */
   readonly revokedKeys: ReadonlyMap<string, number>;
@@ -176,5 +179,9 @@
       );
     }
   }
-  return [...violations, ..._checkUndisturbedTime(record)];
+  return [
+    ...violations,
+    ...findNoticeViolations(record),
+    ..._checkUndisturbedTime(record),
+  ];
 }
--- a/soak/guarantees_test.ts
+++ b/soak/guarantees_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { Disturbances } from "./disturbances.ts";
 import { findGuaranteeViolations, type SoakRecord } from "./guarantees.ts";
+import { findNoticeViolations } from "./notice_guarantees.ts";
 import {
   eventText,
   responseText,
@@ -83,6 +84,7 @@
       ),
     ],
     runs,
+    notices: [],
     disturbances: new Disturbances(),
     revokedKeys: new Map(),
     drainedServers: new Map(),
@@ -221,6 +223,7 @@
   const found = findGuaranteeViolations({
     attempts,
     runs: [],
+    notices: [],
     disturbances: new Disturbances(),
     revokedKeys: new Map(),
     drainedServers: new Map(),
@@ -228,3 +231,59 @@
   });
   t.regex(found.join(), /2 of 50 requests failed/);
 });
+
+test("guards against a soak that misses requests to a leaving server, or that blames a router that restarted", (t) => {
+  const noticed = createAttempt("safe", {
+    requestId: "noticed",
+    endedAt: 10_000,
+  });
+  const late = createAttempt("safe", { requestId: "late", sentAt: 12_100 });
+  const notice = {
+    requestId: "noticed",
+    server: "s0-1",
+    at: 9_990,
+    pausedUntil: undefined,
+  };
+  const record = {
+    attempts: [noticed, late],
+    runs: [createRun(late)],
+    notices: [notice],
+    disturbances: new Disturbances(),
+  };
+  t.regex(findNoticeViolations(record).join(), /late: reached s0-1 .* 2100 ms/);
+  const early = { ...late, sentAt: 11_900 };
+  t.deepEqual(
+    findNoticeViolations({ ...record, attempts: [noticed, early] }),
+    [],
+  );
+  const elsewhere = { ...late, router: "entry-1" };
+  t.deepEqual(
+    findNoticeViolations({ ...record, attempts: [noticed, elsewhere] }),
+    [],
+  );
+  record.disturbances.begin("entry-0", true, 11_000)(11_500);
+  t.deepEqual(findNoticeViolations(record), []);
+});
+
+test("guards against a soak that misses requests to a server that asked for a pause", (t) => {
+  const noticed = createAttempt("safe", { requestId: "noticed" });
+  const attempts = [1_100, 1_200, 1_300, 3_100].map((sentAt) =>
+    createAttempt("safe", { requestId: `at-${sentAt}`, sentAt })
+  );
+  const record = {
+    attempts: [noticed, ...attempts],
+    runs: attempts.map((attempt) => createRun(attempt)),
+    notices: [{
+      requestId: "noticed",
+      server: "s0-1",
+      at: 500,
+      pausedUntil: 3_000,
+    }],
+    disturbances: new Disturbances(),
+  };
+  t.regex(findNoticeViolations(record).join(), /got 3 requests by entry-0/);
+  t.deepEqual(
+    findNoticeViolations({ ...record, runs: record.runs.slice(1) }),
+    [],
+  );
+});
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -7,7 +7,7 @@
 import { join } from "node:path";
 import process from "node:process";
 import { cac } from "cac";
-import { FAULT_WEIGHTS, type FaultKind } from "./fault_schedule.ts";
+import { type FaultKind, isFaultKind } from "./fault_schedule.ts";
 import { FAILED_SEEDS } from "./failed_seeds.ts";
 import { runSoak, type SoakResult } from "./soak_run.ts";
 
@@ -40,9 +40,9 @@
 ): readonly FaultKind[] | undefined {
   if (only === undefined) return undefined;
   const kinds = only.split(",");
-  const unknown = kinds.filter((kind) => !(kind in FAULT_WEIGHTS));
+  const unknown = kinds.filter((kind) => !isFaultKind(kind));
   if (unknown.length > 0) throw new Error(`unknown faults: ${unknown.join()}`);
-  return kinds as FaultKind[];
+  return kinds.filter(isFaultKind);
 }
 
 async function _run(options: _Arguments): Promise<boolean> {
--- a/soak/soak_backends.ts
+++ b/soak/soak_backends.ts
@@ -38,12 +38,22 @@
   readonly hasKey: boolean;
 }
 
+/** What a server said about itself in the response to a request. */
+export interface Notice {
+  readonly requestId: string;
+  readonly server: string;
+  readonly at: number;
+  /** End of the pause that the server asked for; undefined if it is leaving. */
+  readonly pausedUntil: number | undefined;
+}
+
 /** Header names, clock, random source and records that all servers share. */
 export interface BackendContext {
   readonly headerNames: GatewayHeaderNames;
   readonly random: RandomSource;
   readonly now: () => number;
   readonly runs: Run[];
+  readonly notices: Notice[];
 }
 
 /** Returns the text of an event, which is the same on every server. */
@@ -70,6 +80,10 @@
   address = "";
   fault: BackendFault = "none";
   isDraining = false;
+  /** Whether responses say that the server is leaving. */
+  isLeaving = false;
+  /** Until when the server rejects requests and asks for a pause. */
+  pausedUntil = 0;
   drainedAt = Infinity;
 
   constructor(context: BackendContext, name: string, dataCentre: string) {
@@ -88,6 +102,8 @@
     if (this.address === "") this.address = await this.proxy.start();
     this.#incarnation++;
     this.isDraining = false;
+    this.isLeaving = false;
+    this.pausedUntil = 0;
     this.drainedAt = Infinity;
     this.fault = "none";
     const server = createServer((request, response) => {
@@ -130,6 +146,13 @@
       response.writeHead(421, refusal).end();
       return;
     }
+    const pauseMilliseconds = this.pausedUntil - now();
+    if (pauseMilliseconds > 0) {
+      this.#recordNotice(requestId, this.pausedUntil);
+      const seconds = (pauseMilliseconds / 1_000).toFixed(3);
+      response.writeHead(503, { ...refusal, "retry-after": seconds }).end();
+      return;
+    }
     if (this.#inFlight >= this.slots) {
       response.writeHead(503, refusal).end();
       return;
@@ -153,6 +176,11 @@
     await this.#respond(request, response, { requestId, path, body, fault });
   }
 
+  #recordNotice(requestId: string, pausedUntil: number | undefined): void {
+    const { notices, now } = this.#context;
+    notices.push({ requestId, server: this.id, at: now(), pausedUntil });
+  }
+
   async #respond(
     request: IncomingMessage,
     response: ServerResponse,
@@ -167,9 +195,11 @@
     const { requestId, path, body, fault } = run;
     if (fault === "mute") return;
     if (fault === "loses_answers") return void response.destroy();
+    if (this.isLeaving) this.#recordNotice(requestId, undefined);
     const headers = {
       [headerNames.requestId]: requestId,
       [headerNames.signature]: `signed-${requestId}`,
+      ...(this.isLeaving ? { [headerNames.leaving]: "1" } : {}),
     };
     if (fault === "errors") {
       response.writeHead(500, headers).end("error");
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -26,6 +26,8 @@
   "slow",
   "loses_answers",
 ];
+/** Time by which the registry lags behind a server that says it is leaving. */
+const REGISTRY_LAG_MILLISECONDS = 4_000;
 /** Time for which a draining server keeps serving before it is replaced. */
 const DRAIN_MILLISECONDS = 3_500;
 const RESTART_TIMEOUT_MILLISECONDS = 15_000;
@@ -37,6 +39,8 @@
   readonly backends: readonly SoakBackend[];
   readonly store: StoreStandIn;
   readonly storeProxy: LoopbackProxy;
+  /** Time since the start of the run, in milliseconds. */
+  readonly now: () => number;
   /** Records a disturbance; the returned function records its end. */
   readonly begin: (scope: DisturbanceScope, isPlanned: boolean) => () => void;
   readonly register: (backend: SoakBackend) => void;
@@ -132,6 +136,23 @@
   },
   backend_crashed: (fault, targets) =>
     _crashBackend(_pick(targets.backends, fault.target), fault, targets),
+  async backend_leaves({ target }, targets) {
+    const backend = _pick(targets.backends, target);
+    if (backend.isLeaving || backend.isDraining) return;
+    const end = targets.begin("fleet", true);
+    const { id } = backend;
+    backend.isLeaving = true;
+    await sleep(REGISTRY_LAG_MILLISECONDS);
+    end();
+    if (backend.id === id) await _replaceBackend(backend, targets);
+  },
+  async backend_pauses({ target, forMilliseconds }, targets) {
+    const backend = _pick(targets.backends, target);
+    const end = targets.begin("fleet", true);
+    backend.pausedUntil = targets.now() + forMilliseconds;
+    await sleep(forMilliseconds);
+    end();
+  },
   backend_replaced: ({ target }, targets) =>
     _replaceBackend(_pick(targets.backends, target), targets),
   async backend_fails({ target, variant, forMilliseconds }, targets) {
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -15,7 +15,12 @@
 import { type FaultKind, scheduleFaults } from "./fault_schedule.ts";
 import { LoopbackProxy } from "./loopback_proxy.ts";
 import { findGuaranteeViolations } from "./guarantees.ts";
-import { type BackendContext, type Run, SoakBackend } from "./soak_backends.ts";
+import {
+  type BackendContext,
+  type Notice,
+  type Run,
+  SoakBackend,
+} from "./soak_backends.ts";
 import { type Attempt, HOST_NAME, SoakCaller } from "./soak_callers.ts";
 import { applyFault, type FaultTargets } from "./soak_faults.ts";
 import { SoakRouter } from "./soak_routers.ts";
@@ -91,6 +96,7 @@
   readonly #disturbances = new Disturbances();
   readonly #attempts: Attempt[] = [];
   readonly #runs: Run[] = [];
+  readonly #notices: Notice[] = [];
   readonly #unexpectedExits: string[] = [];
   readonly #revokedKeys = new Map<string, number>();
   readonly #drainedServers = new Map<string, number>();
@@ -131,6 +137,7 @@
       random: createSeededRandom(seed),
       now: () => this.#now(),
       runs: this.#runs,
+      notices: this.#notices,
     };
     this.#backends = Array.from({ length: BACKEND_COUNT }, (_, index) => {
       const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length] ?? "";
@@ -210,6 +217,7 @@
       backends: this.#backends,
       store: this.#store,
       storeProxy: this.#storeProxy as LoopbackProxy,
+      now: () => this.#now(),
       begin: (scope, isPlanned) => {
         const end = this.#disturbances.begin(scope, isPlanned, this.#now());
         return () => end(this.#now());
@@ -272,6 +280,7 @@
     const broken = findGuaranteeViolations({
       attempts: this.#attempts,
       runs: this.#runs,
+      notices: this.#notices,
       disturbances: this.#disturbances,
       revokedKeys: this.#revokedKeys,
       drainedServers: this.#drainedServers,
