--- a/src/core/server_incarnations.ts
+++ b/src/core/server_incarnations.ts
@@ -9,11 +9,17 @@
 /** Identifies one start of a server in messages between routers. */
 export type IncarnationKey = number;
 
+/** Keys of registrations, which are asked for with every choice of a server. */
+const _keys = new WeakMap<RegisteredServer, IncarnationKey>();
+
 /** Returns the key of a server's present incarnation. */
-export function incarnationKeyOf(
-  { id, started }: RegisteredServer,
-): IncarnationKey {
-  return hash32(`${id}\0${started}`);
+export function incarnationKeyOf(server: RegisteredServer): IncarnationKey {
+  let key = _keys.get(server);
+  if (key === undefined) {
+    key = hash32(`${server.id}\0${server.started}`);
+    _keys.set(server, key);
+  }
+  return key;
 }
 
 /** The start times of the registered servers. */
--- a/src/server_crash_task.ts
+++ b/src/crash_detection.ts
@@ -20,7 +20,7 @@
 const PROBE_DELAY_MILLISECONDS = 50;
 
 /** Options of the crash detection. */
-export interface ServerCrashTaskOptions {
+export interface CrashDetectionOptions {
   readonly crashes: PromptCrashes;
   readonly outcomes: ServerOutcomes;
   readonly timers: TimerService;
@@ -30,7 +30,7 @@
 }
 
 /** Detects crashes of backend servers. */
-export interface ServerCrashTask {
+export interface CrashDetection {
   /** Records that a server dropped the connection of a request it had received. */
   recordDropped(server: RegisteredServer, parts: readonly PromptPart[]): void;
 }
@@ -41,9 +41,9 @@
 }
 
 /** Creates the crash detection of a router. */
-export function createServerCrashTask(
-  options: ServerCrashTaskOptions,
-): ServerCrashTask {
+export function createCrashDetection(
+  options: CrashDetectionOptions,
+): CrashDetection {
   const { crashes, outcomes, timers, log, metrics } = options;
   const probe = options.probe ?? probeServer;
   const droppedByServer = new Map<BackendServerId, _Dropped[]>();
--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -48,7 +48,7 @@
 import { createGatewayStateTask } from "./gateway_state_task.ts";
 import { createGatewayStatus } from "./gateway_status.ts";
 import { handleRequest } from "./gateway_requests.ts";
-import { createServerCrashTask } from "./server_crash_task.ts";
+import { createCrashDetection } from "./crash_detection.ts";
 import { toListenAddress } from "./listen_address.ts";
 import type { PassThroughContext } from "./pass_through_context.ts";
 import { createRetryBudgets, type RetryAllowance } from "./retry_budgets.ts";
@@ -153,7 +153,7 @@
       log.write("prompt.quarantined", { ...quarantine }),
     onCleared: (part) => log.write("prompt.cleared", { part }),
   });
-  const serverCrashes = createServerCrashTask({
+  const crashDetection = createCrashDetection({
     crashes,
     outcomes,
     timers,
@@ -224,7 +224,7 @@
     random,
     directory,
     crashes,
-    serverCrashes,
+    crashDetection,
     log,
     metrics,
     dataCentre,
--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -205,7 +205,7 @@
   #recordDropped(): void {
     const server = this.#attempt?.server;
     const { promptParts } = this.#checked.metadata;
-    if (server) this.#context.serverCrashes.recordDropped(server, promptParts);
+    if (server) this.#context.crashDetection.recordDropped(server, promptParts);
   }
 
   #onOutcomeUnknown(detail: string): void {
--- a/src/pass_through_context.ts
+++ b/src/pass_through_context.ts
@@ -4,14 +4,14 @@
 import type { AttemptContext } from "./request_attempt.ts";
 import type { RequestLogContext } from "./request_log.ts";
 import type { ServerChoiceContext } from "./server_choice.ts";
-import type { ServerCrashTask } from "./server_crash_task.ts";
+import type { CrashDetection } from "./crash_detection.ts";
 
 /** Dependencies shared by all requests. */
 export interface PassThroughContext
   extends AttemptContext, RequestLogContext, ServerChoiceContext {
   readonly retries: (service: string) => RetryBudget;
   readonly crashes: PromptCrashes;
-  readonly serverCrashes: ServerCrashTask;
+  readonly crashDetection: CrashDetection;
   /** Whether this router is shutting down. */
   readonly isStopping: () => boolean;
   /** Called once when a request has ended, whatever its outcome. */
