Hear callers that left before their request began, and bound the suspects

Cause: a request whose connection had ended before it was handled never heard of it and waited for its timeout; found when this change was read once more. Prompt parts come from callers, and the list of suspects had no limit. Change: a listener for a caller that has left is called in the next turn; at most 4,096 parts are suspect.

--- a/src/caller_connection.ts
+++ b/src/caller_connection.ts
@@ -18,8 +18,8 @@
 /** Tells the requests of a connection that their caller has left. */
 export interface CallerConnection {
   /**
-   * Calls the listener once the caller has left; returns a function that
-   * removes the listener.
+   * Calls the listener once the caller has left, soon if it has left already;
+   * returns a function that removes the listener.
    */
   onLeft(listener: () => void): () => void;
   /**
@@ -53,6 +53,10 @@
   socket.once("close", leave);
   return {
     onLeft(listener) {
+      if (hasLeft) {
+        const immediate = setImmediate(listener);
+        return () => clearImmediate(immediate);
+      }
       listeners.add(listener);
       return () => void listeners.delete(listener);
     },
--- a/src/caller_connection_test.ts
+++ b/src/caller_connection_test.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from "node:http";
-import { connect, type Socket } from "node:net";
+import { connect, Socket } from "node:net";
 import test from "ava";
 import {
   type Bench,
@@ -9,6 +9,7 @@
   stopBenches,
   waitUntil,
 } from "../stand_ins/gateway_test_bench.ts";
+import { callerConnectionOf } from "./caller_connection.ts";
 import {
   ABANDONED_PREFIX,
   stall,
@@ -144,6 +145,18 @@
   }
 }
 
+test.serial("guards against a request that waits for its timeout because its caller had left before it began", async (t) => {
+  const socket = new Socket();
+  socket.destroy();
+  const connection = callerConnectionOf(socket);
+  let heard = 0;
+  connection.onLeft(() => heard++);
+  connection.onLeft(() => heard++)();
+  connection.whenStillThere(() => t.fail());
+  await wait(20);
+  t.is(heard, 1);
+});
+
 test.serial("guards against work that goes on for a pipelined request after its caller left", async (t) => {
   const bench = await startBench({ backends: 1 });
   const [backend] = bench.backends;
--- a/src/core/prompt_crashes.ts
+++ b/src/core/prompt_crashes.ts
@@ -31,6 +31,8 @@
 const SOUND_MILLISECONDS = 60_000;
 /** Beyond this number, the parts that completed longest ago are forgotten. */
 const MAXIMUM_COMPLETED_PARTS = 20_000;
+/** Beyond this number, the oldest suspects are forgotten. */
+const MAXIMUM_SUSPECTS = 4_096;
 /** Crashes that are kept for each part. */
 const MAXIMUM_CRASHES = 16;
 const MAXIMUM_ANNOUNCEMENTS = 2_048;
@@ -76,6 +78,13 @@
   return count;
 }
 
+/** Deletes the oldest entry if there are too many. */
+function _limit(entries: Map<number, unknown>, maximum: number): void {
+  if (entries.size <= maximum) return;
+  const [oldest] = entries.keys();
+  if (oldest !== undefined) entries.delete(oldest);
+}
+
 /** The prompt parts that one router suspects or has quarantined. */
 export class PromptCrashes {
   readonly #options: PromptCrashesOptions;
@@ -217,10 +226,7 @@
     const latest = Math.max(at, this.#completed.get(part) ?? at);
     this.#completed.delete(part);
     this.#completed.set(part, latest);
-    if (this.#completed.size > MAXIMUM_COMPLETED_PARTS) {
-      const [oldest] = this.#completed.keys();
-      if (oldest !== undefined) this.#completed.delete(oldest);
-    }
+    _limit(this.#completed, MAXIMUM_COMPLETED_PARTS);
     const suspect = this.#suspects.get(part);
     if (!suspect) return;
     this.#suspects.delete(part);
@@ -243,13 +249,11 @@
         quarantinedUntil: Number.NEGATIVE_INFINITY,
       };
       this.#suspects.set(part, suspect);
+      _limit(this.#suspects, MAXIMUM_SUSPECTS);
     }
     if (suspect.crashes.has(crash)) return false;
-    if (suspect.crashes.size >= MAXIMUM_CRASHES) {
-      const [oldest] = suspect.crashes.keys();
-      if (oldest !== undefined) suspect.crashes.delete(oldest);
-    }
     suspect.crashes.set(crash, at);
+    _limit(suspect.crashes, MAXIMUM_CRASHES);
     this.#quarantine(part, suspect, now);
     return true;
   }
--- a/src/core/prompt_crashes_test.ts
+++ b/src/core/prompt_crashes_test.ts
@@ -99,6 +99,17 @@
   t.is(other.quarantines(end + 21 * MINUTE_MILLISECONDS).length, 0);
 });
 
+test("guards against unbounded growth of the suspects", (t) => {
+  const crashes = createPromptCrashes();
+  for (let index = 0; index < 6_000; index++) {
+    for (let server = 0; server < 3; server++) {
+      const part = { id: `part-${index}`, tokens: 1 };
+      crash(crashes, server, 1_000 * server, part);
+    }
+  }
+  t.is(crashes.quarantines(3_000).length, 4_096);
+});
+
 test("guards against a router that acts on its own crashes alone, and against one that lets a peer's crashes stand against a part that it knows to be sound", (t) => {
   const crashes = createPromptCrashes();
   const peer = createPromptCrashes();
