Avoid a server whose address another server has taken

What callers saw: 503 while servers were free. Cause: a registration stayed behind after its server was gone, and the server that has its address now answered 421. The request went to another server each time, from the retry budget, until that was used up. A 421 told the choice of a server nothing. Change: a server that answers 421 counts as unreachable, as after a refused connection. Conclusion: the retry budget is kept.

--- a/src/backend_exchange.ts
+++ b/src/backend_exchange.ts
@@ -22,7 +22,7 @@
 import type { Clock } from "./timer_service.ts";
 
 /** Status of a server that received a request meant for another server. */
-const MISDIRECTED_REQUEST = 421;
+export const MISDIRECTED_REQUEST = 421;
 /** Statuses that tell a caller that the request was not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const BAD_GATEWAY = 502;
--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -13,10 +13,11 @@
   FIRST_ERROR_STATUS,
   type ResponseRelay,
 } from "./response_relay.ts";
-import type {
-  NotSentReason,
-  ResponseHead,
-  ResponseSink,
+import {
+  MISDIRECTED_REQUEST,
+  type NotSentReason,
+  type ResponseHead,
+  type ResponseSink,
 } from "./backend_exchange.ts";
 import { createError, type ErrorKind } from "./core/errors.ts";
 import { isRepeatable } from "./core/gateway_configuration.ts";
@@ -197,6 +198,11 @@
   }
 
   #onNotRun(status: number): void {
+    const server = this.#attempt?.server.id;
+    if (server && status === MISDIRECTED_REQUEST) {
+      // Another server has its address, so its registration is out of date.
+      this.#context.outcomes.recordUnreachable(server, this.#now());
+    }
     this.#attempt?.discard("not_run");
     this.#onFailure("not_run", `the server responded with ${status}`);
   }
--- a/src/server_notices_test.ts
+++ b/src/server_notices_test.ts
@@ -166,3 +166,15 @@
   t.is(backend.received.length, 4 + CALLS);
   t.is(linesOf(bench, "server.malformed_header").length, 4 + CALLS);
 });
+
+test.serial("guards against spending the retry budget on a registration whose address another server has", async (t) => {
+  const bench = await startBench({ backends: 2 });
+  const [replaced] = bench.backends as [RawBackend];
+  replaced.script(({ id }, response) => {
+    response.writeHead(421, { [NAMES.requestId]: id, [NAMES.notRun]: "1" });
+    response.end();
+  });
+  await callUntilUsed(bench, replaced);
+  t.deepEqual(new Set(await callRepeatedly(bench)), new Set([200]));
+  t.true(replaced.received.length <= 2, `${replaced.received.length}`);
+});
