Start a server of the soak once after overlapping faults

Cause: a server that crashed while it was being replaced was started by both faults, and the registration of the first start was never removed. The calm time at the end then had requests to an address whose server had another id. Change: a crash starts its server again only if nothing else did. Conclusion: the soak's registrations are those of its servers.

--- a/soak/failed_seeds.ts
+++ b/soak/failed_seeds.ts
@@ -12,4 +12,9 @@
     seed: 9,
     cause: "SIGHUP ended a starting router before it had installed its handler",
   },
+  ...[108, 133, 136].map((seed) => ({
+    seed,
+    cause:
+      "the retry budget was spent on a registration whose server was gone, and the soak started a server twice that crashed while it drained",
+  })),
 ];
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -79,8 +79,11 @@
   backend.crash();
   await sleep(forMilliseconds);
   targets.deregister(id);
-  await backend.start();
-  targets.register(backend);
+  // A replacement in the meantime has started a new incarnation already.
+  if (backend.id === id) {
+    await backend.start();
+    targets.register(backend);
+  }
   end();
 }
 
