--- a/src/gateway_protocol.ts
+++ b/src/gateway_protocol.ts
@@ -44,7 +44,7 @@
   cacheSource: "x-cache-source",
   notRun: "x-not-run",
   signature: "x-answer-signature",
-  leaving: "x-server-leaving",
+  leaving: "x-draining",
   serverLoad: "x-server-load",
   reserved: [],
 };
