Keep quarantines and drain notices through a restart of all routers

Cause: a router told a peer that joins only what it had seen itself. Once every router that had seen a crash was restarted, the others knew of it but told nobody. The same held for drain notices. Change: every router announces new evidence and notices of its peers once. Conclusion: a withdrawn permission outlives restarts as long as one router runs.

--- a/src/core/prompt_crashes.ts
+++ b/src/core/prompt_crashes.ts
@@ -126,15 +126,15 @@
   }
 
   /**
-   * Adds a peer's evidence. A router that knows a suspect to be sound announces
-   * that; `relays` are routers that announce peers' evidence to others.
+   * Adds a peer's evidence and announces it, so that it outlives the peer. A
+   * router that knows a suspect to be sound announces that instead.
    */
-  addEvidence(evidence: PartEvidence, now: number, relays: boolean): void {
+  addEvidence(evidence: PartEvidence, now: number): void {
     const { part, crash, at } = evidence;
     if (crash === undefined) {
       const wasKnown = this.#isSound(part, at);
       this.#setSound(part, at);
-      if (relays && !wasKnown) this.#announcements.add(evidence);
+      if (!wasKnown) this.#announcements.add(evidence);
       return;
     }
     const completedAt = this.#completed.get(part);
@@ -143,7 +143,7 @@
       return;
     }
     const isNew = this.#addCrash(part, crash, at, now);
-    if (isNew && relays) this.#announcements.add(evidence);
+    if (isNew) this.#announcements.add(evidence);
   }
 
   /**
--- a/src/core/server_notices.ts
+++ b/src/core/server_notices.ts
@@ -74,14 +74,10 @@
     this.#options.onLeaving?.(server, source);
   }
 
-  /** Adds a peer's notice; `relays` are routers that announce it to others. */
-  addPeerNotice(
-    incarnation: IncarnationKey,
-    now: number,
-    relays: boolean,
-  ): void {
+  /** Adds a peer's notice and announces it, so that it outlives the peer. */
+  addPeerNotice(incarnation: IncarnationKey, now: number): void {
     const isNew = this.#addDrain(incarnation, { source: "peer", since: now });
-    if (isNew && relays) this.#announcements.add(incarnation);
+    if (isNew) this.#announcements.add(incarnation);
   }
 
   /** Records that a server wants no request for some time. */
--- a/src/peer_announcements.ts
+++ b/src/peer_announcements.ts
@@ -1,6 +1,7 @@
 /**
  * What routers tell each peer once: readings of prompt parts, evidence of
- * crashes and servers that are leaving. Collectors pass on what they hear.
+ * crashes and servers that are leaving. Collectors pass on readings; the others
+ * must outlive a restart of the whole fleet, so every router passes them on once.
  */
 import type { PromptCrashes } from "./core/prompt_crashes.ts";
 import type { PromptDirectory } from "./core/prompt_directory.ts";
@@ -14,7 +15,7 @@
   readonly directory: PromptDirectory;
   readonly crashes: PromptCrashes;
   readonly notices: ServerNotices;
-  /** Whether this router passes on what peers announce. */
+  /** Whether this router passes on the readings of peers. */
   readonly relays: () => boolean;
   /** The monotonic time in milliseconds. */
   readonly now: () => number;
@@ -62,10 +63,10 @@
     }
     for (const { part, crash, ageMilliseconds } of evidence) {
       const at = now - ageMilliseconds;
-      crashes.addEvidence({ part, crash, at }, now, relays);
+      crashes.addEvidence({ part, crash, at }, now);
     }
     for (const incarnation of leaving) {
-      notices.addPeerNotice(incarnation, now, relays);
+      notices.addPeerNotice(incarnation, now);
     }
   }
 }
