--- a/src/caller_connection_test.ts
+++ b/src/caller_connection_test.ts
@@ -3,8 +3,8 @@
 import test from "ava";
 import {
   type Bench,
-  callerHeaders,
   received,
+  requestText,
   startBench,
   stopBenches,
   waitUntil,
@@ -63,17 +63,6 @@
   return socket;
 }
 
-function requestText(
-  path: string,
-  id: string,
-  extra = "",
-  method = "GET",
-): string {
-  const headers = Object.entries(callerHeaders(id))
-    .map(([name, value]) => `${name}: ${value}\r\n`);
-  return `${method} ${path} HTTP/1.1\r\n${headers.join("")}${extra}\r\n`;
-}
-
 /** Responds with an endless stream of events. */
 function sendEndlessly(
   { id }: ReceivedRequest,
--- a/src/core/prompt_crashes.ts
+++ b/src/core/prompt_crashes.ts
@@ -11,6 +11,7 @@
  * since every router sees few requests of a part.
  */
 import { AnnouncementLog } from "./announcement_log.ts";
+import { evictOldest } from "./bounded_map.ts";
 import type { PromptPart } from "./prompt.ts";
 import { type PartKey, partKeyOf, sharedPartsOf } from "./prompt_directory.ts";
 import {
@@ -78,13 +79,6 @@
   return count;
 }
 
-/** Deletes the oldest entry if there are too many. */
-function _limit(entries: Map<number, unknown>, maximum: number): void {
-  if (entries.size <= maximum) return;
-  const [oldest] = entries.keys();
-  if (oldest !== undefined) entries.delete(oldest);
-}
-
 /** The prompt parts that one router suspects or has quarantined. */
 export class PromptCrashes {
   readonly #options: PromptCrashesOptions;
@@ -226,7 +220,7 @@
     const latest = Math.max(at, this.#completed.get(part) ?? at);
     this.#completed.delete(part);
     this.#completed.set(part, latest);
-    _limit(this.#completed, MAXIMUM_COMPLETED_PARTS);
+    evictOldest(this.#completed, MAXIMUM_COMPLETED_PARTS);
     const suspect = this.#suspects.get(part);
     if (!suspect) return;
     this.#suspects.delete(part);
@@ -249,11 +243,11 @@
         quarantinedUntil: Number.NEGATIVE_INFINITY,
       };
       this.#suspects.set(part, suspect);
-      _limit(this.#suspects, MAXIMUM_SUSPECTS);
+      evictOldest(this.#suspects, MAXIMUM_SUSPECTS);
     }
     if (suspect.crashes.has(crash)) return false;
     suspect.crashes.set(crash, at);
-    _limit(suspect.crashes, MAXIMUM_CRASHES);
+    evictOldest(suspect.crashes, MAXIMUM_CRASHES);
     this.#quarantine(part, suspect, now);
     return true;
   }
--- a/src/core/prompt_directory.ts
+++ b/src/core/prompt_directory.ts
@@ -8,6 +8,7 @@
  * would route parts that are in use to servers that have not processed them.
  */
 import { AnnouncementLog } from "./announcement_log.ts";
+import { evictOldest } from "./bounded_map.ts";
 import type { BackendServerId } from "./ids.ts";
 import type { PromptPart } from "./prompt.ts";
 import { hash32 } from "./hash32.ts";
@@ -71,7 +72,7 @@
     this.#parts.set(part, servers);
     if (servers.has(server)) return false;
     servers.add(server);
-    this.#evictOldest();
+    evictOldest(this.#parts, MAXIMUM_PARTS);
     return true;
   }
 
@@ -107,12 +108,6 @@
     }
     return entries;
   }
-
-  #evictOldest(): void {
-    if (this.#parts.size <= MAXIMUM_PARTS) return;
-    const [oldest] = this.#parts.keys();
-    if (oldest !== undefined) this.#parts.delete(oldest);
-  }
 }
 
 /** Creates an empty directory. */
--- a/src/core/server_notices.ts
+++ b/src/core/server_notices.ts
@@ -7,6 +7,7 @@
  * Nothing else ends a drain; a pause ends with its time.
  */
 import { AnnouncementLog } from "./announcement_log.ts";
+import { evictOldest } from "./bounded_map.ts";
 import type { BackendServerId } from "./ids.ts";
 import {
   type IncarnationKey,
@@ -96,7 +97,7 @@
       until,
       isTrying: false,
     });
-    _limit(this.#pauses);
+    evictOldest(this.#pauses, MAXIMUM_NOTICES);
     this.#options.onPausing?.(server, until - now);
   }
 
@@ -165,7 +166,7 @@
   #addDrain(incarnation: IncarnationKey, notice: DrainNotice): boolean {
     if (this.#drains.has(incarnation)) return false;
     this.#drains.set(incarnation, notice);
-    _limit(this.#drains);
+    evictOldest(this.#drains, MAXIMUM_NOTICES);
     return true;
   }
 
@@ -177,12 +178,6 @@
   }
 }
 
-function _limit(notices: Map<unknown, unknown>): void {
-  if (notices.size <= MAXIMUM_NOTICES) return;
-  const [oldest] = notices.keys();
-  notices.delete(oldest);
-}
-
 function _toUnavailable(
   { id }: RegisteredServer,
   reason: UnavailableServer["reason"],
--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -136,7 +136,7 @@
     this.#log.placed(
       this.#history.progress(),
       placed.value,
-      unavailableServers(this.#context, this.#checked),
+      () => unavailableServers(this.#context, this.#checked),
     );
     this.#send(placed.value);
   }
--- a/src/request_log.ts
+++ b/src/request_log.ts
@@ -60,6 +60,14 @@
     : { firstByte: Math.round(firstByteMilliseconds) };
 }
 
+function _unavailableFields(
+  servers: readonly UnavailableServer[],
+): RequestFields {
+  return servers.length === 0
+    ? {}
+    : { unavailable: servers.slice(0, MAXIMUM_LOGGED_SERVERS) };
+}
+
 /** Versions and ages of the state that led to a rejection or failure. */
 function _stateFields(state: GatewayStateTask): RequestFields {
   return {
@@ -81,7 +89,7 @@
   placed(
     progress: RequestProgress,
     placement: Placement,
-    unavailable: readonly UnavailableServer[],
+    listUnavailable: () => readonly UnavailableServer[],
   ): void {
     const { log, metrics, state, load, timers } = this.#context;
     const { server, reason, inFlight, meanInFlight, cacheSource } = placement;
@@ -92,9 +100,7 @@
       reason,
       inFlight,
       ...(cacheSource === undefined ? {} : { cacheSource }),
-      ...(unavailable.length === 0 ? {} : {
-        unavailable: unavailable.slice(0, MAXIMUM_LOGGED_SERVERS),
-      }),
+      ..._unavailableFields(listUnavailable()),
       meanInFlight: Math.round(meanInFlight * 100) / 100,
       loadAge: Math.round(
         load.ageMilliseconds(timers.clock.monotonicMilliseconds()),
--- a/src/server_choice.ts
+++ b/src/server_choice.ts
@@ -40,16 +40,20 @@
   const now = context.timers.clock.monotonicMilliseconds();
   const servers = state.registry.readyServers(service);
   outcomes.evaluate(service, servers, now);
-  const trying = new Set(
-    servers.filter((server) => notices.isTrying(server)).map(({ id }) => id),
-  );
+
+  /** Whether the first request after the server's pause is under way. */
+  function isTrying(id: BackendServerId): boolean {
+    const server = state.registry.get(id);
+    return server !== undefined && notices.isTrying(server);
+  }
+
   return choosePlacement({
     servers,
     inFlight: (server) => load.inFlight(server),
     isUnavailable: (server) =>
       notices.unavailability(server, now) !== undefined,
     isExcluded: (server) =>
-      outcomes.isExcluded(server, now) || trying.has(server),
+      outcomes.isExcluded(server, now) || isTrying(server),
     tried,
     promptParts: metadata.promptParts,
     holders: (part) => directory.serversWith(part),
--- a/stand_ins/gateway_test_bench.ts
+++ b/stand_ins/gateway_test_bench.ts
@@ -119,6 +119,18 @@
   };
 }
 
+/** Returns a caller's request as sent on the wire. */
+export function requestText(
+  path: string,
+  id: string,
+  extra = "",
+  method = "GET",
+): string {
+  const headers = Object.entries(callerHeaders(id))
+    .map(([name, value]) => `${name}: ${value}\r\n`);
+  return `${method} ${path} HTTP/1.1\r\n${headers.join("")}${extra}\r\n`;
+}
+
 /** Sends a request through a gateway and reads the whole response. */
 export async function call(bench: Bench, options: Call = {}) {
   const { path = "/safe/x", method = "GET", body, headers, gateway = 0 } =
--- a/stand_ins/leaving_callers.ts
+++ b/stand_ins/leaving_callers.ts
@@ -10,7 +10,7 @@
   Worker,
   workerData,
 } from "node:worker_threads";
-import { callerHeaders } from "./gateway_test_bench.ts";
+import { requestText } from "./gateway_test_bench.ts";
 
 /** How long the callers wait before they leave. */
 const PATIENCE_MILLISECONDS = 300;
@@ -36,12 +36,6 @@
 /** Prefix of the ids of requests that the callers abandon. */
 export const ABANDONED_PREFIX = "abandoned-";
 
-function _requestText(path: string, id: string): string {
-  const headers = Object.entries(callerHeaders(id))
-    .map(([name, value]) => `${name}: ${value}\r\n`);
-  return `GET ${path} HTTP/1.1\r\n${headers.join("")}\r\n`;
-}
-
 async function _open(callers: string): Promise<Socket> {
   const [host, port] = callers.split(":") as [string, string];
   const socket = connect(Number(port), host);
@@ -55,7 +49,7 @@
   index: number,
 ): Promise<Socket> {
   const socket = await _open(callers);
-  socket.write(_requestText(path, `first-${index}`));
+  socket.write(requestText(path, `first-${index}`));
   await once(socket, "data");
   return socket;
 }
@@ -65,7 +59,7 @@
   { path, end }: LeavingCallersOptions,
   index: number,
 ): void {
-  socket.write(_requestText(path, `${ABANDONED_PREFIX}${index}`));
+  socket.write(requestText(path, `${ABANDONED_PREFIX}${index}`));
   setTimeout(() => {
     if (end === "reset") socket.resetAndDestroy();
     else socket.destroy();
