Share the rate limit that a server names among all routers

Cause: a limit is one sum over all routers, and each router sees only its own requests. Class of fault: a limit of the whole fleet that each member applies, if at all, to itself alone. Ruled out: an equal part for each router (at 100 routers and 3 a second each would save one request, 100 at once); one owner that grants each request (a round trip for each, and an owner's loss stops the server); measured after the fact from peers' reports (250 ms late, and a burst is over by then). Change: core/rate_limit_shares.ts decides a router's share from the limit and from whom it hears: as many senders as the limit has requests a second, by rendezvous hashing; the parts of a partitioned fleet add up to the limit; nobody acts on a view older than a second or within two seconds of its start. core/server_rate_limits.ts holds what servers named, for each incarnation, and its end; peers tell each other in a message of their own, which routers of an earlier release ignore. When no server of a service may get a request, it is rejected at once; more urgent requests come first.

--- a/src/backend_exchange.ts
+++ b/src/backend_exchange.ts
@@ -58,8 +58,11 @@
 
 /** Receives the result of a request: one of its other methods is called, once. */
 export interface ExchangeListener {
-  /** What the server says about itself, before the result; called at most once. */
-  onNotices(metadata: ResponseMetadata): void;
+  /**
+   * What the server says about itself, before the result; called at most once.
+   * Only a response to the request itself tells what the server does not say.
+   */
+  onNotices(metadata: ResponseMetadata, isAnswer: boolean): void;
   /** No byte of the request reached the server. */
   onNotSent(reason: NotSentReason, detail: string): void;
   /** The server declares that it did not run the request and never will. */
@@ -230,7 +233,9 @@
     const metadata = protocol.readResponse(status, headers);
     const isReused = this.#connection.idleMilliseconds !== undefined;
     const kind = _classifyResponse(status, metadata, { requestId, isReused });
-    if (kind !== "stray") this.#options.listener.onNotices(metadata);
+    if (kind !== "stray") {
+      this.#options.listener.onNotices(metadata, kind === "answer");
+    }
     if (kind === "not_run") {
       this.#reportOnce(() => this.#options.listener.onNotRun(status));
     } else if (kind === "answer") {
--- a/src/core/token_bucket.ts
+++ b/src/core/token_bucket.ts
@@ -14,6 +14,11 @@
   setRate(tokensPerSecond: number, now: number): void;
   /** Current rate in tokens per second. */
   rate(): number;
+  /**
+   * Time since when, or from which on, a token is available; infinite while the
+   * rate is 0 and none is left.
+   */
+  availableAt(now: number): number;
 }
 
 /**
@@ -27,6 +32,7 @@
   let rate = tokensPerSecond;
   let tokens = burst();
   let refilledAt = now;
+  let availableAt = now;
 
   function burst(): number {
     return Math.max(1, rate * BURST_MILLISECONDS / 1_000);
@@ -38,18 +44,30 @@
     tokens = Math.min(burst(), tokens + rate * elapsed / 1_000);
   }
 
+  function updateAvailability(): void {
+    if (tokens >= 1) return;
+    const missing = (1 - tokens) * 1_000;
+    availableAt = rate > 0 ? refilledAt + missing / rate : Infinity;
+  }
+
   return {
     tryTake(at) {
       refill(at);
       if (tokens < 1) return false;
       tokens--;
+      updateAvailability();
       return true;
     },
     setRate(next, at) {
       refill(at);
       rate = next;
       tokens = Math.min(tokens, burst());
+      updateAvailability();
     },
     rate: () => rate,
+    availableAt(at) {
+      refill(at);
+      return availableAt;
+    },
   };
 }
--- a/src/decision_log.ts
+++ b/src/decision_log.ts
@@ -29,6 +29,7 @@
   "server.crashed": "state",
   "server.leaving": "state",
   "server.pausing": "state",
+  "server.rate_limit": "state",
   "server.malformed_header": "failure",
   "prompt.quarantined": "state",
   "prompt.cleared": "state",
--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -21,8 +21,13 @@
 import { createPromptDirectory } from "./core/prompt_directory.ts";
 import type { LoadBound } from "./core/placement.ts";
 import { createSeededRandom } from "./core/random.ts";
-import { createServerIncarnations } from "./core/server_incarnations.ts";
+import {
+  createServerIncarnations,
+  type IncarnationKey,
+  incarnationKeyOf,
+} from "./core/server_incarnations.ts";
 import { createServerNotices } from "./core/server_notices.ts";
+import { createServerRateLimits } from "./core/server_rate_limits.ts";
 import { createServerOutcomes } from "./core/server_outcomes.ts";
 import { createStallDetector } from "./core/stall_detector.ts";
 import {
@@ -147,6 +152,13 @@
     onPausing: ({ id }, milliseconds) =>
       log.write("server.pausing", { server: id, milliseconds }),
   });
+  const rateLimits = createServerRateLimits({
+    onChange: ({ incarnation, ...change }) =>
+      log.write("server.rate_limit", {
+        server: findServer(incarnation)?.id,
+        ...change,
+      }),
+  });
   const directory = createPromptDirectory();
   const crashes = createPromptCrashes({
     onQuarantined: (quarantine) =>
@@ -198,6 +210,7 @@
     directory,
     crashes,
     notices,
+    rateLimits,
     host,
     dataCentre,
     capacity: options.capacity ?? 1,
@@ -219,6 +232,7 @@
     load,
     outcomes,
     notices,
+    rateLimits,
     retries: (service) => budgets.of(service),
     timers,
     random,
@@ -266,6 +280,11 @@
     return isListening && !isStopping && state.isKnown();
   }
 
+  function findServer(incarnation: IncarnationKey) {
+    const { servers } = state.registry.list();
+    return servers.find((server) => incarnationKeyOf(server) === incarnation);
+  }
+
   function runHousekeeping(): void {
     const latest = performance.eventLoopUtilization();
     busyShare = performance.eventLoopUtilization(latest, utilization)
--- a/src/gateway_metrics.ts
+++ b/src/gateway_metrics.ts
@@ -121,6 +121,19 @@
       labelNames: ["reason"],
       registers,
     }),
+    serverRateLimit: new Gauge({
+      name: `${prefix}server_rate_limit`,
+      help:
+        "Requests per second that a backend server takes from the whole fleet",
+      labelNames: ["server"],
+      registers,
+    }),
+    serverRateLimitShare: new Gauge({
+      name: `${prefix}server_rate_limit_share`,
+      help: "This router's part of a backend server's rate limit",
+      labelNames: ["server"],
+      registers,
+    }),
     malformedHeaders: new Counter({
       name: `${prefix}malformed_headers_total`,
       help: "Headers of backend servers that could not be read, by name",
--- a/src/gateway_peer.ts
+++ b/src/gateway_peer.ts
@@ -22,6 +22,8 @@
   registeredCapacity: number;
   /** Last listing by the peer or a collector; undefined while it is silent. */
   listing: RouterListing | undefined;
+  /** Whether it served callers when it was last heard. */
+  hasServed: boolean;
   /** When any router last received its report. */
   heardAt: number;
   /** When this router last received its report. */
@@ -44,6 +46,8 @@
   nextEvidence: number;
   /** Sequence number of the first drain notice not yet sent to the peer. */
   nextNotice: number;
+  /** Sequence number of the first rate limit not yet sent to the peer. */
+  nextRateLimit: number;
   /** Since when this router has been missing state that the peer has. */
   behindSince: number | undefined;
 }
@@ -60,6 +64,7 @@
     report: undefined,
     registeredCapacity: 0,
     listing: undefined,
+    hasServed: false,
     heardAt: Number.NEGATIVE_INFINITY,
     directAt: Number.NEGATIVE_INFINITY,
     reportedAsMemberAt: Number.NEGATIVE_INFINITY,
@@ -73,6 +78,7 @@
     nextReading: 0,
     nextEvidence: 0,
     nextNotice: 0,
+    nextRateLimit: 0,
     behindSince: undefined,
   };
 }
--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -7,12 +7,12 @@
 import { createFleetSize } from "./core/fleet_size.ts";
 import type { SocketAddress } from "./core/ids.ts";
 import type { RandomSource } from "./core/random.ts";
+import type { ServerRateLimits } from "./core/server_rate_limits.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { FleetStore } from "./fleet_store.ts";
 import type { GatewayPeer } from "./gateway_peer.ts";
 import {
   gatewayPeersSchema,
-  type GatewayReport,
   indexServerIds,
   type PackedReport,
   packReport,
@@ -23,11 +23,13 @@
 import { GatewayPeers } from "./gateway_peers.ts";
 import { ReportBuilder, type ReportBuilderOptions } from "./report_builder.ts";
 import { PeerAnnouncements } from "./peer_announcements.ts";
+import { PeerSilence } from "./peer_silence.ts";
 import type {
   PeerIdentity,
   PeerMessageKind,
   PeerNetwork,
 } from "./peer_network.ts";
+import { RateLimitExchange } from "./rate_limit_exchange.ts";
 import { ReportHierarchy, type ReportPayload } from "./report_hierarchy.ts";
 import {
   isListingDue,
@@ -45,8 +47,6 @@
 const COLLECTOR_UPDATE_TICKS = 4;
 /** Time after the start in which known routers count before they are heard. */
 const START_MILLISECONDS = 5_000;
-/** A silent peer that is not a seed is removed after this time. */
-const PEER_EXPIRY_MILLISECONDS = 30_000;
 
 /** Options of the peer task. */
 export interface GatewayPeerTaskOptions extends ReportBuilderOptions {
@@ -55,6 +55,7 @@
   readonly random: RandomSource;
   readonly log: DecisionLog;
   readonly seeds: readonly SocketAddress[];
+  readonly rateLimits: ServerRateLimits;
 }
 
 /** A report that is sent in a tick. */
@@ -76,6 +77,8 @@
   readonly #discovery: RouterDiscovery;
   readonly #hierarchy: ReportHierarchy;
   readonly #announcements: PeerAnnouncements;
+  readonly #rateLimits: RateLimitExchange;
+  readonly #silence: PeerSilence;
   readonly #fleetSize = createFleetSize();
   #startedAt = Number.NEGATIVE_INFINITY;
   #serverIds: ServerIdsByHash = new Map();
@@ -101,6 +104,13 @@
       relays: () => this.#hierarchy.isCollecting,
       now: () => this.#now(),
     });
+    this.#rateLimits = new RateLimitExchange({
+      ...options,
+      peers: () => this.#peers.all(),
+      isSilent: (peer) => this.#hierarchy.isSilent(peer),
+      now: () => this.#now(),
+      onMalformed: (from) => this.#logIgnored(from, "gateway.rate_limits"),
+    });
     this.#catchUp = new StateCatchUp({
       network,
       state,
@@ -124,6 +134,16 @@
       isCovered: () =>
         this.#hierarchy.isHierarchical && !this.#hierarchy.needsSummary,
     });
+    this.#silence = new PeerSilence({
+      network,
+      log: options.log,
+      seeds: options.seeds,
+      peers: this.#peers,
+      hierarchy: this.#hierarchy,
+      discovery: this.#discovery,
+      liveRouters: () => this.liveRouters(),
+      now: () => this.#now(),
+    });
   }
 
   override async start(): Promise<void> {
@@ -239,9 +259,10 @@
   }
 
   #update(now: number): void {
-    for (const peer of [...this.#peers.all()]) this.#handleSilence(peer, now);
+    this.#silence.update(now);
     this.#hierarchy.update();
     this.#updateFleetSize();
+    this.#rateLimits.updateView();
   }
 
   /** Sends a report; peers with the same content share one encoded body. */
@@ -270,6 +291,7 @@
       this.#announcements.recordSent(peer);
     }
     network.send(peer.address, "gateway.report", body);
+    this.#rateLimits.send(peer);
   }
 
   #reportTime(now: number): ReportTime {
@@ -295,31 +317,6 @@
     });
   }
 
-  #handleSilence(peer: GatewayPeer, now: number): void {
-    if (!this.#hierarchy.isSilent(peer)) return;
-    if (peer.listing) this.#markLost(peer);
-    const since = Math.max(peer.heardAt, peer.createdAt);
-    const isSeed = this.#options.seeds.includes(peer.address);
-    if (now - since > PEER_EXPIRY_MILLISECONDS && !isSeed) {
-      this.#peers.remove(peer);
-      // A router that hears only a few peers is probably disconnected itself.
-      const hearsMost = this.liveRouters() * 2 > this.#peers.size;
-      if (hearsMost && this.#hierarchy.isMostPreferred()) {
-        this.#discovery.remove(peer.address);
-      }
-    }
-  }
-
-  #markLost(peer: GatewayPeer): void {
-    this.#peers.markLost(peer);
-    this.#options.log.write("peer.lost", {
-      peer: peer.name?.host,
-      address: peer.address,
-      silentMilliseconds: Math.round(this.#now() - peer.heardAt),
-    });
-    this.#options.network.reset(peer.address);
-  }
-
   #onReport(body: unknown, from: PeerIdentity): void {
     if (!this.#running) return;
     const report = safeUnpackReport(body, this.#serverIds);
@@ -328,18 +325,11 @@
     if (!peer) return;
     const isNew = this.#peers.recordReport(peer, report, from);
     this.#hierarchy.receive(peer, report);
-    this.#markUnlistedLost(peer, report);
+    this.#silence.markUnlisted(peer, report);
     this.#announcements.receive(report);
     if (isNew) this.#onConnected(peer);
   }
 
-  #markUnlistedLost(from: GatewayPeer, { summary }: GatewayReport): void {
-    if (!summary) return;
-    for (const peer of this.#peers.all()) {
-      if (this.#hierarchy.isUnlisted(peer, from, summary)) this.#markLost(peer);
-    }
-  }
-
   #onConnected(peer: GatewayPeer): void {
     this.#options.log.write("peer.connected", {
       peer: peer.identity?.host,
@@ -348,6 +338,7 @@
     peer.sentVersion = -1;
     peer.sentListingVersion = -1;
     this.#announcements.restart(peer);
+    peer.nextRateLimit = 0;
     // In a large fleet the collectors' summaries list the routers.
     if (this.#hierarchy.isHierarchical) return;
     this.#options.network.send(peer.address, "gateway.peers", {
--- a/src/gateway_peers.ts
+++ b/src/gateway_peers.ts
@@ -119,5 +119,6 @@
     if (hasChanged) this.#listingVersion++;
     peer.heardAt = heardAt;
     peer.listing = listing;
+    peer.hasServed = listing.isServing;
   }
 }
--- a/src/gateway_protocol.ts
+++ b/src/gateway_protocol.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import { parsePromptParts, type PromptPart } from "./core/prompt.ts";
+import type { RateLimitHeader } from "./core/server_rate_limits.ts";
 
 /** Header names, in lower case. */
 export interface GatewayHeaderNames {
@@ -27,6 +28,8 @@
   readonly signature: string;
   /** Set on responses of backend servers that are leaving. */
   readonly leaving: string;
+  /** Requests per second that the backend server takes from the whole fleet. */
+  readonly rateLimit: string;
   /** Load of the backend server at the time of the response. */
   readonly serverLoad: string;
   /** Other headers that are removed from callers' requests. */
@@ -45,6 +48,7 @@
   notRun: "x-not-run",
   signature: "x-answer-signature",
   leaving: "x-draining",
+  rateLimit: "x-server-rate-limit",
   serverLoad: "x-server-load",
   reserved: [],
 };
@@ -92,6 +96,8 @@
   readonly isLeaving: boolean;
   /** Time for which the server wants no request; undefined if it does not say. */
   readonly pauseMilliseconds: number | undefined;
+  /** Requests per second that the server takes from the whole fleet. */
+  readonly rateLimit: RateLimitHeader;
   /** Names of headers whose value is malformed; they count as absent. */
   readonly malformed: readonly string[];
 }
@@ -118,35 +124,60 @@
 /** Value of the header of a server that is leaving. */
 const LEAVING_VALUE = "1";
 const RETRY_AFTER = "retry-after";
-/** Seconds with or without a fraction; a date would need synchronized clocks. */
-const RETRY_AFTER_SECONDS = /^\s*\d{1,9}(\.\d{1,9})?\s*$/;
+/**
+ * A number with or without a fraction. A date as Retry-After would need
+ * synchronized clocks.
+ */
+const DECIMAL = /^\s*\d{1,9}(\.\d{1,9})?\s*$/;
 const SERVICE_UNAVAILABLE = 503;
 
 type _Notices = Pick<
   ResponseMetadata,
-  "isLeaving" | "pauseMilliseconds" | "malformed"
+  "isLeaving" | "pauseMilliseconds" | "rateLimit" | "malformed"
 >;
 
+function _readPause(
+  status: number,
+  headers: ResponseHeaders,
+  malformed: string[],
+): number | undefined {
+  if (status !== SERVICE_UNAVAILABLE) return undefined;
+  const pause = _firstValue(headers[RETRY_AFTER]);
+  if (pause === undefined) return undefined;
+  if (DECIMAL.test(pause)) return Number(pause) * 1_000;
+  malformed.push(RETRY_AFTER);
+  return undefined;
+}
+
+function _readRateLimit(
+  headers: ResponseHeaders,
+  name: string,
+  malformed: string[],
+): RateLimitHeader {
+  const limit = _firstValue(headers[name]);
+  if (limit === undefined) return { kind: "none" };
+  if (DECIMAL.test(limit)) {
+    return { kind: "named", requestsPerSecond: Number(limit) };
+  }
+  malformed.push(name);
+  return { kind: "malformed" };
+}
+
 function _readNotices(
   status: number,
   headers: ResponseHeaders,
-  leavingName: string,
+  names: GatewayHeaderNames,
 ): _Notices {
   const malformed: string[] = [];
-  const leaving = _firstValue(headers[leavingName]);
+  const leaving = _firstValue(headers[names.leaving]);
   const isLeaving = leaving?.trim() === LEAVING_VALUE;
-  if (leaving !== undefined && !isLeaving) malformed.push(leavingName);
-  const pause = status === SERVICE_UNAVAILABLE
-    ? _firstValue(headers[RETRY_AFTER])
-    : undefined;
-  if (pause === undefined) {
-    return { isLeaving, pauseMilliseconds: undefined, malformed };
-  }
-  if (!RETRY_AFTER_SECONDS.test(pause)) {
-    malformed.push(RETRY_AFTER);
-    return { isLeaving, pauseMilliseconds: undefined, malformed };
-  }
-  return { isLeaving, pauseMilliseconds: Number(pause) * 1_000, malformed };
+  if (leaving !== undefined && !isLeaving) malformed.push(names.leaving);
+  return {
+    isLeaving,
+    pauseMilliseconds: _readPause(status, headers, malformed),
+    rateLimit: _readRateLimit(headers, names.rateLimit, malformed),
+    malformed,
+  };
 }
 
 /** Returns the header names that a Connection header marks as hop-by-hop. */
@@ -184,6 +215,7 @@
     names.notRun,
     names.signature,
     names.leaving,
+    names.rateLimit,
     names.serverLoad,
     ...names.reserved,
     ...HOP_BY_HOP_HEADERS,
@@ -250,7 +282,7 @@
     },
     readResponse(status, headers) {
       return {
-        ..._readNotices(status, headers, names.leaving),
+        ..._readNotices(status, headers, names),
         requestId: _firstValue(headers[names.requestId]),
         notRun: headers[names.notRun] !== undefined,
         isSigned: headers[names.signature] !== undefined,
--- a/src/gateway_status.ts
+++ b/src/gateway_status.ts
@@ -24,6 +24,7 @@
     | "load"
     | "outcomes"
     | "notices"
+    | "rateLimits"
     | "crashes"
     | "metrics"
     | "log"
@@ -46,6 +47,7 @@
 ): GatewayStatus {
   const { state, connections, load, outcomes, notices, crashes } = options;
   const { metrics, log, timers, peers, budgets, describeProcess } = options;
+  const { rateLimits } = options;
 
   function now(): number {
     return timers.clock.monotonicMilliseconds();
@@ -55,6 +57,23 @@
     return notices.unavailableServers(state.registry.list().servers, now());
   }
 
+  function limitedServers() {
+    return state.registry.list().servers.flatMap((server) => {
+      const limit = rateLimits.limitOf(server, now());
+      return limit ? [{ server: server.id, ...limit }] : [];
+    });
+  }
+
+  function updateRateLimitMetrics(): void {
+    metrics.serverRateLimit.reset();
+    metrics.serverRateLimitShare.reset();
+    for (const limit of limitedServers()) {
+      const { server, requestsPerSecond, sharePerSecond } = limit;
+      metrics.serverRateLimit.set({ server }, requestsPerSecond);
+      metrics.serverRateLimitShare.set({ server }, sharePerSecond);
+    }
+  }
+
   function updateStateMetrics(): void {
     const { configurationVersion } = state.versions();
     metrics.configurationVersion.set(configurationVersion);
@@ -90,11 +109,13 @@
       loads: load.ownLoads(),
       excluded: outcomes.excludedServers(now()),
       unavailable: unavailableServers(),
+      rateLimits: limitedServers(),
       quarantined: crashes.quarantines(now()),
     }),
     async renderMetrics() {
       updateStateMetrics();
       updateServerMetrics();
+      updateRateLimitMetrics();
       metrics.inFlight.set(describeProcess().inFlight);
       metrics.droppedLines.set(log.dropped());
       return await metrics.registry.metrics();
--- a/src/operations_page_test.ts
+++ b/src/operations_page_test.ts
@@ -36,6 +36,8 @@
       "server_crashes_total",
       "unavailable_servers",
       "malformed_headers_total",
+      "server_rate_limit",
+      "server_rate_limit_share",
       "quarantined_prompt_parts",
     ]
   ) {
--- a/src/peer_network.ts
+++ b/src/peer_network.ts
@@ -40,6 +40,7 @@
   "network.keepalive",
   "gateway.report",
   "gateway.peers",
+  "gateway.rate_limits",
   "gateway.state",
   "gateway.registry",
   "gateway.configuration",
--- a/src/request_attempt.ts
+++ b/src/request_attempt.ts
@@ -14,6 +14,7 @@
 import type { FleetLoad } from "./core/fleet_load.ts";
 import type { RegisteredServer } from "./core/server_registry.ts";
 import type { ServerNotices } from "./core/server_notices.ts";
+import type { ServerRateLimits } from "./core/server_rate_limits.ts";
 import type { ServerOutcomes } from "./core/server_outcomes.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
@@ -33,6 +34,7 @@
   readonly load: FleetLoad;
   readonly outcomes: ServerOutcomes;
   readonly notices: ServerNotices;
+  readonly rateLimits: ServerRateLimits;
   readonly log: DecisionLog;
   readonly timers: TimerService;
   readonly metrics: GatewayMetrics;
@@ -62,12 +64,14 @@
   #isFinished = false;
 
   constructor(context: AttemptContext, options: AttemptOptions) {
-    const { connections, protocol, load, timers, notices } = context;
+    const { connections, protocol, load, timers, notices, rateLimits } =
+      context;
     const { listener, silenceMilliseconds, ...sent } = options;
     this.#context = context;
     this.server = options.server;
     load.requestStarted(options.server.id);
     this.#endTrial = notices.recordSent(options.server, this.#now());
+    rateLimits.recordSent(options.server, this.#now());
     this.#responseTimer = timers.after(
       silenceMilliseconds,
       "silent server",
@@ -82,7 +86,7 @@
       protocol,
       clock: timers.clock,
       listener: {
-        onNotices: (metadata) => this.#onNotices(metadata),
+        onNotices: (metadata, isAnswer) => this.#onNotices(metadata, isAnswer),
         onNotSent: (reason, detail) => listener.onNotSent(reason, detail),
         onNotRun: (status) => listener.onNotRun(status),
         onOutcomeUnknown: (detail) => {
@@ -130,9 +134,12 @@
     return this.#context.timers.clock.monotonicMilliseconds();
   }
 
-  #onNotices(metadata: ResponseMetadata): void {
-    const { notices, metrics, log } = this.#context;
-    const { isLeaving, pauseMilliseconds, malformed } = metadata;
+  #onNotices(metadata: ResponseMetadata, isAnswer: boolean): void {
+    const { notices, rateLimits, metrics, log } = this.#context;
+    const { isLeaving, pauseMilliseconds, rateLimit, malformed } = metadata;
+    if (isAnswer || rateLimit.kind === "named") {
+      rateLimits.recordResponse(this.server, rateLimit, this.#now());
+    }
     if (isLeaving) {
       notices.recordLeaving(this.server, "response", this.#now());
     }
--- a/src/request_placement.ts
+++ b/src/request_placement.ts
@@ -8,8 +8,9 @@
 import type { RequestHistory } from "./request_history.ts";
 import {
   chooseServer,
-  pauseOfService,
   type ServerChoiceContext,
+  type ServiceWait,
+  waitOfService,
 } from "./server_choice.ts";
 
 /** Dependencies of the decision. */
@@ -37,17 +38,19 @@
   };
 }
 
+const WAIT_DETAILS: Readonly<Record<ServiceWait["reason"], string>> = {
+  pausing: "all backend servers want a pause",
+  limited: "all backend servers have reached their rate limits",
+};
+
 function _refuseWithoutServer(
-  waitMilliseconds: number | undefined,
+  wait: ServiceWait | undefined,
 ): PlacementRefusal {
-  const isPaused = waitMilliseconds !== undefined;
   return {
     kind: "no_backend_server",
-    detail: isPaused
-      ? "all backend servers want a pause"
-      : "no backend server is left",
-    cause: "no_server",
-    waitMilliseconds,
+    detail: wait ? WAIT_DETAILS[wait.reason] : "no backend server is left",
+    cause: wait?.reason === "limited" ? "full" : "no_server",
+    waitMilliseconds: wait?.milliseconds,
   };
 }
 
@@ -66,7 +69,7 @@
   if (placement) return ok(placement);
   const refusal = quarantine
     ? _refuseQuarantined(quarantine)
-    : _refuseWithoutServer(pauseOfService(context, checked));
+    : _refuseWithoutServer(waitOfService(context, checked));
   // An earlier attempt may have run, so it cannot be said that none did.
   return err(runs > 0 ? { ...refusal, kind: "outcome_unknown" } : refusal);
 }
--- a/src/server_choice.ts
+++ b/src/server_choice.ts
@@ -12,7 +12,9 @@
   ServerNotices,
   UnavailableServer,
 } from "./core/server_notices.ts";
+import type { ServerRateLimits } from "./core/server_rate_limits.ts";
 import type { ServerOutcomes } from "./core/server_outcomes.ts";
+import type { RegisteredServer } from "./core/server_registry.ts";
 import type { GatewayStateTask } from "./gateway_state_task.ts";
 import type { CheckedRequest } from "./request_check.ts";
 import type { TimerService } from "./timer_service.ts";
@@ -23,6 +25,7 @@
   readonly load: FleetLoad;
   readonly outcomes: ServerOutcomes;
   readonly notices: ServerNotices;
+  readonly rateLimits: ServerRateLimits;
   readonly directory: PromptDirectory;
   readonly random: RandomSource;
   readonly timers: TimerService;
@@ -30,10 +33,31 @@
   readonly loadBound: () => LoadBound;
 }
 
+/** Why requests cannot be sent to any server of a service for some time. */
+export interface ServiceWait {
+  readonly reason: "pausing" | "limited";
+  /** Undefined if only other routers may send to its servers. */
+  readonly milliseconds: number | undefined;
+}
+
+/** Returns why a server may get no request from this router now. */
+function _unavailability(
+  { notices, rateLimits }: ServerChoiceContext,
+  server: RegisteredServer,
+  urgency: number,
+  now: number,
+): UnavailableServer | undefined {
+  const notice = notices.unavailability(server, now);
+  if (notice) return notice;
+  if (rateLimits.waitMilliseconds(server, urgency, now) === 0) return undefined;
+  const ageMilliseconds = rateLimits.limitOf(server, now)?.ageMilliseconds ?? 0;
+  return { server: server.id, reason: "limited", ageMilliseconds };
+}
+
 /** Chooses a server for a request; `tried` are the servers it was already sent to. */
 export function chooseServer(
   context: ServerChoiceContext,
-  { service, metadata }: CheckedRequest,
+  { service, urgency, metadata }: CheckedRequest,
   tried: ReadonlySet<BackendServerId>,
 ): Placement | undefined {
   const { state, load, outcomes, notices, directory } = context;
@@ -51,7 +75,7 @@
     servers,
     inFlight: (server) => load.inFlight(server),
     isUnavailable: (server) =>
-      notices.unavailability(server, now) !== undefined,
+      _unavailability(context, server, urgency, now) !== undefined,
     isExcluded: (server) =>
       outcomes.isExcluded(server, now) || isTrying(server),
     tried,
@@ -65,31 +89,41 @@
 
 /** Returns the servers of a service that get no requests, and why. */
 export function unavailableServers(
-  { state, notices, timers }: ServerChoiceContext,
-  { service }: CheckedRequest,
+  context: ServerChoiceContext,
+  { service, urgency }: CheckedRequest,
 ): UnavailableServer[] {
-  const now = timers.clock.monotonicMilliseconds();
-  return notices.unavailableServers(state.registry.readyServers(service), now);
+  const now = context.timers.clock.monotonicMilliseconds();
+  return context.state.registry.readyServers(service).flatMap((server) =>
+    _unavailability(context, server, urgency, now) ?? []
+  );
 }
 
 /**
  * Returns the time until a server of a service may get requests again, if none
- * may now because all that stay want a pause.
+ * may now because all that stay want a pause or have a rate limit.
  */
-export function pauseOfService(
-  { state, notices, timers }: ServerChoiceContext,
-  { service }: CheckedRequest,
-): number | undefined {
+export function waitOfService(
+  context: ServerChoiceContext,
+  { service, urgency }: CheckedRequest,
+): ServiceWait | undefined {
+  const { state, notices, rateLimits, timers } = context;
   const now = timers.clock.monotonicMilliseconds();
+  let reason: ServiceWait["reason"] = "pausing";
   let shortest: number | undefined;
   for (const server of state.registry.readyServers(service)) {
-    const reason = notices.unavailability(server, now)?.reason;
-    if (reason === "leaving") continue;
-    if (reason === undefined) return undefined;
-    const pause = notices.pauseMilliseconds(server, now);
-    shortest = Math.min(shortest ?? pause, pause);
+    const cause = _unavailability(context, server, urgency, now)?.reason;
+    if (cause === "leaving") continue;
+    if (cause === undefined) return undefined;
+    if (cause === "limited") reason = cause;
+    const wait = Math.max(
+      notices.pauseMilliseconds(server, now),
+      rateLimits.waitMilliseconds(server, urgency, now),
+    );
+    shortest = Math.min(shortest ?? wait, wait);
   }
-  return shortest;
+  if (shortest === undefined) return undefined;
+  const milliseconds = Number.isFinite(shortest) ? shortest : undefined;
+  return { reason, milliseconds };
 }
 
 /** Returns the address from which the chosen server can copy a prefix cache. */
--- a/stand_ins/gateway_peer_fleet.ts
+++ b/stand_ins/gateway_peer_fleet.ts
@@ -21,6 +21,10 @@
 } from "../src/core/prompt_crashes.ts";
 import { createPromptDirectory } from "../src/core/prompt_directory.ts";
 import { createSeededRandom } from "../src/core/random.ts";
+import {
+  createServerRateLimits,
+  type ServerRateLimits,
+} from "../src/core/server_rate_limits.ts";
 import { createServerNotices } from "../src/core/server_notices.ts";
 import {
   createServerOutcomes,
@@ -63,6 +67,7 @@
   readonly load: FleetLoad;
   readonly outcomes: ServerOutcomes;
   readonly crashes: PromptCrashes;
+  readonly rateLimits: ServerRateLimits;
   readonly state: GatewayStateTask;
   readonly store: MemoryFleetStore;
   readonly counters: PeerCounters;
@@ -239,6 +244,7 @@
     const load = createFleetLoad();
     const outcomes = createServerOutcomes();
     const crashes = createPromptCrashes();
+    const rateLimits = createServerRateLimits();
     const network = new _Network(this, () => router);
     const peers = createGatewayPeerTask({
       network,
@@ -252,6 +258,7 @@
       directory: createPromptDirectory(),
       crashes,
       notices: createServerNotices(),
+      rateLimits,
       host,
       dataCentre,
       capacity: options.capacity?.(index) ?? 1,
@@ -267,6 +274,7 @@
       load,
       outcomes,
       crashes,
+      rateLimits,
       state,
       store,
       counters: createPeerCounters(),
