Keep servers with a rate limit out of the mean load and the order of prompt parts

Cause: the load bound is a multiple of the mean over all servers. Nine of thirteen servers took almost nothing, so the other four were above the bound at once, and requests went to whichever was the least loaded, without regard to cached parts. Ruled out: the limits themselves; 60 requests in 2 s went to the limited servers, which is what these had named. Change: the mean is that of the servers that take requests without a limit, and a part's order begins with these.

--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -8,6 +8,9 @@
  * copies the cached part from one that has it instead of computing it again.
  * Requests without shared parts go to a server of the same data centre while
  * its load is close to the lowest.
+ *
+ * Servers that take no requests, or only as many as their rate limits allow, do
+ * not lower the mean: the others have to carry what these do not take.
  */
 import type { PromptPart } from "./prompt.ts";
 import { type PartKey, partKeyOf, sharedPartsOf } from "./prompt_directory.ts";
@@ -32,6 +35,8 @@
   readonly inFlight: (server: BackendServerId) => number;
   /** Whether a server gets no request at all: it is leaving or pausing. */
   readonly isUnavailable: (server: RegisteredServer) => boolean;
+  /** Whether a server takes only some requests, so that it is no home for a part. */
+  readonly isRateLimited: (server: RegisteredServer) => boolean;
   /** Whether a server is avoided while others are available. */
   readonly isExcluded: (server: BackendServerId) => boolean;
   /** Servers to which this request was already sent. */
@@ -75,8 +80,12 @@
   readonly input: PlacementInput;
 }
 
-function _meanInFlight({ servers, inFlight }: PlacementInput): number {
-  const sum = servers.reduce((total, { id }) => total + inFlight(id), 0);
+function _meanInFlight(input: PlacementInput): number {
+  const open = input.servers.filter((server) =>
+    !input.isUnavailable(server) && !input.isRateLimited(server)
+  );
+  const servers = open.length > 0 ? open : input.servers;
+  const sum = servers.reduce((total, { id }) => total + input.inFlight(id), 0);
   return servers.length > 0 ? sum / servers.length : 0;
 }
 
@@ -138,6 +147,22 @@
   };
 }
 
+/** Returns the first server in a part's order that has capacity, if any. */
+function _nextInOrder(
+  part: string,
+  candidates: _Candidates,
+): RegisteredServer | undefined {
+  const { servers, input } = candidates;
+  const free = servers.filter((server) => _hasCapacity(server, candidates));
+  const homes = free.filter((server) => !input.isRateLimited(server));
+  const [next] = rankByRendezvous(
+    part,
+    homes.length > 0 ? homes : free,
+    ({ id }) => id,
+  );
+  return next;
+}
+
 function _chooseByPromptPart(candidates: _Candidates): Placement | undefined {
   const { servers, input } = candidates;
   const part = sharedPartsOf(input.promptParts).at(-1);
@@ -150,8 +175,7 @@
     input,
   );
   if (holder) return _createPlacement(holder, "has_read_part", candidates);
-  const ranked = rankByRendezvous(part.id, servers, ({ id }) => id);
-  const next = ranked.find((server) => _hasCapacity(server, candidates));
+  const next = _nextInOrder(part.id, candidates);
   if (!next) return undefined;
   const reason = partHolders.size === 0 ? "first_in_order" : "next_in_order";
   return _createPlacement(next, reason, candidates);
--- a/src/core/placement_test.ts
+++ b/src/core/placement_test.ts
@@ -33,6 +33,7 @@
     servers,
     inFlight: () => 0,
     isUnavailable: () => false,
+    isRateLimited: () => false,
     isExcluded: () => false,
     tried: new Set(),
     promptParts: [],
@@ -228,3 +229,50 @@
     t.is(placement?.server.id as string, "free");
   }
 });
+
+/**
+ * Simulates a service of 13 servers of which nine take two requests a second
+ * each. Returns how often a part was read by a server that had not read it.
+ */
+function countReadings(options: Partial<PlacementInput>): number {
+  const servers = serversOf(13);
+  const limited = new Set(servers.slice(0, 9));
+  const nextFreeAt = new Map<RegisteredServer, number>();
+  const loads = new Map<BackendServerId, number>();
+  const pendingEnds: { at: number; server: BackendServerId }[] = [];
+  const directory = createPromptDirectory();
+  const random = createSeededRandom(5);
+  let readings = 0;
+  for (let now = 0; now < 20_000; now += 10) {
+    for (const end of pendingEnds.filter(({ at }) => at <= now)) {
+      loads.set(end.server, (loads.get(end.server) ?? 0) - 1);
+      pendingEnds.splice(pendingEnds.indexOf(end), 1);
+    }
+    const promptParts = partsOf(`subject ${random.integer(30)}`, `own ${now}`);
+    const placement = choosePlacement(inputOf(servers, {
+      inFlight: (id) => loads.get(id) ?? 0,
+      isUnavailable: (server) => (nextFreeAt.get(server) ?? 0) > now,
+      isRateLimited: (server) => limited.has(server),
+      promptParts,
+      holders: (part) => directory.serversWith(part),
+      random,
+      ...options,
+    }))!;
+    const { server } = placement;
+    if (placement.reason !== "has_read_part") readings++;
+    directory.record(promptParts, server.id);
+    if (limited.has(server)) nextFreeAt.set(server, now + 500);
+    loads.set(server.id, (loads.get(server.id) ?? 0) + 1);
+    pendingEnds.push({ at: now + 1_000, server: server.id });
+  }
+  return readings;
+}
+
+test("guards against reading prompt parts again and again at the servers that are left while most have a rate limit", (t) => {
+  const readings = countReadings({});
+  const unaware = countReadings({ isRateLimited: () => false });
+  t.log(`${readings} readings, ${unaware} if rate limits are not known`);
+  // Thirty subjects, each on the four servers that take all requests.
+  t.true(readings <= 2 * 30 * 4, `${readings}`);
+  t.true(unaware > readings, `${unaware}`);
+});
--- a/src/core/server_notices_test.ts
+++ b/src/core/server_notices_test.ts
@@ -112,7 +112,8 @@
           inFlight: () => 0,
           isUnavailable: (candidate) =>
             notices.unavailability(candidate, now) !== undefined,
-          isExcluded: () => false,
+          isRateLimited: () => false,
+      isExcluded: () => false,
           tried: new Set(),
           promptParts: [],
           holders: () => new Set(),
--- a/src/server_choice.ts
+++ b/src/server_choice.ts
@@ -60,7 +60,7 @@
   { service, urgency, metadata }: CheckedRequest,
   tried: ReadonlySet<BackendServerId>,
 ): Placement | undefined {
-  const { state, load, outcomes, notices, directory } = context;
+  const { state, load, outcomes, notices, rateLimits, directory } = context;
   const now = context.timers.clock.monotonicMilliseconds();
   const servers = state.registry.readyServers(service);
   outcomes.evaluate(service, servers, now);
@@ -76,6 +76,7 @@
     inFlight: (server) => load.inFlight(server),
     isUnavailable: (server) =>
       _unavailability(context, server, urgency, now) !== undefined,
+    isRateLimited: (server) => rateLimits.limitOf(server, now) !== undefined,
     isExcluded: (server) =>
       outcomes.isExcluded(server, now) || isTrying(server),
     tried,
