Compare a server's failures only with those of servers that take requests

Cause: the outlier detection compares a server with the median of its service. Nine of thirteen servers had a rate limit and were nearly idle, so each of the four that carried the rest looked like an outlier, and up to five of thirteen may be excluded. Change: servers that are leaving, pausing or limited are not compared; the share that may be excluded is that of the rest.

--- a/src/server_choice.ts
+++ b/src/server_choice.ts
@@ -63,7 +63,11 @@
   const { state, load, outcomes, notices, rateLimits, directory } = context;
   const now = context.timers.clock.monotonicMilliseconds();
   const servers = state.registry.readyServers(service);
-  outcomes.evaluate(service, servers, now);
+  const comparable = servers.filter((server) =>
+    notices.unavailability(server, now) === undefined &&
+    rateLimits.limitOf(server, now) === undefined
+  );
+  outcomes.evaluate(service, comparable, now);
 
   /** Whether the first request after the server's pause is under way. */
   function isTrying(id: BackendServerId): boolean {
