Keep prompt parts together when all servers are full or excluded

Cause: a server without a free slot, or one that is excluded, was not considered for a prompt's part. Once that was so for all, requests went to the least loaded one, each server read every part, and reading kept them full: a metastable overload. Change: if no server has a free slot, only the mean bounds the load of those that have read a part; a last resort is chosen like any other. Figures: two tests in placement_test.ts fail before.

--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -77,6 +77,8 @@
 interface _Candidates {
   readonly servers: readonly RegisteredServer[];
   readonly mean: number;
+  /** Whether no server has a free slot, so that only the mean bounds the load. */
+  readonly areFull: boolean;
   readonly input: PlacementInput;
 }
 
@@ -89,13 +91,21 @@
   return servers.length > 0 ? sum / servers.length : 0;
 }
 
+function _hasFreeSlot(
+  server: RegisteredServer,
+  { inFlight }: PlacementInput,
+): boolean {
+  return inFlight(server.id) + 1 <= Math.max(1, server.slots);
+}
+
 function _hasCapacity(
   server: RegisteredServer,
-  { mean, input }: _Candidates,
+  { mean, areFull, input }: _Candidates,
 ): boolean {
   const { factor, slack } = input.bound;
   const next = input.inFlight(server.id) + 1;
-  return next <= factor * mean + slack && next <= Math.max(1, server.slots);
+  return next <= factor * mean + slack &&
+    (areFull || _hasFreeSlot(server, input));
 }
 
 function _leastLoaded(
@@ -206,9 +216,11 @@
   const healthy = untried.filter(({ id }) => !input.isExcluded(id));
   const isLastResort = healthy.length === 0;
   const servers = isLastResort ? untried : healthy;
-  const candidates = { servers, mean, input };
+  const areFull = !servers.some((server) => _hasFreeSlot(server, input));
+  const candidates = { servers, mean, areFull, input };
   const least = _leastLoaded(servers, input);
   if (!least) return undefined;
-  if (isLastResort) return _createPlacement(least, "last_resort", candidates);
-  return _chooseByPromptPart(candidates) ?? _chooseLocal(least, candidates);
+  const placement = _chooseByPromptPart(candidates) ??
+    _chooseLocal(least, candidates);
+  return isLastResort ? { ...placement, reason: "last_resort" } : placement;
 }
--- a/src/core/placement_test.ts
+++ b/src/core/placement_test.ts
@@ -203,6 +203,37 @@
   t.is(last?.reason, "last_resort");
 });
 
+test("guards against reading a prompt part on every server because all are excluded", (t) => {
+  const servers = serversOf(6);
+  const promptParts = partsOf("subject");
+  const holder = servers[4]!.id;
+  for (let index = 0; index < 20; index++) {
+    const placement = choosePlacement(inputOf(servers, {
+      promptParts,
+      holders: () => new Set([holder]),
+      isExcluded: () => true,
+      random: createSeededRandom(index),
+    }));
+    t.is(placement?.server.id, holder);
+    t.is(placement?.reason, "last_resort");
+  }
+});
+
+test("guards against reading a prompt part on every server because all are full", (t) => {
+  const servers = serversOf(4);
+  const promptParts = partsOf("subject");
+  const holder = servers[2]!.id;
+  for (let index = 0; index < 20; index++) {
+    const placement = choosePlacement(inputOf(servers, {
+      promptParts,
+      inFlight: (id) => id === holder ? 120 : 110,
+      holders: () => new Set([holder]),
+      random: createSeededRandom(index),
+    }));
+    t.is(placement?.server.id, holder);
+  }
+});
+
 test("guards against traffic between data centres while a local server has capacity", (t) => {
   const servers = [
     serverOf("near", { dataCentre: "north" }),
--- a/src/core/server_notices_test.ts
+++ b/src/core/server_notices_test.ts
@@ -113,7 +113,7 @@
           isUnavailable: (candidate) =>
             notices.unavailability(candidate, now) !== undefined,
           isRateLimited: () => false,
-      isExcluded: () => false,
+          isExcluded: () => false,
           tried: new Set(),
           promptParts: [],
           holders: () => new Set(),
