Play servers that name a rate limit in the soak

Change: a fault backend_limits (one server or all name 0, 0.5, 2 or 6 a second for 6 to 8.5 s), drawn from a source of its own so that the faults of known seeds stay as they are; findRateLimitViolations checks the sum over the routers that were told. The record of a run has a module of its own, which ends the circle between the two modules of guarantees.

--- a/soak/fault_schedule.ts
+++ b/soak/fault_schedule.ts
@@ -22,15 +22,19 @@
 /** Notices that servers give in their responses, drawn from a source of their own. */
 export const NOTICE_KINDS = ["backend_leaves", "backend_pauses"] as const;
 
+/** Kinds of fault that were added later, each drawn from a source of its own. */
+export const SEPARATE_KINDS = ["backend_limits"] as const;
+
 /** Name of a kind of fault that schedules contain. */
 export type FaultKind =
   | keyof typeof FAULT_WEIGHTS
-  | (typeof NOTICE_KINDS)[number];
+  | (typeof NOTICE_KINDS)[number]
+  | (typeof SEPARATE_KINDS)[number];
 
 /** Whether a text names a kind of fault. */
 export function isFaultKind(text: string): text is FaultKind {
-  return text in FAULT_WEIGHTS ||
-    (NOTICE_KINDS as readonly string[]).includes(text);
+  const others: readonly string[] = [...NOTICE_KINDS, ...SEPARATE_KINDS];
+  return text in FAULT_WEIGHTS || others.includes(text);
 }
 
 /** A fault with its start time and its duration. */
@@ -52,6 +56,8 @@
 const NOTICE_SEED_OFFSET = 1_000_003;
 /** Notices are this much rarer than other faults. */
 const NOTICE_INTERVAL_FACTOR = 3;
+/** Each of the separate kinds is this much rarer than other faults. */
+const SEPARATE_INTERVAL_FACTOR = 6;
 
 type _DrawKind = (random: RandomSource) => FaultKind;
 
@@ -113,7 +119,15 @@
     durationMilliseconds,
     NOTICE_INTERVAL_FACTOR * meanIntervalMilliseconds,
   );
-  return [...faults, ...notices].sort((left, right) =>
+  const separate = SEPARATE_KINDS.flatMap((kind, index) =>
+    _draw(
+      createSeededRandom(seed + (index + 2) * NOTICE_SEED_OFFSET),
+      () => kind,
+      durationMilliseconds,
+      SEPARATE_INTERVAL_FACTOR * meanIntervalMilliseconds,
+    )
+  );
+  return [...faults, ...notices, ...separate].sort((left, right) =>
     left.atMilliseconds - right.atMilliseconds
   );
 }
--- a/soak/guarantees.ts
+++ b/soak/guarantees.ts
@@ -1,9 +1,8 @@
 /** Checks the guarantees of the gateways against what callers and servers saw. */
-import type { Disturbances } from "./disturbances.ts";
 import { findNoticeViolations } from "./notice_guarantees.ts";
+import { findRateLimitViolations } from "./rate_limit_guarantees.ts";
 import {
   eventText,
-  type Notice,
   responseText,
   type Run,
   STREAM_EVENTS,
@@ -13,6 +12,7 @@
   DEADLINE_MILLISECONDS,
   guaranteesNotRun,
 } from "./soak_callers.ts";
+import type { SoakRecord } from "./soak_record.ts";
 
 /** Time for which a disturbance still excuses failures after it has ended. */
 const RECOVERY_MILLISECONDS = 3_000;
@@ -23,19 +23,6 @@
 /** Ratio of requests that may fail while no disturbance is recorded. */
 const TOLERATED_FAILURE_RATIO = 0.01;
 
-/** Observations of one soak run. */
-export interface SoakRecord {
-  readonly attempts: readonly Attempt[];
-  readonly runs: readonly Run[];
-  readonly notices: readonly Notice[];
-  readonly disturbances: Disturbances;
-  /** Time at which each key was revoked. */
-  readonly revokedKeys: ReadonlyMap<string, number>;
-  /** Time at which each incarnation of a server began to drain, by its id. */
-  readonly drainedServers: ReadonlyMap<string, number>;
-  readonly unexpectedExits: readonly string[];
-}
-
 type _RunsById = ReadonlyMap<string, readonly Run[]>;
 
 function _isSuccess({ status, isComplete }: Attempt): boolean {
@@ -182,6 +169,7 @@
   return [
     ...violations,
     ...findNoticeViolations(record),
+    ...findRateLimitViolations(record),
     ..._checkUndisturbedTime(record),
   ];
 }
--- a/soak/guarantees_test.ts
+++ b/soak/guarantees_test.ts
@@ -1,7 +1,8 @@
 import test from "ava";
 import { Disturbances } from "./disturbances.ts";
-import { findGuaranteeViolations, type SoakRecord } from "./guarantees.ts";
+import { findGuaranteeViolations } from "./guarantees.ts";
 import { findNoticeViolations } from "./notice_guarantees.ts";
+import { findRateLimitViolations } from "./rate_limit_guarantees.ts";
 import {
   eventText,
   responseText,
@@ -9,6 +10,7 @@
   STREAM_EVENTS,
 } from "./soak_backends.ts";
 import type { Attempt } from "./soak_callers.ts";
+import type { SoakRecord } from "./soak_record.ts";
 
 const KINDS = {
   safe: "idempotent",
@@ -85,6 +87,7 @@
     ],
     runs,
     notices: [],
+    rateLimits: [],
     disturbances: new Disturbances(),
     revokedKeys: new Map(),
     drainedServers: new Map(),
@@ -224,6 +227,7 @@
     attempts,
     runs: [],
     notices: [],
+    rateLimits: [],
     disturbances: new Disturbances(),
     revokedKeys: new Map(),
     drainedServers: new Map(),
@@ -287,3 +291,41 @@
     [],
   );
 });
+
+test("guards against a check that misses a rate limit that routers exceed together, or counts those that were not told", (t) => {
+  const limit = { server: "s0-1", requestsPerSecond: 1 };
+  const attempts: Attempt[] = [];
+  const runs: Run[] = [];
+  const rateLimits = [];
+  for (let index = 0; index < 60; index++) {
+    const requestId = `id-${index}`;
+    const router = `entry-${index % 2}`;
+    const sentAt = 10_000 + index * 250;
+    const attempt = createAttempt("safe", {
+      requestId,
+      router,
+      sentAt,
+      endedAt: sentAt + 20,
+    });
+    attempts.push(attempt);
+    runs.push(createRun(attempt));
+    rateLimits.push({ ...limit, requestId, at: sentAt + 15 });
+  }
+  const disturbances = new Disturbances();
+  const record = { attempts, runs, rateLimits, disturbances };
+  t.is(findRateLimitViolations(record).length, 1);
+  // Half of the requests come from a router that is cut off all the while.
+  disturbances.begin("entry-1", false, 0);
+  t.is(findRateLimitViolations(record).length, 0);
+  t.is(
+    findRateLimitViolations({
+      ...record,
+      rateLimits: rateLimits.map((named) => ({
+        ...named,
+        requestsPerSecond: 4,
+      })),
+      disturbances: new Disturbances(),
+    }).length,
+    0,
+  );
+});
--- a/soak/notice_guarantees.ts
+++ b/soak/notice_guarantees.ts
@@ -1,7 +1,7 @@
 /** Checks that routers heed servers that are leaving or ask for a pause. */
-import type { SoakRecord } from "./guarantees.ts";
 import type { Notice } from "./soak_backends.ts";
 import type { Attempt } from "./soak_callers.ts";
+import type { SoakRecord } from "./soak_record.ts";
 
 /** A leaving server may get requests that callers send up to this much later. */
 const DRAIN_MILLISECONDS = 2_000;
--- a/soak/soak_backends.ts
+++ b/soak/soak_backends.ts
@@ -47,6 +47,14 @@
   readonly pausedUntil: number | undefined;
 }
 
+/** A rate limit that a server named in the response to a request. */
+export interface NamedRateLimit {
+  readonly requestId: string;
+  readonly server: string;
+  readonly at: number;
+  readonly requestsPerSecond: number;
+}
+
 /** Header names, clock, random source and records that all servers share. */
 export interface BackendContext {
   readonly headerNames: GatewayHeaderNames;
@@ -54,6 +62,7 @@
   readonly now: () => number;
   readonly runs: Run[];
   readonly notices: Notice[];
+  readonly rateLimits: NamedRateLimit[];
 }
 
 /** Returns the text of an event, which is the same on every server. */
@@ -82,6 +91,8 @@
   isDraining = false;
   /** Whether responses say that the server is leaving. */
   isLeaving = false;
+  /** Requests per second that the server names as its limit, if it does. */
+  requestsPerSecond: number | undefined;
   /** Until when the server rejects requests and asks for a pause. */
   pausedUntil = 0;
   drainedAt = Infinity;
@@ -103,6 +114,7 @@
     this.#incarnation++;
     this.isDraining = false;
     this.isLeaving = false;
+    this.requestsPerSecond = undefined;
     this.pausedUntil = 0;
     this.drainedAt = Infinity;
     this.fault = "none";
@@ -181,6 +193,16 @@
     notices.push({ requestId, server: this.id, at: now(), pausedUntil });
   }
 
+  /** Returns the header that names the server's limit, if it has one. */
+  #nameRateLimit(requestId: string): Record<string, string> {
+    const { requestsPerSecond } = this;
+    if (requestsPerSecond === undefined) return {};
+    const { headerNames, rateLimits, now } = this.#context;
+    const server = this.id;
+    rateLimits.push({ requestId, server, at: now(), requestsPerSecond });
+    return { [headerNames.rateLimit]: String(requestsPerSecond) };
+  }
+
   async #respond(
     request: IncomingMessage,
     response: ServerResponse,
@@ -200,6 +222,7 @@
       [headerNames.requestId]: requestId,
       [headerNames.signature]: `signed-${requestId}`,
       ...(this.isLeaving ? { [headerNames.leaving]: "1" } : {}),
+      ...this.#nameRateLimit(requestId),
     };
     if (fault === "errors") {
       response.writeHead(500, headers).end("error");
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -30,6 +30,10 @@
 const REGISTRY_LAG_MILLISECONDS = 4_000;
 /** Time for which a draining server keeps serving before it is replaced. */
 const DRAIN_MILLISECONDS = 3_500;
+/** Limits that servers name, in requests per second. */
+const RATE_LIMITS = [0, 0.5, 2, 6];
+/** Shortest time for which a limit is named; it binds after three seconds. */
+const SHORTEST_LIMIT_MILLISECONDS = 6_000;
 const RESTART_TIMEOUT_MILLISECONDS = 15_000;
 const RETRY_ALLOWANCES_REQUESTS = [20, 100, 200];
 
@@ -156,6 +160,18 @@
     await sleep(forMilliseconds);
     end();
   },
+  async backend_limits({ target, variant, forMilliseconds }, targets) {
+    // Every fourth time all servers, so that no other can take the requests.
+    const backends = variant % 4 === 0
+      ? targets.backends
+      : [_pick(targets.backends, target)];
+    const end = targets.begin("fleet", true);
+    const limit = _pick(RATE_LIMITS, target);
+    for (const backend of backends) backend.requestsPerSecond = limit;
+    await sleep(SHORTEST_LIMIT_MILLISECONDS + forMilliseconds);
+    for (const backend of backends) backend.requestsPerSecond = undefined;
+    end();
+  },
   backend_replaced: ({ target }, targets) =>
     _replaceBackend(_pick(targets.backends, target), targets),
   async backend_fails({ target, variant, forMilliseconds }, targets) {
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -17,6 +17,7 @@
 import { findGuaranteeViolations } from "./guarantees.ts";
 import {
   type BackendContext,
+  type NamedRateLimit,
   type Notice,
   type Run,
   SoakBackend,
@@ -97,6 +98,7 @@
   readonly #attempts: Attempt[] = [];
   readonly #runs: Run[] = [];
   readonly #notices: Notice[] = [];
+  readonly #rateLimits: NamedRateLimit[] = [];
   readonly #unexpectedExits: string[] = [];
   readonly #revokedKeys = new Map<string, number>();
   readonly #drainedServers = new Map<string, number>();
@@ -138,6 +140,7 @@
       now: () => this.#now(),
       runs: this.#runs,
       notices: this.#notices,
+      rateLimits: this.#rateLimits,
     };
     this.#backends = Array.from({ length: BACKEND_COUNT }, (_, index) => {
       const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length] ?? "";
@@ -281,6 +284,7 @@
       attempts: this.#attempts,
       runs: this.#runs,
       notices: this.#notices,
+      rateLimits: this.#rateLimits,
       disturbances: this.#disturbances,
       revokedKeys: this.#revokedKeys,
       drainedServers: this.#drainedServers,
