Repeat a slow request only at a server with a free slot

Cause: an idempotent request whose server is silent for twice its objective was sent to another server whatever that one's load. Class of fault: retries that feed an overload. Change: the repeat is sent only if the server chosen for it has a free slot. Figures: the new test in gateway_incidents_test.ts fails before (6 requests at two busy servers instead of 4).

--- a/src/gateway_incidents_test.ts
+++ b/src/gateway_incidents_test.ts
@@ -6,6 +6,7 @@
   type Bench,
   call,
   callerHeaders,
+  received,
   sendRaw,
   startBench,
   stopBenches,
@@ -226,3 +227,21 @@
     t.false(text.endsWith("0\r\n\r\n"), `${index}`);
   }
 });
+
+test.serial("guards against repeating slow requests at a server that has no free slot either", async (t) => {
+  const bench = await startBench({ backends: 2 });
+  for (const [index, backend] of bench.backends.entries()) {
+    bench.fleet.setServer(backend.registration(`s${index}`, { slots: 1 }));
+    backend.script(({ id }, response) => {
+      setTimeout(() => {
+        response.writeHead(200, responseHeaders(id));
+        response.end("served");
+      }, 1_500);
+    });
+  }
+  await new Promise((resolve) => setTimeout(resolve, 500));
+  const calls = Array.from({ length: 4 }, () => call(bench));
+  const statuses = (await Promise.all(calls)).map(({ status }) => status);
+  t.deepEqual(statuses, [200, 200, 200, 200]);
+  t.is(received(bench).length, 4);
+});
--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -164,13 +164,18 @@
     });
   }
 
-  /** Retries a repeatable request; other requests keep waiting for a response. */
+  /**
+   * Retries a repeatable request at a server with a free slot; other requests
+   * keep waiting. A second copy in another queue would only lengthen that.
+   */
   #onResponseTimeout(): void {
     const { route } = this.#checked;
     const mayRepeat = isRepeatable(route) &&
       this.#history.runs + 1 < route.maximumBackendServers &&
-      this.#body?.kind === "whole" && this.#choose() !== undefined;
+      this.#body?.kind === "whole";
     if (!mayRepeat) return;
+    const next = this.#choose();
+    if (!next || next.inFlight >= Math.max(1, next.server.slots)) return;
     if (!this.#retries().tryTake("outcome_unknown", true, this.#now())) return;
     this.#attempt?.cancel("silent");
     this.#history.recordRun();
