Ignore what another server at a reused address says about itself

Cause: a 421 says that the request reached another server than the registered one, but its notices (leaving, a rate limit) were recorded for the registered incarnation. Change: the notices of a 421 are not read. Figures: the new test in server_notices_test.ts fails before (one server.leaving). Conclusion: a notice concerns only the server that gave it.

--- a/src/backend_exchange.ts
+++ b/src/backend_exchange.ts
@@ -233,7 +233,8 @@
     const metadata = protocol.readResponse(status, headers);
     const isReused = this.#connection.idleMilliseconds !== undefined;
     const kind = _classifyResponse(status, metadata, { requestId, isReused });
-    if (kind !== "stray") {
+    // A misdirected request has reached another server than its notices concern.
+    if (kind !== "stray" && status !== MISDIRECTED_REQUEST) {
       this.#options.listener.onNotices(metadata, kind === "answer");
     }
     if (kind === "not_run") {
--- a/src/server_notices_test.ts
+++ b/src/server_notices_test.ts
@@ -178,3 +178,20 @@
   t.deepEqual(new Set(await callRepeatedly(bench)), new Set([200]));
   t.true(replaced.received.length <= 2, `${replaced.received.length}`);
 });
+
+test.serial("guards against taking what another server at a reused address says for the registered server's notice", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  const [backend] = bench.backends as [RawBackend];
+  backend.script(({ id }, response) => {
+    response.writeHead(421, {
+      [NAMES.requestId]: id,
+      [NAMES.notRun]: "1",
+      [NAMES.leaving]: "1",
+      [NAMES.rateLimit]: "1",
+    });
+    response.end();
+  });
+  t.is((await call(bench, { path: "/once/x" })).status, 503);
+  t.is(linesOf(bench, "server.leaving").length, 0);
+  t.is(linesOf(bench, "server.rate_limit").length, 0);
+});
