--- a/src/frame_codec.ts
+++ b/src/frame_codec.ts
@@ -7,7 +7,7 @@
 import { Decoder, Encoder } from "cbor-x";
 import { err, ok, type Result } from "neverthrow";
 import { type ApplicationError, createError } from "./core/errors.ts";
-import { PEER_MESSAGE_KINDS } from "./peer_network.ts";
+import { NUMBERED_MESSAGE_KINDS } from "./peer_network.ts";
 
 /** Version of the frame format. */
 export const FRAME_VERSION = 2;
@@ -35,7 +35,7 @@
 const _decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
 
 const _kindNumbers = new Map<string, number>(
-  PEER_MESSAGE_KINDS.map((kind, index) => [kind, index]),
+  NUMBERED_MESSAGE_KINDS.map((kind, index) => [kind, index]),
 );
 
 /** Encodes a frame, or fails with `frame_too_large`. */
@@ -62,7 +62,7 @@
 function _toFrame(value: unknown): Frame | undefined {
   if (!Array.isArray(value)) return undefined;
   const [v, kind, i, r, g, b] = value as unknown[];
-  const k = typeof kind === "number" ? PEER_MESSAGE_KINDS[kind] : kind;
+  const k = typeof kind === "number" ? NUMBERED_MESSAGE_KINDS[kind] : kind;
   const isFrame = typeof v === "number" && typeof k === "string" &&
     typeof i === "number" && typeof r === "boolean" && typeof g === "number";
   return isFrame ? { v, k, i, r, g, b } : undefined;
--- a/src/peer_network.ts
+++ b/src/peer_network.ts
@@ -13,10 +13,11 @@
 } from "./core/ids.ts";
 
 /**
- * Every kind of message between routers. Frames encode a kind as its index in
- * this list, so new kinds must be appended.
+ * Kinds of message that frames encode as their index in this list. A router of an
+ * earlier release closes a connection on an index that it does not know, so new
+ * kinds belong into {@link NAMED_MESSAGE_KINDS}.
  */
-export const PEER_MESSAGE_KINDS = [
+export const NUMBERED_MESSAGE_KINDS = [
   "membership.probe",
   "membership.probe_indirect",
   "membership.updates",
@@ -40,12 +41,20 @@
   "network.keepalive",
   "gateway.report",
   "gateway.peers",
-  "gateway.rate_limits",
   "gateway.state",
   "gateway.registry",
   "gateway.configuration",
 ] as const;
 
+/** Kinds of message that travel by name; a router that has no handler ignores them. */
+export const NAMED_MESSAGE_KINDS = ["gateway.rate_limits"] as const;
+
+/** Every kind of message between routers. */
+export const PEER_MESSAGE_KINDS = [
+  ...NUMBERED_MESSAGE_KINDS,
+  ...NAMED_MESSAGE_KINDS,
+] as const;
+
 /** One of {@link PEER_MESSAGE_KINDS}. */
 export type PeerMessageKind = typeof PEER_MESSAGE_KINDS[number];
 
