Order the store's states by its era, then by its revision

In a test: after the store had come back from a copy, servers that left in the gap kept their share and new ones got none. Cause: a revision was taken for time. The registry dropped the new era's list as older and watched from the lost revision again, at once (8,686 calls in 4.2 s by one router); or, once the store had passed that revision, watched on without the changes between. Class of fault: a counter of one history compared with that of another. Ruled out: the configuration, which goes by its version; peers, which went by the same revision and are mended with it. A response of a new era ends the calls that wait for the old one, and everything is listed anew; after a failure the first watch does not wait, since only a response shows the era; changes across eras are not applied to a peer's state, which is fetched instead; a list that does not help is repeated after a pause. Servers that the copy lacks get the 2 s of an outage; servers that had left and that the copy lists are used after 5 s if they are still registered.

--- a/src/core/log_explanation.ts
+++ b/src/core/log_explanation.ts
@@ -32,6 +32,7 @@
   "process.",
   "settings.",
   "dependency.",
+  "store.",
   "configuration.",
   "registry.",
   "peer.",
--- a/src/core/server_registry.ts
+++ b/src/core/server_registry.ts
@@ -4,6 +4,10 @@
  * registrations of running servers expire; they come back soon after the store
  * does. Removals right after an outage therefore take effect only after servers
  * had time to register again.
+ *
+ * Revisions order by the store's era first. A list of a new era comes from an older
+ * copy: servers that it lacks may be about to register again, and servers that it
+ * has may have left since. Both get time before they are removed or used.
  */
 import { z } from "zod";
 import { type ServiceId, serviceIdSchema } from "./gateway_configuration.ts";
@@ -13,7 +17,13 @@
   type DataCentreId,
   type SocketAddress,
 } from "./ids.ts";
+import { evictOldest } from "./bounded_map.ts";
 import { hash32 } from "./hash32.ts";
+import {
+  type IncarnationKey,
+  incarnationKeyOf,
+} from "./server_incarnations.ts";
+import { eraOf } from "./store_revision.ts";
 
 /** Time for servers to register again after an outage of the store. */
 export const REREGISTRATION_GRACE_MILLISECONDS = 2_000;
@@ -22,6 +32,14 @@
  * because the pending watch may not have noticed an outage of the store.
  */
 export const MASS_REMOVAL_GRACE_MILLISECONDS = 1_500;
+/**
+ * Time after which a server that had left before the store returned from a copy is
+ * used again if it is still registered; until then the store has removed the
+ * registrations of servers that no longer renew them.
+ */
+export const RETURN_GRACE_MILLISECONDS = 5_000;
+/** Servers that left are remembered up to this number. */
+const MAXIMUM_DEPARTED_SERVERS = 4_096;
 /** Share of a service's servers that disappears at once only in an outage. */
 const MASS_REMOVAL_RATIO = 0.5;
 const MINIMUM_MASS_REMOVAL_SERVERS = 2;
@@ -73,6 +91,11 @@
 /** Changes that a router sends to its peers. */
 export type RegistryChanges = z.infer<typeof registryChangesSchema>;
 
+interface _ReturningServer {
+  readonly server: RegisteredServer;
+  readonly usableAt: number;
+}
+
 function _hashServer(server: RegisteredServer): number {
   const { id, service, address, isDraining, started } = server;
   return hash32(`${id}\0${service}\0${address}\0${isDraining}\0${started}`);
@@ -83,6 +106,10 @@
   readonly #servers = new Map<BackendServerId, RegisteredServer>();
   /** Servers that may register again, and when to remove them otherwise. */
   readonly #pendingRemovals = new Map<BackendServerId, number>();
+  /** Incarnations that have left. */
+  readonly #departed = new Map<IncarnationKey, true>();
+  /** Departed servers that a copy of the store lists, and when to use them. */
+  readonly #returning = new Map<BackendServerId, _ReturningServer>();
   #byService = new Map<ServiceId, readonly RegisteredServer[]>();
   #revision = 0;
   #version = 0;
@@ -123,14 +150,32 @@
   /** Replaces all registrations unless the list is of an older revision. */
   replace({ revision, servers }: RegistrationList, now: number): void {
     if (revision < this.#revision) return;
+    const isRestored = this.#revision > 0 &&
+      eraOf(revision) > eraOf(this.#revision);
+    // The store was away, even if no call of this router failed.
+    if (isRestored) this.#storeUpSince = now;
     this.#revision = revision;
+    this.#returning.clear();
     const listed = new Set(servers.map(({ id }) => id));
     const missing = [...this.#servers.keys()].filter((id) => !listed.has(id));
     this.#removeOrDefer(missing, now);
-    for (const server of servers) this.#set(server);
+    for (const server of servers) {
+      if (isRestored && this.#departed.has(incarnationKeyOf(server))) {
+        const usableAt = now + RETURN_GRACE_MILLISECONDS;
+        this.#returning.set(server.id, { server, usableAt });
+      } else this.#set(server);
+    }
     this.#rebuild();
   }
 
+  /**
+   * Takes over the revision of a peer that has the same servers, so that what it
+   * sends next is not taken for a state of another era.
+   */
+  confirm(revision: number): void {
+    this.#revision = Math.max(this.#revision, revision);
+  }
+
   /** Applies changes up to a revision of the store. */
   apply(
     revision: number,
@@ -177,6 +222,12 @@
       this.#remove(id);
       hasChanged = true;
     }
+    for (const [id, { server, usableAt }] of this.#returning) {
+      if (now < usableAt) continue;
+      this.#returning.delete(id);
+      this.#set(server);
+      hasChanged = true;
+    }
     if (hasChanged) this.#rebuild();
   }
 
@@ -201,6 +252,8 @@
 
   #set(server: RegisteredServer): void {
     this.#pendingRemovals.delete(server.id);
+    this.#returning.delete(server.id);
+    this.#departed.delete(incarnationKeyOf(server));
     const previous = this.#servers.get(server.id);
     this.#servers.set(server.id, server);
     if (previous && _hashServer(previous) === _hashServer(server)) return;
@@ -209,7 +262,13 @@
 
   #remove(id: BackendServerId): void {
     this.#pendingRemovals.delete(id);
-    if (this.#servers.delete(id)) this.#changes.set(id, { id });
+    this.#returning.delete(id);
+    const server = this.#servers.get(id);
+    if (!server) return;
+    this.#servers.delete(id);
+    this.#changes.set(id, { id });
+    this.#departed.set(incarnationKeyOf(server), true);
+    evictOldest(this.#departed, MAXIMUM_DEPARTED_SERVERS);
   }
 
   #removeOrDefer(ids: readonly BackendServerId[], now: number): void {
@@ -218,6 +277,7 @@
       REREGISTRATION_GRACE_MILLISECONDS;
     for (const id of ids) {
       const server = this.#servers.get(id);
+      this.#returning.delete(id);
       if (!server || this.#pendingRemovals.has(id)) continue;
       const mayReturn = now < outageGraceEnd || massRemoved.has(server.service);
       // A draining server left on purpose, so it gets no grace period.
--- a/src/decision_log.ts
+++ b/src/decision_log.ts
@@ -18,6 +18,7 @@
   "settings.rejected": "state",
   "dependency.lost": "state",
   "dependency.returned": "state",
+  "store.restored": "state",
   "configuration.in_force": "state",
   "configuration.rejected": "state",
   "registry.changed": "state",
--- a/src/fleet_store.ts
+++ b/src/fleet_store.ts
@@ -12,6 +12,8 @@
   RegistrationList,
 } from "./core/server_registry.ts";
 
+/** Revisions are those of `core/store_revision.ts`: a later era is newer. */
+
 /** A configuration and the store revision at which it was read. */
 export interface StoredConfiguration {
   readonly revision: number;
@@ -53,7 +55,8 @@
 /**
  * The store of a fleet. Calls fail with `platform_unavailable`, writes with
  * `platform_outcome_unknown` if the response was lost, and watches with
- * `platform_history_lost` if the changes since the revision are no longer kept.
+ * `platform_history_lost` if the changes since the revision are no longer kept, or
+ * if the store has returned from a copy since.
  */
 export abstract class FleetStore {
   /** Called for each invalid object; other objects are not affected. */
@@ -61,6 +64,8 @@
   /** Called after each store call, to update metrics. */
   onCall: (operation: StoreOperation, result: "ok" | ErrorKind) => void = () =>
     undefined;
+  /** Called when a response shows that the store has returned from a copy. */
+  onRestored: (era: number) => void = () => undefined;
   abstract readConfiguration(): StoreResult<StoredConfiguration>;
   /** Waits for a change after a revision; if there is none, the result has no configuration. */
   abstract watchConfiguration(
--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -57,6 +57,7 @@
 import { toListenAddress } from "./listen_address.ts";
 import type { PassThroughContext } from "./pass_through_context.ts";
 import { createRetryBudgets, type RetryAllowance } from "./retry_budgets.ts";
+import { observeStore } from "./store_observation.ts";
 import { createTcpPeerNetwork } from "./tcp_peer_network.ts";
 import {
   createSystemTimerService,
@@ -138,10 +139,9 @@
     base: { host },
   });
   const metrics = createGatewayMetrics();
-  store.onCall = (operation, result) =>
-    metrics.storeCalls.inc({ operation, result });
   const protocol = options.protocol ?? createGatewayProtocol();
   const state = createGatewayStateTask({ store, timers, random, log });
+  observeStore(store, { state, log, metrics });
   const load = createFleetLoad();
   const outcomes = createServerOutcomes({
     onExcluded: (exclusion) => log.write("server.excluded", { ...exclusion }),
--- a/src/gateway_metrics.ts
+++ b/src/gateway_metrics.ts
@@ -77,6 +77,11 @@
       labelNames: ["service"],
       registers,
     }),
+    storeEra: new Gauge({
+      name: `${prefix}store_era`,
+      help: "Number of times that the store has returned from a copy",
+      registers,
+    }),
     configurationVersion: new Gauge({
       name: `${prefix}configuration_version`,
       help: "Version of the configuration in force",
--- a/src/gateway_state_task.ts
+++ b/src/gateway_state_task.ts
@@ -9,6 +9,7 @@
 import type { GatewayConfiguration } from "./core/gateway_configuration.ts";
 import { createRouteTable, type RouteTable } from "./core/route_table.ts";
 import type { RandomSource } from "./core/random.ts";
+import { eraOf, revisionInEra } from "./core/store_revision.ts";
 import { safeParseWith } from "./core/schema_result.ts";
 import {
   type RegistrationList,
@@ -140,6 +141,16 @@
     };
   }
 
+  /** The versions for logs, with the store's era apart from its revision. */
+  loggedVersions() {
+    const { configurationVersion, registryRevision } = this.versions();
+    return {
+      configurationVersion,
+      registryRevision: revisionInEra(registryRevision),
+      storeEra: eraOf(registryRevision),
+    };
+  }
+
   /** Time since the store last confirmed the subject, in milliseconds. */
   ageMilliseconds(subject: "configuration" | "registry"): number {
     const health = subject === "configuration"
@@ -218,7 +229,7 @@
 
   override describe(): unknown {
     return {
-      ...this.versions(),
+      ...this.loggedVersions(),
       isLost: this.#storeHealth.isUnavailable,
       configurationAge: this.ageMilliseconds("configuration"),
       registry: this.registryTask.describe(),
@@ -247,13 +258,17 @@
         timeout = Math.min(timeout, SHARED_WATCH_MILLISECONDS);
       }
       const isWatch = !this.#readsCurrent();
+      // After a failure the first call does not wait: it may have been a return
+      // from a copy, which only a response shows.
+      const wait = this.#storeHealth.isUnavailable ? 0 : timeout;
       const result = isWatch
-        ? await store.watchConfiguration(this.#configurationRevision, timeout)
+        ? await store.watchConfiguration(this.#configurationRevision, wait)
         : await store.readConfiguration();
       if (!this.#running) return;
       if (result.isErr()) {
         if (result.error.kind === "platform_history_lost") {
           this.#configurationRevision = 0;
+          await this.#storeHealth.recordLostHistory();
         } else await this.#storeHealth.recordFailure(result.error);
         continue;
       }
--- a/src/gateway_status.ts
+++ b/src/gateway_status.ts
@@ -75,7 +75,8 @@
   }
 
   function updateStateMetrics(): void {
-    const { configurationVersion } = state.versions();
+    const { configurationVersion, storeEra } = state.loggedVersions();
+    metrics.storeEra.set(storeEra);
     metrics.configurationVersion.set(configurationVersion);
     for (const subject of ["configuration", "registry"] as const) {
       const age = state.ageMilliseconds(subject);
--- a/src/operations_page_test.ts
+++ b/src/operations_page_test.ts
@@ -37,6 +37,7 @@
       "unavailable_servers",
       "malformed_headers_total",
       "server_rate_limit",
+      "store_era",
       "server_rate_limit_share",
       "quarantined_prompt_parts",
     ]
--- a/src/registry_task.ts
+++ b/src/registry_task.ts
@@ -5,6 +5,7 @@
  */
 import type { ApplicationError } from "./core/errors.ts";
 import type { RandomSource } from "./core/random.ts";
+import { decideEra, eraOf, revisionInEra } from "./core/store_revision.ts";
 import {
   createServerRegistry,
   type RegistrationList,
@@ -94,11 +95,15 @@
     this.#publish(peer);
   }
 
-  /** Applies a peer's changes; false if earlier changes are missing here. */
+  /**
+   * Applies a peer's changes; false if earlier changes are missing here, or if the
+   * store has returned from a copy between the two states.
+   */
   receive(changes: RegistryChanges, peer: string): boolean {
     const known = this.registry.revision;
     if (changes.revision < known) return true;
     if (changes.afterRevision > known) return false;
+    if (decideEra(known, eraOf(changes.revision)) !== "same") return false;
     this.registry.applyPeerChanges(changes);
     this.#publish(peer);
     return true;
@@ -106,7 +111,8 @@
 
   override describe(): unknown {
     return {
-      revision: this.registry.revision,
+      revision: revisionInEra(this.registry.revision),
+      era: eraOf(this.registry.revision),
       isWatching: this.isWatching,
       isLost: this.storeHealth.isUnavailable,
       ageMilliseconds: this.storeHealth.ageMilliseconds(),
@@ -133,20 +139,24 @@
       }
       // Reported while the call waits, so that others do not start to watch too.
       this.#isWatching = this.#isListed;
-      const failure: ApplicationError | undefined = this.#isListed
-        ? await this.#watch(waitMilliseconds)
+      // After a failure the first call does not wait: it may have been a return
+      // from a copy, which only a response shows.
+      const wait = this.storeHealth.isUnavailable ? 0 : waitMilliseconds;
+      const wasListed = this.#isListed;
+      const failure: ApplicationError | undefined = wasListed
+        ? await this.#watch(wait)
         : await this.#list();
       if (!this.#running) return;
       if (!failure) {
         this.storeHealth.recordSuccess();
-        const wasWatched = this.#isListed;
         this.#isListed = true;
-        if (wasWatched) waitMilliseconds = WATCH_TIMEOUT_MILLISECONDS;
-        if (this.#publish("store") && wasWatched) {
+        if (wasListed) waitMilliseconds = WATCH_TIMEOUT_MILLISECONDS;
+        if (this.#publish("store") && wasListed) {
           await timers.sleep(BATCH_DELAY_MILLISECONDS, "registry batch");
         }
       } else if (failure.kind === "platform_history_lost") {
         this.#isListed = false;
+        await this.storeHealth.recordLostHistory();
       } else {
         this.registry.markStoreDown();
         await this.storeHealth.recordFailure(failure);
@@ -183,7 +193,8 @@
     const changes = this.registry.takeChanges();
     if (changes.changes.length === 0) return false;
     this.#options.log.write("registry.changed", {
-      revision: changes.revision,
+      revision: revisionInEra(changes.revision),
+      era: eraOf(changes.revision),
       source,
       changes: changes.changes.slice(0, 8).map(({ id, server }) => ({
         id,
--- a/src/request_log.ts
+++ b/src/request_log.ts
@@ -71,7 +71,7 @@
 /** Versions and ages of the state that led to a rejection or failure. */
 function _stateFields(state: GatewayStateTask): RequestFields {
   return {
-    ...state.versions(),
+    ...state.loggedVersions(),
     configurationAge: Math.round(state.ageMilliseconds("configuration")),
     registryAge: Math.round(state.ageMilliseconds("registry")),
   };
@@ -105,7 +105,7 @@
       loadAge: Math.round(
         load.ageMilliseconds(timers.clock.monotonicMilliseconds()),
       ),
-      ...state.versions(),
+      ...state.loggedVersions(),
     }));
   }
 
--- a/src/state_catch_up.ts
+++ b/src/state_catch_up.ts
@@ -8,6 +8,7 @@
 import { safeParseConfiguration } from "./core/configuration_parser.ts";
 import type { GatewayConfiguration } from "./core/gateway_configuration.ts";
 import type { HostId, SocketAddress } from "./core/ids.ts";
+import { decideEra, eraOf } from "./core/store_revision.ts";
 import { registryChangesSchema } from "./core/server_registry.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { GatewayPeer } from "./gateway_peer.ts";
@@ -166,6 +167,16 @@
     if (!report) return false;
     const { state } = this.#options;
     const own = state.versions();
+    const { registryRevision, registryDigest } = report;
+    const isRestored =
+      decideEra(own.registryRevision, eraOf(registryRevision)) ===
+        "restored";
+    const hasSameServers = own.registryRevision > 0 &&
+      registryDigest === state.registry.digest;
+    if (isRestored && hasSameServers) {
+      state.registry.confirm(registryRevision);
+      return report.configurationVersion > own.configurationVersion;
+    }
     return report.configurationVersion > own.configurationVersion ||
       (report.registryRevision > own.registryRevision &&
         report.registryDigest !== state.registry.digest);
--- a/src/store_health.ts
+++ b/src/store_health.ts
@@ -10,6 +10,12 @@
 const FIRST_RETRY_DELAY_MILLISECONDS = 100;
 const MAXIMUM_RETRY_DELAY_MILLISECONDS = 1_000;
 
+/**
+ * Delay before the next list if history is lost again so soon: a store that is
+ * behind what this router knows would otherwise be called without a pause.
+ */
+const LOST_HISTORY_DELAY_MILLISECONDS = 500;
+
 /** The part of the store that a task uses. */
 export type StoreSubject = "configuration" | "registry" | "routers";
 
@@ -26,6 +32,7 @@
   readonly #options: StoreHealthOptions;
   #failures = 0;
   #lastSuccessAt: number | undefined;
+  #historyLostAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: StoreHealthOptions) {
     this.#options = options;
@@ -51,6 +58,16 @@
     log.write("dependency.returned", { dependency: "store", subject });
   }
 
+  /** Records that changes are no longer kept; resolves when they may be listed. */
+  async recordLostHistory(): Promise<void> {
+    const { timers } = this.#options;
+    const now = timers.clock.monotonicMilliseconds();
+    const elapsed = now - this.#historyLostAt;
+    this.#historyLostAt = now;
+    if (elapsed >= 2 * LOST_HISTORY_DELAY_MILLISECONDS) return;
+    await timers.sleep(LOST_HISTORY_DELAY_MILLISECONDS, "store history");
+  }
+
   /** Records a failed call and resolves after the backoff delay. */
   async recordFailure(error: ApplicationError): Promise<void> {
     const { timers, random, log, subject } = this.#options;
--- /dev/null
+++ b/src/store_restored_fleet_test.ts
@@ -0,0 +1,94 @@
+/** Fleets whose store returns from an older copy, in simulated time. */
+import test, { type ExecutionContext } from "ava";
+import {
+  type SimulatedGateway,
+  SimulatedGatewayFleet,
+} from "../stand_ins/gateway_peer_fleet.ts";
+import { testConfiguration, testRoute } from "../stand_ins/gateway_fleet.ts";
+import { testServer } from "../stand_ins/registered_servers.ts";
+import { type BackendServerId, brandId } from "./core/ids.ts";
+import { eraOf } from "./core/store_revision.ts";
+
+const START_MILLISECONDS = 7_000;
+const AWAY_MILLISECONDS = 2_000;
+/** Time within which every router must know what is written after the return. */
+const RETURN_MILLISECONDS = 5_000;
+
+async function startFleet(
+  t: ExecutionContext,
+  routers: number,
+): Promise<SimulatedGatewayFleet> {
+  const fleet = new SimulatedGatewayFleet({ routers, dataCentres: 3 });
+  fleet.memory.setConfiguration(testConfiguration(1, [testRoute("a")]));
+  for (const id of ["staying", "leaving", "removed"]) {
+    fleet.memory.setServer(testServer(id));
+  }
+  await fleet.start();
+  t.teardown(() => fleet.stop());
+  await fleet.advance(START_MILLISECONDS);
+  return fleet;
+}
+
+function setStoreFailing(
+  fleet: SimulatedGatewayFleet,
+  isFailing: boolean,
+  routers: readonly SimulatedGateway[] = fleet.routers,
+): void {
+  for (const { store } of routers) store.setFailing(isFailing);
+  fleet.memory.wake();
+}
+
+function serversOf({ state }: SimulatedGateway): string {
+  return state.registry.list().servers.map(({ id }) => id).sort().join(" ");
+}
+
+for (const routers of [13, 36]) {
+  test.serial(`guards against a fleet of ${routers} routers that keeps servers of the old era, with one router that never reaches the store again`, async (t) => {
+    const fleet = await startFleet(t, routers);
+    const { memory } = fleet;
+    const copy = memory.takeCopy();
+    memory.setServer(testServer("come"));
+    memory.removeServer(brandId<BackendServerId>("removed"));
+    memory.setConfiguration(testConfiguration(4, [testRoute("b")]));
+    for (let index = 0; index < 30; index++) {
+      memory.setServer(testServer("staying", { slots: 5 + index }));
+    }
+    await fleet.advance(2_000);
+    t.deepEqual([...new Set(fleet.routers.map(serversOf))], [
+      "come leaving staying",
+    ]);
+    setStoreFailing(fleet, true);
+    await fleet.advance(AWAY_MILLISECONDS);
+    memory.restore(copy);
+    // Changes in the gap that no router has seen.
+    memory.setServer(testServer("gap"));
+    memory.removeServer(brandId<BackendServerId>("leaving"));
+    const cutOff = fleet.routers.at(-1) as SimulatedGateway;
+    setStoreFailing(
+      fleet,
+      false,
+      fleet.routers.filter((router) => router !== cutOff),
+    );
+    await fleet.advance(500);
+    memory.setServer(testServer("come"));
+    memory.removeServer(brandId<BackendServerId>("removed"));
+    memory.setConfiguration(testConfiguration(4, [testRoute("b")]));
+    await fleet.advance(RETURN_MILLISECONDS);
+    t.deepEqual([...new Set(fleet.routers.map(serversOf))], [
+      "come gap staying",
+    ]);
+    for (const { state } of fleet.routers) {
+      t.is(state.versions().configurationVersion, 4);
+      t.is(eraOf(state.versions().registryRevision), 1);
+    }
+    memory.setConfiguration(testConfiguration(6, [testRoute("c")]));
+    memory.setServer(testServer("late"));
+    await fleet.advance(2_000);
+    t.deepEqual([...new Set(fleet.routers.map(serversOf))], [
+      "come gap late staying",
+    ]);
+    for (const { state } of fleet.routers) {
+      t.is(state.versions().configurationVersion, 6);
+    }
+  });
+}
--- a/stand_ins/memory_fleet_store.ts
+++ b/stand_ins/memory_fleet_store.ts
@@ -20,6 +20,12 @@
   type StoreResult,
 } from "../src/fleet_store.ts";
 
+import {
+  decideEra,
+  eraOf,
+  revisionInEra,
+  toStoreRevision,
+} from "../src/core/store_revision.ts";
 import type { TimerService } from "../src/timer_service.ts";
 import { Waiters } from "./waiters.ts";
 
@@ -27,8 +33,25 @@
   readonly revision: number;
 }
 
+/** What a store held at a moment. */
+export interface MemoryFleetCopy {
+  readonly revision: number;
+  readonly configuration: GatewayConfiguration | undefined;
+  readonly servers: ReadonlyMap<BackendServerId, RegisteredServer>;
+  readonly routers: ReadonlyMap<HostId, RouterRecord>;
+}
+
+function _replaceAll<Key, Value>(
+  target: Map<Key, Value>,
+  source: ReadonlyMap<Key, Value>,
+): void {
+  target.clear();
+  for (const [key, value] of source) target.set(key, value);
+}
+
 /** The stored data, shared by all clients. */
 export class MemoryFleet {
+  /** Orders by the store's era first. */
   revision = 1;
   configuration: GatewayConfiguration | undefined;
   configurationRevision = 0;
@@ -60,6 +83,32 @@
     this.#waiters.wake();
   }
 
+  /** Copies what is stored, for a later `restore`. */
+  takeCopy(): MemoryFleetCopy {
+    return {
+      revision: this.revision,
+      configuration: this.configuration,
+      servers: new Map(this.servers),
+      routers: new Map(this.routers),
+    };
+  }
+
+  /** Returns to a copy: what was stored since is lost, and revisions go back. */
+  restore(copy: MemoryFleetCopy): void {
+    this.revision = toStoreRevision({
+      era: eraOf(this.revision) + 1,
+      revision: revisionInEra(copy.revision),
+    });
+    this.configuration = copy.configuration;
+    this.configurationRevision = this.revision;
+    this.configurationRevisions.length = 0;
+    this.changes.length = 0;
+    this.compactedRevision = 0;
+    _replaceAll(this.servers, copy.servers);
+    _replaceAll(this.routers, copy.routers);
+    this.#waiters.wake();
+  }
+
   /** Resolves at the next change or after the timeout. */
   wait(milliseconds: number): Promise<void> {
     return this.#waiters.wait(milliseconds);
@@ -118,12 +167,14 @@
     afterRevision: number,
     waitMilliseconds: number,
   ): StoreResult<StoredConfiguration> {
+    if (this.#isRestoredSince(afterRevision)) return this.#loseHistory();
     this.waitingConfigurationWatches++;
     await this.#waitUntil(
       () => this.#fleet.configurationRevision > afterRevision,
       waitMilliseconds,
     );
     this.waitingConfigurationWatches--;
+    if (this.#isRestoredSince(afterRevision)) return this.#loseHistory();
     const { length: versions } = this.#fleet.configurationRevisions
       .filter((revision) => revision > afterRevision);
     return this.#respond("watch", () => ({
@@ -149,13 +200,14 @@
   ): StoreResult<RegistrationChanges> {
     const newerChanges = () =>
       this.#fleet.changes.filter(({ revision }) => revision > afterRevision);
-    if (afterRevision < this.#fleet.compactedRevision) {
-      this.onCall("watch", "platform_history_lost");
-      return err(createError("platform_history_lost", "forgotten"));
+    const isCompacted = afterRevision < this.#fleet.compactedRevision;
+    if (isCompacted || this.#isRestoredSince(afterRevision)) {
+      return this.#loseHistory();
     }
     this.waitingServerWatches++;
     await this.#waitUntil(() => newerChanges().length > 0, waitMilliseconds);
     this.waitingServerWatches--;
+    if (this.#isRestoredSince(afterRevision)) return this.#loseHistory();
     return this.#respond("watch", () => ({
       revision: this.#fleet.revision,
       changes: newerChanges(),
@@ -188,6 +240,16 @@
     return this.#failure ? err(this.#failure) : ok(read());
   }
 
+  #isRestoredSince(afterRevision: number): boolean {
+    return decideEra(afterRevision, eraOf(this.#fleet.revision)) === "restored";
+  }
+
+  #loseHistory<T>(): Result<T, ApplicationError> {
+    if (this.#failure) return err(this.#failure);
+    this.onCall("watch", "platform_history_lost");
+    return err(createError("platform_history_lost", "forgotten"));
+  }
+
   #countCopies<T>(copies: number, configuration: T): T {
     if (configuration !== undefined) this.configurationCopies += copies;
     return configuration;
