Register routers again when the store has returned from a copy

What callers saw: nothing yet; a router that starts after such a return could not discover those whose records the copy lacked until their next list, 30 to 120 s later. Cause: a router registers once in its life, and takes that write for kept. Change: a router that sees a new era registers again within 2 s, spread at random. Figures: the test in src/store_restored_fleet_test.ts fails without this (0 of 13 records).

--- a/src/router_discovery.ts
+++ b/src/router_discovery.ts
@@ -16,6 +16,8 @@
 /** Delay of the second list: routers that start together may miss each other in the first. */
 const SECOND_LIST_DELAY_MILLISECONDS = 5_000;
 const LIST_PERIOD_MILLISECONDS = 30_000;
+/** Time over which the routers of a fleet register again after a loss of their records. */
+const REGISTRATION_SPREAD_MILLISECONDS = 2_000;
 /** Period of lists while collectors list the fleet's routers to this one. */
 const COVERED_LIST_PERIOD_MILLISECONDS = 120_000;
 
@@ -63,6 +65,16 @@
     this.#running = false;
   }
 
+  /** Registers this router again after a loss of records in the store. */
+  async registerAgain(): Promise<void> {
+    const { timers, random } = this.#options;
+    const delay = random.integer(REGISTRATION_SPREAD_MILLISECONDS);
+    await timers.sleep(delay, "router registration");
+    this.#isRegistered = false;
+    // If it fails, the next round of the discovery registers it.
+    if (this.#running) await this.#register();
+  }
+
   /** Removes the record of a router that has not responded for a long time. */
   remove(address: SocketAddress): void {
     const record = this.#listed.get(address);
--- a/src/store_restored_fleet_test.ts
+++ b/src/store_restored_fleet_test.ts
@@ -92,3 +92,21 @@
     }
   });
 }
+
+test.serial("guards against routers whose records the store has lost and that nobody could discover", async (t) => {
+  const fleet = new SimulatedGatewayFleet({ routers: 13, dataCentres: 3 });
+  fleet.memory.setConfiguration(testConfiguration(1, [testRoute("a")]));
+  fleet.memory.setServer(testServer("s0"));
+  const copy = fleet.memory.takeCopy();
+  await fleet.start();
+  t.teardown(() => fleet.stop());
+  await fleet.advance(START_MILLISECONDS);
+  t.is(fleet.memory.routers.size, 13);
+  setStoreFailing(fleet, true);
+  await fleet.advance(AWAY_MILLISECONDS);
+  fleet.memory.restore(copy);
+  t.is(fleet.memory.routers.size, 0);
+  setStoreFailing(fleet, false);
+  await fleet.advance(RETURN_MILLISECONDS);
+  t.is(fleet.memory.routers.size, 13);
+});
