Play a store that returns from a copy in the soak

A server that reports that it is draining keeps its time of start; it had looked like a new incarnation, which excused the notices before.

--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -30,6 +30,10 @@
 const REGISTRY_LAG_MILLISECONDS = 4_000;
 /** Time for which a draining server keeps serving before it is replaced. */
 const DRAIN_MILLISECONDS = 3_500;
+/** Age of the copy from which the store returns, at least. */
+const SHORTEST_COPY_AGE_MILLISECONDS = 1_500;
+/** Time after the return until servers and operators have written again. */
+const WRITE_AGAIN_MILLISECONDS = 1_000;
 /** Limits that servers name, in requests per second. */
 const RATE_LIMITS = [0, 0.5, 2, 6];
 /** Shortest time for which a limit is named; it binds after three seconds. */
@@ -52,6 +56,8 @@
   /** Records that an incarnation of a server was told to drain. */
   readonly recordDrain: (id: string) => void;
   readonly changeConfiguration: () => void;
+  /** Writes again what servers and operators have written to the store. */
+  readonly writeAgain: () => void;
   readonly replaceKey: () => Promise<void>;
 }
 
@@ -209,6 +215,19 @@
     else store.setFault("none");
     end();
   },
+  async store_restored({ variant, forMilliseconds }, targets) {
+    const { store } = targets;
+    const copy = store.takeCopy();
+    await sleep(SHORTEST_COPY_AGE_MILLISECONDS + variant);
+    const end = targets.begin("store", false);
+    store.setFault("reset");
+    await sleep(forMilliseconds);
+    store.restore(copy);
+    store.setFault("none");
+    await sleep(WRITE_AGAIN_MILLISECONDS);
+    targets.writeAgain();
+    end();
+  },
   async store_forgets(_fault, targets) {
     const end = targets.begin("store", false);
     targets.store.discardHistory();
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -5,8 +5,10 @@
   putConfiguration,
   putServer,
   removeServer,
+  serverNames,
   SOAK_HEADER_NAMES,
   type SoakRoute,
+  type SoakServer,
   StoreStandIn,
 } from "../platform/soak_fleet.ts";
 import { createSeededRandom } from "../src/core/random.ts";
@@ -107,6 +109,9 @@
   #storeProxy: LoopbackProxy | undefined;
   #routers: SoakRouter[] = [];
   #backends: SoakBackend[] = [];
+  /** What the servers and the operator wrote last. */
+  readonly #registered = new Map<string, SoakServer>();
+  #storedKeys: readonly string[] = [];
   #keys: string[] = ["key-0"];
   #version = FIRST_CONFIGURATION_VERSION;
 
@@ -226,44 +231,63 @@
         return () => end(this.#now());
       },
       register: (backend) => this.#register(backend),
-      deregister: (id) => removeServer(this.#store, id),
+      deregister: (id) => this.#deregister(id),
       recordDrain: (id) => void this.#drainedServers.set(id, this.#now()),
       changeConfiguration: () => this.#putConfiguration(),
+      writeAgain: () => this.#writeAgain(),
       replaceKey: () => this.#replaceKey(),
     };
   }
 
   #register(backend: SoakBackend): void {
-    putServer(this.#store, {
+    const server = {
       id: backend.id,
       address: backend.address,
       dataCentre: backend.dataCentre,
       slots: backend.slots,
       isDraining: backend.isDraining,
-      started: Date.now(),
-    });
+      started: this.#registered.get(backend.id)?.started ?? Date.now(),
+    };
+    this.#registered.set(server.id, server);
+    putServer(this.#store, server);
+  }
+
+  #deregister(id: string): void {
+    this.#registered.delete(id);
+    removeServer(this.#store, id);
   }
 
-  #putConfiguration(): void {
+  #putConfiguration(keys = this.#keys): void {
     this.#version += 2;
+    this.#storedKeys = keys;
+    this.#storeConfiguration();
+  }
+
+  #storeConfiguration(): void {
     putConfiguration(this.#store, this.#version, {
       hostName: HOST_NAME,
       routes: ROUTES,
-      keys: this.#keys,
+      keys: this.#storedKeys,
       timeoutMilliseconds: ROUTE_TIMEOUT_MILLISECONDS,
     });
   }
 
+  /** Brings the store to what servers and the operator wrote last. */
+  #writeAgain(): void {
+    for (const name of serverNames(this.#store)) {
+      if (!this.#registered.has(name)) removeServer(this.#store, name);
+    }
+    for (const server of this.#registered.values()) {
+      putServer(this.#store, server);
+    }
+    this.#storeConfiguration();
+  }
+
   /** Adds a key and revokes the old keys once callers no longer use them. */
   async #replaceKey(): Promise<void> {
     const added = `key-${this.#version}`;
     const old = this.#keys;
-    putConfiguration(this.#store, this.#version += 2, {
-      hostName: HOST_NAME,
-      routes: ROUTES,
-      keys: [...old, added],
-      timeoutMilliseconds: ROUTE_TIMEOUT_MILLISECONDS,
-    });
+    this.#putConfiguration([...old, added]);
     await sleep(ROUTE_TIMEOUT_MILLISECONDS);
     this.#keys = [added];
     await sleep(ROUTE_TIMEOUT_MILLISECONDS);
