Leave out servers whose registered address is no ip:port

Cause: an entry with the address 127.0.0.1:99999 was decoded as valid, and a connection to it throws TypeError: Invalid URL, which nothing catches. Ruled out: deep nesting, numbers too large, missing fields; these entries were left out before, one by one (platform/odd_entry_test.ts keeps eleven forms of them). Change: socket_address.ts, the schema of addresses from outside, used for registrations from the store and from peers; an invalid entry in a peer's list is left out by itself. Conclusion: an entry names no server to use, and its neighbours hold.

--- a/src/core/server_registry.ts
+++ b/src/core/server_registry.ts
@@ -11,18 +11,14 @@
  */
 import { z } from "zod";
 import { type ServiceId, serviceIdSchema } from "./gateway_configuration.ts";
-import {
-  type BackendServerId,
-  brandId,
-  type DataCentreId,
-  type SocketAddress,
-} from "./ids.ts";
+import { type BackendServerId, brandId, type DataCentreId } from "./ids.ts";
 import { evictOldest } from "./bounded_map.ts";
 import { hash32 } from "./hash32.ts";
 import {
   type IncarnationKey,
   incarnationKeyOf,
 } from "./server_incarnations.ts";
+import { socketAddressSchema } from "./socket_address.ts";
 import { eraOf } from "./store_revision.ts";
 
 /** Time for servers to register again after an outage of the store. */
@@ -50,7 +46,7 @@
 export const registeredServerSchema = z.object({
   id: _text.transform((text) => brandId<BackendServerId>(text)),
   service: serviceIdSchema,
-  address: _text.transform((text) => brandId<SocketAddress>(text)),
+  address: socketAddressSchema,
   dataCentre: _text.transform((text) => brandId<DataCentreId>(text)),
   slots: z.number().min(0),
   /** A draining server gets no new requests. */
@@ -67,7 +63,9 @@
 /** Schema of all registrations at a revision of the store. */
 export const registrationListSchema = z.object({
   revision: z.number(),
-  servers: z.array(registeredServerSchema),
+  /** An invalid entry, which a router of another release may know, is left out. */
+  servers: z.array(registeredServerSchema.optional().catch(undefined))
+    .transform((servers) => servers.filter((server) => server !== undefined)),
 });
 
 /** All registrations at a revision of the store. */
@@ -75,7 +73,8 @@
 
 const _changeSchema = z.object({
   id: _text.transform((text) => brandId<BackendServerId>(text)),
-  server: registeredServerSchema.optional(),
+  /** An invalid entry counts as removed. */
+  server: registeredServerSchema.optional().catch(undefined),
 });
 
 /** Schema of the changes that a router sends to peers. */
