Reject what a stopping router cannot finish, and answer what it did not finish

Cause: a stopping router took every request until the process ended, whatever its server needed, and did not answer those that were left. Change: planned_stop.ts. A request is taken if the longest recent duration of its route (its objective if there was none) fits into the rest of the grace, else rejected at once as not run, with a short Retry-After, since other routers can serve it. What is left 0.4 s before the end gets 502 (or 503 if it was not sent). Connections that become idle after the port has closed are closed too. request_ending.ts is split off pass_through.ts.

--- a/src/backend_exchange.ts
+++ b/src/backend_exchange.ts
@@ -47,6 +47,12 @@
   onEnd(isComplete: boolean, detail: string): void;
 }
 
+/** Ignores a body. */
+export const DISCARDING_SINK: ResponseSink = {
+  onData: () => undefined,
+  onEnd: () => undefined,
+};
+
 /** Why no byte of a request reached a server. */
 export type NotSentReason =
   /** The server did not accept a connection. */
--- a/src/core/retry_after.ts
+++ b/src/core/retry_after.ts
@@ -11,7 +11,9 @@
   /** No backend server is known or reachable. */
   | "no_server"
   /** Every backend server is at capacity. */
-  | "full";
+  | "full"
+  /** This router is stopping; others can serve the request now. */
+  | "stopping";
 
 interface _Range {
   readonly from: number;
@@ -23,6 +25,7 @@
   starting: { from: 300, to: 900 },
   no_server: { from: 200, to: 700 },
   full: { from: 150, to: 600 },
+  stopping: { from: 0, to: 200 },
 };
 /**
  * A caller that retries later than this fraction of its remaining time is not
--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -56,6 +56,7 @@
 import { createCrashDetection } from "./crash_detection.ts";
 import { toListenAddress } from "./listen_address.ts";
 import type { PassThroughContext } from "./pass_through_context.ts";
+import { createPlannedStop } from "./planned_stop.ts";
 import { createRetryBudgets, type RetryAllowance } from "./retry_budgets.ts";
 import { observeStore } from "./store_observation.ts";
 import { createTcpPeerNetwork } from "./tcp_peer_network.ts";
@@ -72,8 +73,6 @@
 const ENTRY_LIFETIME_MILLISECONDS = 2_000;
 /** How long new connections are still accepted after a stop signal. */
 const STOP_ACCEPT_MILLISECONDS = 3_000;
-/** Shutdown stops waiting for requests this long before the grace time ends. */
-const STOP_MARGIN_MILLISECONDS = 400;
 const STOP_POLL_MILLISECONDS = 50;
 
 /** Listen addresses of the gateway's interfaces, as `ip:port`. */
@@ -190,7 +189,7 @@
     fleetKey: options.fleetKey,
     identity: { host, dataCentre, incarnation },
   });
-  let isStopping = false;
+  const plannedStop = createPlannedStop(clock);
   let isListening = false;
   let inFlight = 0;
   let utilization = performance.eventLoopUtilization();
@@ -243,7 +242,7 @@
     metrics,
     dataCentre,
     loadBound: () => tuning.loadBound,
-    isStopping: () => isStopping,
+    plannedStop,
     onFinished: () => inFlight--,
   };
   const status = createGatewayStatus({
@@ -254,7 +253,7 @@
       host,
       incarnation,
       isServing: isServing(),
-      isStopping,
+      isStopping: plannedStop.isStopping,
       inFlight,
       busyShare,
     }),
@@ -277,7 +276,7 @@
   const statusServer = createStatusServer(interfaces);
 
   function isServing(): boolean {
-    return isListening && !isStopping && state.isKnown();
+    return isListening && !plannedStop.isStopping && state.isKnown();
   }
 
   function findServer(incarnation: IncarnationKey) {
@@ -354,18 +353,18 @@
   }
 
   async function stop(): Promise<void> {
-    if (isStopping) return;
+    if (plannedStop.isStopping) return;
     const stoppedAt = clock.monotonicMilliseconds();
-    const deadline = stoppedAt + tuning.graceMilliseconds -
-      STOP_MARGIN_MILLISECONDS;
-    isStopping = true;
+    plannedStop.begin(tuning.graceMilliseconds);
     log.write("process.stopping", { inFlight });
     peers.announce();
     await timers.sleep(STOP_ACCEPT_MILLISECONDS, "stop");
     close(callerServer);
-    while (inFlight > 0 && clock.monotonicMilliseconds() < deadline) {
+    while (inFlight > 0 && plannedStop.remainingMilliseconds() > 0) {
       await timers.sleep(STOP_POLL_MILLISECONDS, "stop");
+      callerServer.closeIdleConnections();
     }
+    plannedStop.abandonRest();
     close(entryServer);
     close(statusServer);
     for (const subscription of subscriptions) subscription.cancel();
--- a/src/gateway_incidents_test.ts
+++ b/src/gateway_incidents_test.ts
@@ -22,6 +22,10 @@
 const STOP_REQUESTS = 200;
 const STOP_SPREAD_MILLISECONDS = 400;
 const WORK_MILLISECONDS = 300;
+/** Time for bytes that were written to arrive. */
+const DELIVERY_MILLISECONDS = 50;
+/** Grace time of the gateways that a bench starts. */
+const GRACE_MILLISECONDS = 4_000;
 
 test.after.always(stopBenches);
 
@@ -245,3 +249,95 @@
   t.deepEqual(statuses, [200, 200, 200, 200]);
   t.is(received(bench).length, 4);
 });
+
+/** Calls on one connection after another, of which each is kept for a while. */
+async function callDuringStop(
+  { callers, gateway }: Bench["gateways"][number],
+  path: string,
+): Promise<{ outcomes: string[]; stopMilliseconds: number }> {
+  const [host, port] = callers.split(":") as [string, string];
+  const agents = Array.from(
+    { length: 14 },
+    () => new Agent({ keepAlive: true, maxSockets: 1 }),
+  );
+  async function send(agent: Agent, id: string): Promise<string> {
+    const headers = { ...callerHeaders(id), [NAMES.deadline]: "4000" };
+    const sent = request({ host, port: Number(port), path, agent, headers });
+    const wasReused = new Promise<boolean>((resolve) =>
+      sent.once("socket", () => resolve(sent.reusedSocket))
+    );
+    sent.end();
+    try {
+      const [response] = await once(sent, "response") as [IncomingMessage];
+      response.resume();
+      await once(response, "end");
+      return `${response.statusCode}`;
+    } catch {
+      return `${await wasReused ? "kept" : "new"} connection cut ${id}`;
+    }
+  }
+  await Promise.all(agents.map((agent, index) => send(agent, `${index}-warm`)));
+  const startedAt = performance.now();
+  const stopped = gateway.stop().then(async () => {
+    const milliseconds = performance.now() - startedAt;
+    // Then the process ends, and with it what is still open.
+    await new Promise((resolve) => setTimeout(resolve, DELIVERY_MILLISECONDS));
+    for (const agent of agents) agent.destroy();
+    return milliseconds;
+  });
+  const calls: Promise<string>[] = [];
+  for (const [index, agent] of agents.entries()) {
+    calls.push(send(agent, `${path}-${index}-late`));
+    await new Promise((resolve) => setTimeout(resolve, 270));
+  }
+  const outcomes = await Promise.all(calls);
+  const stopMilliseconds = await stopped;
+  return { outcomes, stopMilliseconds };
+}
+
+for (const workMilliseconds of [50, 800, 1_500, 3_000]) {
+  test.serial(`guards against a planned stop that takes late requests and cuts them without an answer, at servers that take ${workMilliseconds} ms`, async (t) => {
+    const bench = await startBench({ backends: 1 });
+    const [backend] = bench.backends as [RawBackend];
+    backend.script(({ id }, response) => {
+      setTimeout(() => {
+        response.writeHead(200, responseHeaders(id)).end("done");
+      }, workMilliseconds);
+    });
+    const [router] = bench.gateways as [Bench["gateways"][number]];
+    const { outcomes, stopMilliseconds } = await callDuringStop(
+      router,
+      "/once/x",
+    );
+    // Whatever is open at the end of the grace is cut, since the process is killed.
+    t.true(stopMilliseconds < GRACE_MILLISECONDS, `${stopMilliseconds}`);
+    const reached = new Set(backend.received.map(({ id }) => id));
+    t.log(outcomes.join(" "));
+    // A request that crosses the close of its connection was not sent on.
+    const cut = outcomes.filter((outcome) => outcome.includes("cut"))
+      .filter((outcome) => reached.has(outcome.split(" ").at(-1) ?? ""));
+    t.deepEqual(cut, []);
+    const served = outcomes.filter((outcome) => outcome === "200").length;
+    t.true(served > 0);
+    t.true(outcomes.every((outcome) => outcome !== "502"));
+    // Nothing is sent on that is known to be too slow for the rest of the grace.
+    t.is(backend.received.length, bench.backends.length * 14 + served);
+  });
+}
+
+test.serial("guards against ending a request without an answer because its server is slower than expected in a planned stop", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  const [backend] = bench.backends as [RawBackend];
+  backend.script(() => undefined);
+  const [router] = bench.gateways as [Bench["gateways"][number]];
+  const pending = call(bench, {
+    path: "/once/x",
+    headers: { [NAMES.deadline]: "20000" },
+  });
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  const stopped = router.gateway.stop();
+  const { status, text } = await pending;
+  t.is(status, 502, text);
+  t.regex(text, /outcome_unknown/);
+  await stopped;
+});
--- a/src/gateway_requests.ts
+++ b/src/gateway_requests.ts
@@ -18,7 +18,7 @@
     cause: "starting",
     remainingMilliseconds: undefined,
     random: context.random,
-    isClosing: context.isStopping() || !request.complete,
+    isClosing: context.plannedStop.isStopping || !request.complete,
   });
   const { requestId } = context.protocol.readRequest(request.headers);
   new RequestLog(context).ended(
--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -14,13 +14,13 @@
   type ResponseRelay,
 } from "./response_relay.ts";
 import {
+  DISCARDING_SINK,
   MISDIRECTED_REQUEST,
   type NotSentReason,
   type ResponseHead,
   type ResponseSink,
 } from "./backend_exchange.ts";
-import { createError, type ErrorKind } from "./core/errors.ts";
-import { isRepeatable } from "./core/gateway_configuration.ts";
+import type { ErrorKind } from "./core/errors.ts";
 import {
   type AttemptFailure,
   type NextStep,
@@ -29,18 +29,15 @@
 import type { Placement } from "./core/placement.ts";
 import type { RejectionCause } from "./core/retry_after.ts";
 import type { RetryBudget } from "./core/retry_budget.ts";
-import { sendRejection } from "./rejection.ts";
+import type { ServedRequest } from "./planned_stop.ts";
 import type { PassThroughContext } from "./pass_through_context.ts";
 import { type RequestAttempt, SERVER_ERROR_STATUS } from "./request_attempt.ts";
 import { readRequestBody, type RequestBody } from "./request_body.ts";
 import type { CheckedRequest } from "./request_check.ts";
 import { forwardRequest } from "./request_forwarding.ts";
+import { RequestEnding } from "./request_ending.ts";
 import { RequestHistory } from "./request_history.ts";
-import {
-  type RequestEnd,
-  type RequestFields,
-  RequestLog,
-} from "./request_log.ts";
+import { RequestLog } from "./request_log.ts";
 import { placeRequest } from "./request_placement.ts";
 import { chooseServer, unavailableServers } from "./server_choice.ts";
 import type { Subscription } from "./timer_service.ts";
@@ -50,23 +47,21 @@
 /** A response that has begun may end this much after the timeout. */
 const STREAM_GRACE_MILLISECONDS = 300;
 
-const _discardingSink: ResponseSink = { onData: () => {}, onEnd: () => {} };
-
 /** State of a request that passed the checks. */
-class _ForwardedRequest {
+class _ForwardedRequest implements ServedRequest {
   readonly #context: PassThroughContext;
   readonly #request: IncomingMessage;
   readonly #response: ServerResponse;
   readonly #checked: CheckedRequest;
   readonly #log: RequestLog;
   readonly #history: RequestHistory;
+  readonly #ending: RequestEnding;
   readonly #caller: CallerConnection;
   #ignoreCaller: () => void = () => undefined;
   #body: RequestBody | undefined;
   #relay: ResponseRelay | undefined;
   #attempt: RequestAttempt | undefined;
   #timeout: Subscription | undefined;
-  #isFinished = false;
 
   constructor(
     context: PassThroughContext,
@@ -81,10 +76,23 @@
     this.#caller = callerConnectionOf(request.socket);
     this.#log = new RequestLog(context);
     this.#history = new RequestHistory(checked, context.timers.clock);
+    this.#ending = new RequestEnding({
+      context,
+      request,
+      response,
+      checked,
+      history: this.#history,
+      log: this.#log,
+      onFinished: () => this.#release(),
+    });
   }
 
   start(): void {
-    const { bounds, timeoutMilliseconds } = this.#checked;
+    const { bounds, timeoutMilliseconds, route } = this.#checked;
+    if (!this.#context.plannedStop.canFinish(route)) {
+      return this.#reject("stopping", "it could not be finished", "stopping");
+    }
+    this.#context.plannedStop.add(this);
     this.#ignoreCaller = this.#caller.onLeft(() => this.#onClose());
     this.#timeout = this.#context.timers.after(
       timeoutMilliseconds + TIMEOUT_GRACE_MILLISECONDS,
@@ -98,6 +106,10 @@
     );
   }
 
+  abandon(): void {
+    this.#giveUp("the router stopped before the response", "stopping");
+  }
+
   #now(): number {
     return this.#context.timers.clock.monotonicMilliseconds();
   }
@@ -107,7 +119,7 @@
   }
 
   #onBody(body: RequestBody): void {
-    if (this.#isFinished) return;
+    if (this.#ending.isFinished) return;
     this.#body = body;
     if (body.kind === "aborted") return this.#onClose();
     if (body.kind === "too_large") {
@@ -123,7 +135,7 @@
 
   #chooseAndSend(): void {
     this.#caller.whenStillThere(() => {
-      if (!this.#isFinished) this.#placeAndSend();
+      if (!this.#ending.isFinished) this.#placeAndSend();
     });
   }
 
@@ -169,21 +181,17 @@
    * keep waiting. A second copy in another queue would only lengthen that.
    */
   #onResponseTimeout(): void {
-    const { route } = this.#checked;
-    const mayRepeat = isRepeatable(route) &&
-      this.#history.runs + 1 < route.maximumBackendServers &&
-      this.#body?.kind === "whole";
-    if (!mayRepeat) return;
+    if (!this.#history.mayRunAgain || this.#body?.kind !== "whole") return;
     const next = this.#choose();
     if (!next || next.inFlight >= Math.max(1, next.server.slots)) return;
     if (!this.#retries().tryTake("outcome_unknown", true, this.#now())) return;
     this.#attempt?.cancel("silent");
     this.#history.recordRun();
-    this.#log.retried(
-      this.#history.progress(),
-      "silent",
-      "no response in time",
-    );
+    this.#retry("silent", "no response in time");
+  }
+
+  #retry(reason: string, detail: string): void {
+    this.#log.retried(this.#history.progress(), reason, detail);
     this.#chooseAndSend();
   }
 
@@ -232,10 +240,10 @@
       // An error response cannot continue a stream that has begun.
       this.#attempt?.discard("server_error");
       this.#onFailure("broken", `resuming failed with status ${head.status}`);
-      return _discardingSink;
+      return DISCARDING_SINK;
     }
     if (head.status >= SERVER_ERROR_STATUS && this.#retryServerError()) {
-      return _discardingSink;
+      return DISCARDING_SINK;
     }
     this.#relay ??= this.#createRelay(head);
     const { exchange } = this.#attempt as RequestAttempt;
@@ -248,12 +256,7 @@
       return false;
     }
     this.#attempt?.discard("server_error");
-    this.#log.retried(
-      this.#history.progress(),
-      "server_error",
-      "the server responded with an error",
-    );
-    this.#chooseAndSend();
+    this.#retry("server_error", "the server responded with an error");
     return true;
   }
 
@@ -262,7 +265,7 @@
       response: this.#response,
       mode: chooseRelayMode(this.#checked.route.kind, head.status),
       extraHeaders: () =>
-        this.#context.isStopping() ? ["Connection", "close"] : [],
+        this.#context.plannedStop.isStopping ? ["Connection", "close"] : [],
       listener: {
         onFirstByte: () => this.#onFirstByte(),
         onEvents: () => this.#onEvents(),
@@ -296,7 +299,7 @@
       const { promptParts } = this.#checked.metadata;
       this.#context.crashes.recordCompleted(promptParts, this.#now());
     }
-    this.#finish(
+    this.#ending.finish(
       "request.ended",
       outcome,
       isSuccess ? { server } : { server, status },
@@ -314,8 +317,7 @@
   #onFailure(failure: AttemptFailure, detail: string): void {
     switch (this.#nextStep(failure)) {
       case "retry":
-        this.#log.retried(this.#history.progress(), failure, detail);
-        return this.#chooseAndSend();
+        return this.#retry(failure, detail);
       case "reject":
         return this.#reject("overloaded", detail, "full");
       case "cut":
@@ -326,7 +328,7 @@
   }
 
   #onTimeout(): void {
-    if (this.#isFinished) return;
+    if (this.#ending.isFinished) return;
     const detail = "the request timed out";
     if (this.#response.headersSent) {
       this.#timeout = this.#context.timers.after(
@@ -336,55 +338,54 @@
       );
       return;
     }
+    this.#giveUp(detail, "timeout");
+  }
+
+  /** Ends a request without a response and says whether it may have run. */
+  #giveUp(detail: string, reason: "timeout" | "stopping"): void {
+    if (this.#response.headersSent) return this.#truncate(detail);
     const wasSent = this.#attempt?.exchange.wasSent() ?? false;
-    this.#attempt?.cancel("timeout");
+    this.#attempt?.cancel(reason);
     const mayHaveRun = wasSent || this.#history.runs > 0;
-    const kind = mayHaveRun ? "answer_timeout" : "overloaded";
-    this.#reject(kind, detail, "full");
+    if (reason === "stopping") {
+      const kind = mayHaveRun ? "outcome_unknown" : "stopping";
+      return this.#reject(kind, detail, "stopping");
+    }
+    this.#reject(mayHaveRun ? "answer_timeout" : "overloaded", detail, "full");
   }
 
   /** Handles a caller that disconnects before the request has ended. */
   #onClose(): void {
-    if (this.#isFinished) return;
+    if (this.#ending.isFinished) return;
     this.#attempt?.cancel("cancelled");
-    this.#finish("request.cancelled", "cancelled", {});
+    this.#ending.finish("request.cancelled", "cancelled", {});
   }
 
   #truncate(detail: string): void {
-    if (this.#isFinished) return;
+    if (this.#ending.isFinished) return;
     this.#attempt?.cancel("cut");
-    this.#finish("request.failed", "answer_truncated", { detail });
+    this.#ending.finish("request.failed", "answer_truncated", { detail });
     if (this.#relay) this.#relay.abort();
     else this.#response.destroy();
   }
 
+  /** Releases what the request held until its end. */
+  #release(): void {
+    this.#context.plannedStop.remove(this);
+    this.#timeout?.cancel();
+    this.#ignoreCaller();
+    this.#context.onFinished();
+  }
+
   #reject(
     kind: ErrorKind,
     detail: string,
     cause: RejectionCause,
     waitMilliseconds?: number,
   ): void {
-    if (this.#isFinished) return;
+    if (this.#ending.isFinished) return;
     if (this.#response.headersSent) return this.#truncate(detail);
-    const rejection = sendRejection(this.#response, createError(kind, detail), {
-      cause,
-      waitMilliseconds,
-      remainingMilliseconds: this.#history.remainingMilliseconds(),
-      random: this.#context.random,
-      isClosing: this.#context.isStopping() || !this.#request.complete,
-    });
-    const event = rejection.runState === "not_run"
-      ? "request.rejected"
-      : "request.failed";
-    this.#finish(event, kind, { detail, status: rejection.status });
-  }
-
-  #finish(end: RequestEnd, outcome: string, fields: RequestFields): void {
-    this.#isFinished = true;
-    this.#timeout?.cancel();
-    this.#ignoreCaller();
-    this.#log.ended(end, this.#history.progress(), outcome, fields);
-    this.#context.onFinished();
+    this.#ending.reject(kind, detail, { cause, waitMilliseconds });
   }
 }
 
--- a/src/pass_through_context.ts
+++ b/src/pass_through_context.ts
@@ -1,6 +1,7 @@
 /** What all requests of a gateway share. */
 import type { PromptCrashes } from "./core/prompt_crashes.ts";
 import type { RetryBudget } from "./core/retry_budget.ts";
+import type { PlannedStop } from "./planned_stop.ts";
 import type { AttemptContext } from "./request_attempt.ts";
 import type { RequestLogContext } from "./request_log.ts";
 import type { ServerChoiceContext } from "./server_choice.ts";
@@ -12,8 +13,7 @@
   readonly retries: (service: string) => RetryBudget;
   readonly crashes: PromptCrashes;
   readonly crashDetection: CrashDetection;
-  /** Whether this router is shutting down. */
-  readonly isStopping: () => boolean;
+  readonly plannedStop: PlannedStop;
   /** Called once when a request has ended, whatever its outcome. */
   readonly onFinished: () => void;
 }
--- /dev/null
+++ b/src/request_ending.ts
@@ -0,0 +1,66 @@
+/** The end of a request: its rejection, its log line and what it leaves behind. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { createError, type ErrorKind } from "./core/errors.ts";
+import type { PassThroughContext } from "./pass_through_context.ts";
+import { type RejectionOptions, sendRejection } from "./rejection.ts";
+import type { CheckedRequest } from "./request_check.ts";
+import type { RequestHistory } from "./request_history.ts";
+import type { RequestEnd, RequestFields, RequestLog } from "./request_log.ts";
+
+/** The request that ends, and what its end concerns. */
+export interface RequestEndingOptions {
+  readonly context: PassThroughContext;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly checked: CheckedRequest;
+  readonly history: RequestHistory;
+  readonly log: RequestLog;
+  /** Called once, after the end was logged. */
+  readonly onFinished: () => void;
+}
+
+/** Ends one request, once. */
+export class RequestEnding {
+  readonly #options: RequestEndingOptions;
+  #isFinished = false;
+
+  constructor(options: RequestEndingOptions) {
+    this.#options = options;
+  }
+
+  get isFinished(): boolean {
+    return this.#isFinished;
+  }
+
+  /** Responds with an error of the gateway's own. */
+  reject(
+    kind: ErrorKind,
+    detail: string,
+    retry: Pick<RejectionOptions, "cause" | "waitMilliseconds">,
+  ): void {
+    const { context, request, response, history } = this.#options;
+    const rejection = sendRejection(response, createError(kind, detail), {
+      ...retry,
+      remainingMilliseconds: history.remainingMilliseconds(),
+      random: context.random,
+      isClosing: context.plannedStop.isStopping || !request.complete,
+    });
+    const event = rejection.runState === "not_run"
+      ? "request.rejected"
+      : "request.failed";
+    this.finish(event, kind, { detail, status: rejection.status });
+  }
+
+  /** Logs the end. */
+  finish(end: RequestEnd, outcome: string, fields: RequestFields): void {
+    const { context, checked, history, log, onFinished } = this.#options;
+    this.#isFinished = true;
+    const progress = history.progress();
+    if (end === "request.ended") {
+      const { name } = checked.route;
+      context.plannedStop.recordServed(name, progress.milliseconds);
+    }
+    log.ended(end, progress, outcome, fields);
+    onFinished();
+  }
+}
--- a/src/request_history.ts
+++ b/src/request_history.ts
@@ -45,6 +45,12 @@
     return this.#runs;
   }
 
+  /** Whether another server may run the request while one may be at work on it. */
+  get mayRunAgain(): boolean {
+    const { route } = this.#checked;
+    return isRepeatable(route) && this.#runs + 1 < route.maximumBackendServers;
+  }
+
   remainingMilliseconds(): number {
     const elapsed = this.#clock.monotonicMilliseconds() - this.#startedAt;
     return this.#checked.timeoutMilliseconds - elapsed;
