Keep the order of delayed bytes in the soak's proxy, and let its process end

And the soak's process did not end: a side of a silenced connection was no longer listed, and Node.js cannot reset a socket that is being ended; its handle then stays active for ever (seen with getActiveResourcesInfo: sockets that are destroyed and still active). Ruled out: a fault of the router; the check of streams is as it was. Change: a queue for each direction; a link is listed until both sides are closed; a socket that is being ended is closed instead of reset.

--- a/soak/loopback_proxy.ts
+++ b/soak/loopback_proxy.ts
@@ -20,6 +20,36 @@
 
 const DELAY_MILLISECONDS = 120;
 
+/** Runs actions in the order in which they were added, each after its delay. */
+class _DelayQueue {
+  readonly #actions: { readonly at: number; readonly run: () => void }[] = [];
+
+  add(delayMilliseconds: number, run: () => void): void {
+    if (delayMilliseconds === 0 && this.#actions.length === 0) return run();
+    this.#actions.push({ at: performance.now() + delayMilliseconds, run });
+    if (this.#actions.length === 1) this.#wait();
+  }
+
+  #wait(): void {
+    const [next] = this.#actions;
+    if (!next) return;
+    setTimeout(() => {
+      this.#actions.shift();
+      next.run();
+      this.#wait();
+    }, Math.max(0, next.at - performance.now()));
+  }
+}
+
+/**
+ * Resets a socket. One that is being ended is closed instead: Node.js cannot reset
+ * it and would keep its handle, and with it the process, for ever.
+ */
+function _reset(socket: Socket): void {
+  if (socket.writableEnded || socket.destroyed) socket.destroy();
+  else socket.resetAndDestroy();
+}
+
 interface _Link {
   readonly client: Socket;
   readonly target: Socket;
@@ -64,12 +94,12 @@
   }
 
   #reset({ client, target }: _Link): void {
-    client.resetAndDestroy();
-    target.resetAndDestroy();
+    _reset(client);
+    _reset(target);
   }
 
   #accept(client: Socket): void {
-    if (this.#fault === "reset") return void client.resetAndDestroy();
+    if (this.#fault === "reset") return _reset(client);
     const [host = "", port = ""] = this.#target().split(":");
     const target = connect({ host, port: Number(port), allowHalfOpen: true });
     const link: _Link = { client, target, fault: this.#fault };
@@ -79,21 +109,28 @@
   }
 
   #pipe(link: _Link, from: Socket, to: Socket, isFromTarget: boolean): void {
+    const queue = new _DelayQueue();
+    function add(run: () => void): void {
+      queue.add(link.fault === "delay" ? DELAY_MILLISECONDS : 0, run);
+    }
+    function end(): void {
+      if (!to.destroyed) to.end();
+    }
+
     from.on("data", (chunk: Buffer) => {
       if (link.fault === "silence") return;
       if (link.fault === "one_way" && isFromTarget) return;
-      if (link.fault !== "delay") return void to.write(chunk);
-      setTimeout(() => to.write(chunk), DELAY_MILLISECONDS);
+      add(() => void (to.destroyed || to.write(chunk)));
     });
     from.on("end", () => {
-      const delay = link.fault === "delay" ? DELAY_MILLISECONDS : 0;
-      if (link.fault !== "silence") setTimeout(() => to.end(), delay);
+      if (link.fault !== "silence") add(end);
     });
     // An error on one side resets the other side.
-    from.on("error", () => to.resetAndDestroy());
+    from.on("error", () => _reset(to));
     from.on("close", () => {
-      this.#links.delete(link);
-      if (link.fault !== "silence" && !to.destroyed) to.end();
+      // The silenced side of a link stays open until the proxy stops.
+      if (to.destroyed) this.#links.delete(link);
+      else if (link.fault !== "silence") add(end);
     });
   }
 }
