Hold back departed servers also when a restored store is listed again

What callers would have seen: requests to a server that had left, within 5 s of a return from a copy, if the servers are listed a second time in that time. Cause: found while reading the change: a further list of the same era forgot which servers were held back. Change: they are held back until their time or until the store no longer lists them. Figures: the new test in server_registry_test.ts fails before (2 servers instead of 1). Conclusion: none further.

--- a/src/core/server_registry.ts
+++ b/src/core/server_registry.ts
@@ -154,19 +154,29 @@
     // The store was away, even if no call of this router failed.
     if (isRestored) this.#storeUpSince = now;
     this.#revision = revision;
-    this.#returning.clear();
     const listed = new Set(servers.map(({ id }) => id));
     const missing = [...this.#servers.keys()].filter((id) => !listed.has(id));
     this.#removeOrDefer(missing, now);
-    for (const server of servers) {
-      if (isRestored && this.#departed.has(incarnationKeyOf(server))) {
-        const usableAt = now + RETURN_GRACE_MILLISECONDS;
-        this.#returning.set(server.id, { server, usableAt });
-      } else this.#set(server);
+    for (const server of servers) this.#setOrHoldBack(server, isRestored, now);
+    for (const id of this.#returning.keys()) {
+      if (!listed.has(id)) this.#returning.delete(id);
     }
     this.#rebuild();
   }
 
+  /** Sets a listed server unless it had left before the store returned from a copy. */
+  #setOrHoldBack(
+    server: RegisteredServer,
+    isRestored: boolean,
+    now: number,
+  ): void {
+    const isReturning = this.#returning.has(server.id);
+    const hasDeparted = this.#departed.has(incarnationKeyOf(server));
+    if (!hasDeparted || !(isRestored || isReturning)) return this.#set(server);
+    const usableAt = now + RETURN_GRACE_MILLISECONDS;
+    if (!isReturning) this.#returning.set(server.id, { server, usableAt });
+  }
+
   /**
    * Takes over the revision of a peer that has the same servers, so that what it
    * sends next is not taken for a state of another era.
--- a/src/core/server_registry_test.ts
+++ b/src/core/server_registry_test.ts
@@ -1,13 +1,15 @@
 import test from "ava";
-import { testServer } from "../../stand_ins/registered_servers.ts";
+import { testServer, testServers } from "../../stand_ins/registered_servers.ts";
 import { serviceIdSchema } from "./gateway_configuration.ts";
 import { type BackendServerId, brandId } from "./ids.ts";
 import {
   createServerRegistry,
   MASS_REMOVAL_GRACE_MILLISECONDS,
+  type RegisteredServer,
   REREGISTRATION_GRACE_MILLISECONDS,
   type ServerRegistry,
 } from "./server_registry.ts";
+import { toStoreRevision } from "./store_revision.ts";
 
 const POOL = serviceIdSchema.parse("pool");
 
@@ -123,3 +125,21 @@
   right.apply(100, [{ id: idOf("a"), server: undefined }], 2);
   t.not(left.digest, right.digest);
 });
+
+test("guards against a second list after a return from a copy that brings back a server that had left", (t) => {
+  const registry = createServerRegistry();
+  const [staying, left] = testServers(2) as [
+    RegisteredServer,
+    RegisteredServer,
+  ];
+  registry.replace({ revision: 5, servers: [staying, left] }, 0);
+  registry.apply(6, [{ id: left.id, server: undefined }], 1_000);
+  t.is(registry.size, 1);
+  const revision = toStoreRevision({ era: 1, revision: 4 });
+  registry.replace({ revision, servers: [staying, left] }, 2_000);
+  registry.replace({ revision: revision + 1, servers: [staying, left] }, 3_000);
+  registry.expire(6_900);
+  t.is(registry.size, 1);
+  registry.expire(7_000);
+  t.is(registry.size, 2);
+});
