--- /dev/null
+++ b/review/eslint.config.js
@@ -0,0 +1,1 @@
+export default [{ ignores: ["**"] }];
