--- a/review/support/link.mjs
+++ b/review/support/link.mjs
@@ -1,14 +1,21 @@
 /**
- * A link in front of a stand-in. Its open connections can fall silent for good,
- * without a reset, while new ones work (DEPLOY.md, "How these days are played").
+ * A link between two processes. It can have a delay, and its open connections can fall
+ * silent for good, without a reset, while new ones work (DEPLOY.md, "How these days are
+ * played").
  */
 import { connect, createServer } from "node:net";
 
 export class Link {
   #target;
   #pairs = new Set();
+  #delayMilliseconds;
   #server = createServer({ allowHalfOpen: true }, (client) => this.#join(client));
 
+  /** The delay is one way. */
+  constructor({ delayMilliseconds = 0 } = {}) {
+    this.#delayMilliseconds = delayMilliseconds;
+  }
+
   async start(target) {
     const [host, port] = target.split(":");
     this.#target = { host, port: Number(port), allowHalfOpen: true };
@@ -41,10 +48,10 @@
   #forward(pair, from, to) {
     from.setNoDelay(true);
     from.on("data", (bytes) => {
-      if (!pair.isSilent) to.write(bytes);
+      if (!pair.isSilent) this.#later(() => to.write(bytes));
     });
     from.on("end", () => {
-      if (!pair.isSilent) to.end();
+      if (!pair.isSilent) this.#later(() => to.end());
     });
     from.on("error", () => {
       if (!pair.isSilent) to.destroy();
@@ -53,7 +60,13 @@
       // The other end of a silent connection hears nothing of it.
       if (pair.isSilent) return;
       this.#pairs.delete(pair);
-      to.destroy();
+      this.#later(() => to.destroy());
     });
   }
+
+  /** Timers of one length run in the order in which they were set. */
+  #later(action) {
+    if (this.#delayMilliseconds === 0) action();
+    else setTimeout(action, this.#delayMilliseconds);
+  }
 }
