--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -64,10 +64,24 @@
   defer(() => agent.destroy());
   const calls = [];
   for (let index = 0; index < 2 * CLIENTS; index++) {
-    calls.push(send(front, { host: HOST, path: "/desk/other", key: "key", id: createId(), method: "POST", body: "x", agent }));
+    calls.push(
+      send(front, {
+        host: HOST,
+        path: "/desk/other",
+        key: "key",
+        id: createId(),
+        method: "POST",
+        body: "x",
+        agent,
+      }),
+    );
   }
-  const served = (await Promise.all(calls)).filter(({ status }) => status === 200);
-  record.note(`${served.length} of ${calls.length} requests are served before the freeze`);
+  const served = (await Promise.all(calls)).filter(({ status }) =>
+    status === 200
+  );
+  record.note(
+    `${served.length} of ${calls.length} requests are served before the freeze`,
+  );
 }
 
 /** Suspends one router while clients send; returns the number of broken promises. */
@@ -77,7 +91,9 @@
   defer(() => link.stop());
   await serveSomeRequests(front, { record, defer });
   const clients = [];
-  for (let index = 0; index < CLIENTS; index++) clients.push(await openClient(front));
+  for (let index = 0; index < CLIENTS; index++) {
+    clients.push(await openClient(front));
+  }
   defer(() => clients.forEach(({ socket }) => socket.destroy()));
   await sleep(CONNECTED_MILLISECONDS);
   if (isTrouble) {
@@ -98,9 +114,13 @@
     const isBroken = PROMISES.has(status) && run !== undefined;
     if (isBroken) violations++;
     record.note(
-      `${node.name}: request ${id}, sent ${sentAt - connectedAt} ms after its client had connected: ` +
+      `${node.name}: request ${id}, sent ${
+        sentAt - connectedAt
+      } ms after its client had connected: ` +
         `answered with ${status || "nothing"}; ` +
-        (run ? `run by ${run.runner} ${run.at - sentAt} ms after it was sent` : "not run") +
+        (run
+          ? `run by ${run.runner} ${run.at - sentAt} ms after it was sent`
+          : "not run") +
         (isBroken ? "; BROKEN: the status promises that it has not run" : ""),
       sentAt,
     );
@@ -114,24 +134,33 @@
   defer(() => store.stop());
   const runs = new Map();
   for (const id of ["i-1", "i-2"]) {
-    const runner = new Runner({ id, service: "desk", workMilliseconds: () => 50, onRun: (run) => runs.set(run.id, run) });
+    const runner = new Runner({
+      id,
+      service: "desk",
+      workMilliseconds: () => 50,
+      onRun: (run) => runs.set(run.id, run),
+    });
     await runner.start();
     defer(() => runner.stop());
     store.put("servers", id, runner.entry());
   }
-  store.put("config", "main", createConfiguration({
-    version: 10,
-    routes: [{
-      name: "desk",
-      host: HOST,
-      pathPrefix: "/desk/",
-      routeType: "non_idempotent",
-      service: "desk",
-      timeoutMs: DEADLINE_MILLISECONDS,
-    }],
-    services: ["desk"],
-    tenants: [{ name: "temple", apiKeys: ["key"] }],
-  }));
+  store.put(
+    "config",
+    "main",
+    createConfiguration({
+      version: 10,
+      routes: [{
+        name: "desk",
+        host: HOST,
+        pathPrefix: "/desk/",
+        routeType: "non_idempotent",
+        service: "desk",
+        timeoutMs: DEADLINE_MILLISECONDS,
+      }],
+      services: ["desk"],
+      tenants: [{ name: "temple", apiKeys: ["key"] }],
+    }),
+  );
   const fleet = new Fleet();
   defer(() => fleet.stop());
   await fleet.start(ROUTERS, storeAddress, record);
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -72,28 +72,36 @@
   const storeAddress = await store.start();
   defer(() => store.stop());
   for (const id of ["i-1", "i-2", "i-3"]) {
-    const runner = new Runner({ id, service: "desk", workMilliseconds: () => 20 });
+    const runner = new Runner({
+      id,
+      service: "desk",
+      workMilliseconds: () => 20,
+    });
     await runner.start();
     defer(() => runner.stop());
     store.put("servers", id, runner.entry());
   }
   const faulty = await startFaultyRunner(isTrouble, record);
   defer(() => faulty.stop());
-  store.put("config", "main", createConfiguration({
-    version: 10,
-    routes: [{
-      name: "desk",
-      host: HOST,
-      pathPrefix: "/desk/",
-      routeType: "idempotent",
-      maxAttempts: 2,
-      service: "desk",
-      timeoutMs: TIMEOUT_MILLISECONDS,
-      targetLatencyMs: 300,
-    }],
-    services: ["desk"],
-    tenants: [{ name: "temple", apiKeys: ["key"] }],
-  }));
+  store.put(
+    "config",
+    "main",
+    createConfiguration({
+      version: 10,
+      routes: [{
+        name: "desk",
+        host: HOST,
+        pathPrefix: "/desk/",
+        routeType: "idempotent",
+        maxAttempts: 2,
+        service: "desk",
+        timeoutMs: TIMEOUT_MILLISECONDS,
+        targetLatencyMs: 300,
+      }],
+      services: ["desk"],
+      tenants: [{ name: "temple", apiKeys: ["key"] }],
+    }),
+  );
   const fleet = new Fleet();
   defer(() => fleet.stop());
   await fleet.start(ROUTERS, storeAddress, record);
@@ -121,14 +129,25 @@
       record.note("i-faulty registers");
     }
     for (const { name, front } of fleet.nodes) {
-      const call = { host: HOST, path: "/desk/1", key: "key", id: createId(), agent, deadlineMilliseconds: CLIENT_DEADLINE_MILLISECONDS };
+      const call = {
+        host: HOST,
+        path: "/desk/1",
+        key: "key",
+        id: createId(),
+        agent,
+        deadlineMilliseconds: CLIENT_DEADLINE_MILLISECONDS,
+      };
       calls.push(send(front, call).then((result) => ({ ...result, name })));
     }
     await sleep(REQUEST_PERIOD_MILLISECONDS);
   }
   let unanswered = 0;
   let late = 0;
-  for (const { id, sentAt, endedAt, status, error, name } of await Promise.all(calls)) {
+  for (
+    const { id, sentAt, endedAt, status, error, name } of await Promise.all(
+      calls,
+    )
+  ) {
     const milliseconds = endedAt - sentAt;
     const isUnanswered = milliseconds > TIMEOUT_MILLISECONDS;
     const isLate = milliseconds > TIMEOUT_MILLISECONDS + LATE_MILLISECONDS;
@@ -136,12 +155,18 @@
     if (isLate) late++;
     record.note(
       `${name}: request ${id} got ${status || error} after ${milliseconds} ms` +
-        (isLate ? `; LATE: no answer at ${TIMEOUT_MILLISECONDS + LATE_MILLISECONDS} ms` : ""),
+        (isLate
+          ? `; LATE: no answer at ${
+            TIMEOUT_MILLISECONDS + LATE_MILLISECONDS
+          } ms`
+          : ""),
       sentAt,
     );
   }
-  record.note(`${unanswered} of ${calls.length} requests had no answer at timeoutMs, ` +
-    `and ${late} of these none half a second later (the rule is broken by more than half)`);
+  record.note(
+    `${unanswered} of ${calls.length} requests had no answer at timeoutMs, ` +
+      `and ${late} of these none half a second later (the rule is broken by more than half)`,
+  );
   const isBroken = unanswered >= MINIMUM_UNANSWERED && late > unanswered / 2;
   return isBroken ? late : 0;
 });
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -23,8 +23,19 @@
 const OBSERVE_MILLISECONDS = 20_000;
 const REQUEST_PERIOD_MILLISECONDS = 100;
 
-const ROUTE = { name: "orders", host: HOST, pathPrefix: "/orders/", routeType: "idempotent" };
-const OTHER = { name: "other", host: HOST, pathPrefix: "/other/", routeType: "idempotent", service: "desk-old" };
+const ROUTE = {
+  name: "orders",
+  host: HOST,
+  pathPrefix: "/orders/",
+  routeType: "idempotent",
+};
+const OTHER = {
+  name: "other",
+  host: HOST,
+  pathPrefix: "/other/",
+  routeType: "idempotent",
+  service: "desk-old",
+};
 const BOTH_KEYS = [{ name: "temple", apiKeys: ["key-kept", "key-withdrawn"] }];
 const ONE_KEY = [{ name: "temple", apiKeys: ["key-kept"] }];
 const SERVICES = ["desk-old", "desk-new"];
@@ -37,13 +48,21 @@
   defer(() => link.stop());
   const runs = [];
   for (const service of SERVICES) {
-    const runner = new Runner({ id: `i-${service}`, service, onRun: (run) => runs.push(run) });
+    const runner = new Runner({
+      id: `i-${service}`,
+      service,
+      onRun: (run) => runs.push(run),
+    });
     await runner.start();
     defer(() => runner.stop());
     store.put("servers", runner.id, runner.entry());
   }
   function change(version, routes, tenants) {
-    store.put("config", "main", createConfiguration({ version, routes, services: SERVICES, tenants }));
+    store.put(
+      "config",
+      "main",
+      createConfiguration({ version, routes, services: SERVICES, tenants }),
+    );
     record.note(`the store acknowledges version ${version}`);
     return Date.now();
   }
@@ -57,11 +76,17 @@
   change(20, [...first, OTHER], BOTH_KEYS);
   await sleep(1_500);
   if (isTrouble) {
-    record.note(`${link.silence()} open connections to the store fall silent; new ones work`);
+    record.note(
+      `${link.silence()} open connections to the store fall silent; new ones work`,
+    );
   }
   await sleep(CHANGE_AFTER_MILLISECONDS);
   // The route moves to another service, and a key is withdrawn.
-  const acknowledgedAt = change(30, [{ ...ROUTE, service: "desk-new" }, OTHER], ONE_KEY);
+  const acknowledgedAt = change(
+    30,
+    [{ ...ROUTE, service: "desk-new" }, OTHER],
+    ONE_KEY,
+  );
 
   const agent = createKeptConnections();
   defer(() => agent.destroy());
@@ -69,8 +94,16 @@
   while (Date.now() < acknowledgedAt + OBSERVE_MILLISECONDS) {
     for (const { name, front } of fleet.nodes) {
       for (const key of BOTH_KEYS[0].apiKeys) {
-        const call = { host: HOST, path: "/orders/1", key, id: createId(), agent };
-        calls.push(send(front, call).then((result) => ({ ...result, key, name })));
+        const call = {
+          host: HOST,
+          path: "/orders/1",
+          key,
+          id: createId(),
+          agent,
+        };
+        calls.push(
+          send(front, call).then((result) => ({ ...result, key, name })),
+        );
       }
     }
     await sleep(REQUEST_PERIOD_MILLISECONDS);
@@ -78,7 +111,9 @@
   let violations = 0;
   let latest = 0;
   const runById = new Map(runs.map((run) => [run.id, run]));
-  for (const { id, sentAt, endedAt, status, key, name } of await Promise.all(calls)) {
+  for (
+    const { id, sentAt, endedAt, status, key, name } of await Promise.all(calls)
+  ) {
     const run = runById.get(id);
     const late = sentAt - acknowledgedAt;
     const isOldService = run?.service === "desk-old";
@@ -94,7 +129,9 @@
       sentAt,
     );
   }
-  record.note(`${violations} of ${calls.length} requests were handled as only an older version allows, ` +
-    `the last ${latest} ms after the acknowledgement (bound ${BOUNDS.configApplyMs} ms)`);
+  record.note(
+    `${violations} of ${calls.length} requests were handled as only an older version allows, ` +
+      `the last ${latest} ms after the acknowledgement (bound ${BOUNDS.configApplyMs} ms)`,
+  );
   return violations;
 });
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -32,7 +32,11 @@
   defer(() => link.stop());
   const runs = [];
   async function startRunner(id) {
-    const runner = new Runner({ id, service: "desk", onRun: (run) => runs.push(run) });
+    const runner = new Runner({
+      id,
+      service: "desk",
+      onRun: (run) => runs.push(run),
+    });
     await runner.start();
     defer(() => runner.stop());
     store.put("servers", id, runner.entry());
@@ -40,13 +44,25 @@
     return runner;
   }
   const leaving = await startRunner("i-1");
-  for (let index = 2; index <= RUNNERS; index++) await startRunner(`i-${index}`);
-  store.put("config", "main", createConfiguration({
-    version: 10,
-    routes: [{ name: "desk", host: HOST, pathPrefix: "/desk/", routeType: "non_idempotent", service: "desk" }],
-    services: ["desk"],
-    tenants: [{ name: "temple", apiKeys: ["key"] }],
-  }));
+  for (let index = 2; index <= RUNNERS; index++) {
+    await startRunner(`i-${index}`);
+  }
+  store.put(
+    "config",
+    "main",
+    createConfiguration({
+      version: 10,
+      routes: [{
+        name: "desk",
+        host: HOST,
+        pathPrefix: "/desk/",
+        routeType: "non_idempotent",
+        service: "desk",
+      }],
+      services: ["desk"],
+      tenants: [{ name: "temple", apiKeys: ["key"] }],
+    }),
+  );
   const fleet = new Fleet();
   defer(() => fleet.stop());
   await fleet.start(ROUTERS, storeAddress, record);
@@ -55,7 +71,9 @@
   await startRunner(`i-${RUNNERS + 1}`);
   await sleep(500);
   if (isTrouble) {
-    record.note(`${link.silence()} open connections to the store fall silent; new ones work`);
+    record.note(
+      `${link.silence()} open connections to the store fall silent; new ones work`,
+    );
   }
   await sleep(DRAIN_AFTER_MILLISECONDS);
   store.put("servers", leaving.id, leaving.entry("draining"));
@@ -67,7 +85,15 @@
   const calls = [];
   while (Date.now() < acknowledgedAt + OBSERVE_MILLISECONDS) {
     for (const { name, front } of fleet.nodes) {
-      const call = { host: HOST, path: "/desk/1", key: "key", id: createId(), method: "POST", body: "x", agent };
+      const call = {
+        host: HOST,
+        path: "/desk/1",
+        key: "key",
+        id: createId(),
+        method: "POST",
+        body: "x",
+        agent,
+      };
       calls.push(send(front, call).then((result) => ({ ...result, name })));
     }
     await sleep(REQUEST_PERIOD_MILLISECONDS);
@@ -82,13 +108,17 @@
     if (isBroken) violations++;
     if (isBroken) latest = Math.max(latest, late);
     record.note(
-      `${name}: request ${id}, sent ${sentAt - acknowledgedAt} ms after the acknowledgement, got ${status}` +
+      `${name}: request ${id}, sent ${
+        sentAt - acknowledgedAt
+      } ms after the acknowledgement, got ${status}` +
         (run ? `; reached ${run.runner} at ${late} ms` : "; not run") +
         (isBroken ? "; BROKEN: the runner is leaving" : ""),
       sentAt,
     );
   }
-  record.note(`${violations} of ${calls.length} requests reached the leaving runner too late, ` +
-    `the last ${latest} ms after the acknowledgement (bound ${BOUNDS.drainMs} ms)`);
+  record.note(
+    `${violations} of ${calls.length} requests reached the leaving runner too late, ` +
+      `the last ${latest} ms after the acknowledgement (bound ${BOUNDS.drainMs} ms)`,
+  );
   return violations;
 });
--- a/review/support/fleet.mjs
+++ b/review/support/fleet.mjs
@@ -80,7 +80,9 @@
     const lines = [...this.#lines].sort((left, right) => left.at - right.at);
     writeFileSync(
       this.#path,
-      lines.map(({ at, text }) => `${this.seconds(at).padStart(8)} s  ${text}\n`)
+      lines.map(({ at, text }) =>
+        `${this.seconds(at).padStart(8)} s  ${text}\n`
+      )
         .join(""),
     );
   }
@@ -96,10 +98,18 @@
     const addresses = await findFreeAddresses(4 * count);
     for (let index = 0; index < count; index++) {
       const [front, ready, control, directory] = addresses.slice(4 * index);
-      this.nodes.push({ name: `edge-a-${index + 1}`, front, ready, control, directory });
+      this.nodes.push({
+        name: `edge-a-${index + 1}`,
+        front,
+        ready,
+        control,
+        directory,
+      });
     }
     const seeds = this.nodes.slice(0, 3).map(({ control }) => control);
-    for (const node of this.nodes) this.#spawn(node, seeds, storeAddress, record);
+    for (const node of this.nodes) {
+      this.#spawn(node, seeds, storeAddress, record);
+    }
     await Promise.all(this.nodes.map((node) => this.#waitUntilReady(node)));
   }
 
@@ -137,23 +147,32 @@
     writeFileSync(path, JSON.stringify(settings));
     const [program, ...words] = readRunCommand();
     const { PATH, HOME, LANG } = process.env;
-    const child = spawn(program === "node" ? process.execPath : program, words, {
-      cwd: ROOT,
-      env: { PATH, HOME, LANG, SAPPHIRECART_SETTINGS: path },
-      stdio: ["ignore", "pipe", "inherit"],
-    });
+    const child = spawn(
+      program === "node" ? process.execPath : program,
+      words,
+      {
+        cwd: ROOT,
+        env: { PATH, HOME, LANG, SAPPHIRECART_SETTINGS: path },
+        stdio: ["ignore", "pipe", "inherit"],
+      },
+    );
     node.child = child;
     node.exited = new Promise((resolve) => child.once("exit", resolve));
     child.once("exit", (code, signal) => {
       node.exitedAt = Date.now();
-      record.note(`${name}: the process ended (code ${code}, signal ${signal})`);
+      record.note(
+        `${name}: the process ended (code ${code}, signal ${signal})`,
+      );
     });
     let rest = "";
     child.stdout.on("data", (bytes) => {
       const lines = (rest + String(bytes)).split("\n");
       rest = lines.pop();
       for (const line of lines) {
-        if (!/"(configuration\.in_force|registry\.changed|process\.\w+|dependency\.\w+)"/.test(line)) continue;
+        if (
+          !/"(configuration\.in_force|registry\.changed|process\.\w+|dependency\.\w+)"/
+            .test(line)
+        ) continue;
         record.note(`${name} logs: ${line}`);
       }
     });
@@ -176,7 +195,9 @@
   /** Ends all processes that this fleet started. */
   async stop() {
     for (const child of this.#children) {
-      if (child.exitCode === null && child.signalCode === null) child.kill("SIGKILL");
+      if (child.exitCode === null && child.signalCode === null) {
+        child.kill("SIGKILL");
+      }
     }
     await Promise.all(this.nodes.map(({ exited }) => exited));
     rmSync(this.#folder, { recursive: true, force: true });
@@ -187,7 +208,9 @@
 
 /** A new request id. */
 export function createId() {
-  return `r${process.pid.toString(16)}-${(nextId++).toString(16).padStart(6, "0")}`;
+  return `r${process.pid.toString(16)}-${
+    (nextId++).toString(16).padStart(6, "0")
+  }`;
 }
 
 /**
@@ -195,7 +218,16 @@
  * error that ended it. `isComplete` tells whether the whole response arrived.
  */
 export function send(front, options) {
-  const { id, host, path, key, method = "GET", body, agent, deadlineMilliseconds = 4_000 } = options;
+  const {
+    id,
+    host,
+    path,
+    key,
+    method = "GET",
+    body,
+    agent,
+    deadlineMilliseconds = 4_000,
+  } = options;
   const sentAt = Date.now();
   const headers = {
     Host: host,
@@ -207,22 +239,37 @@
   const [hostname, port] = front.split(":");
   return new Promise((resolve) => {
     const finish = (result) =>
-      resolve({ id, sentAt, endedAt: Date.now(), isComplete: false, ...result });
-    const call = httpRequest({ hostname, port, method, path, headers, agent }, (response) => {
-      let text = "";
-      response.setEncoding("utf8");
-      response.on("data", (chunk) => text += chunk);
-      response.on("error", () => undefined);
-      response.on("close", () =>
-        finish({
-          status: response.statusCode,
-          signature: response.headers["x-sapphirecart-response-signature"],
-          text,
-          isComplete: response.complete,
-        }));
-    });
-    call.on("error", (error) => finish({ status: 0, error: error.code ?? error.message }));
-    call.setTimeout(deadlineMilliseconds, () => call.destroy(new Error("deadline")));
+      resolve({
+        id,
+        sentAt,
+        endedAt: Date.now(),
+        isComplete: false,
+        ...result,
+      });
+    const call = httpRequest(
+      { hostname, port, method, path, headers, agent },
+      (response) => {
+        let text = "";
+        response.setEncoding("utf8");
+        response.on("data", (chunk) => text += chunk);
+        response.on("error", () => undefined);
+        response.on("close", () =>
+          finish({
+            status: response.statusCode,
+            signature: response.headers["x-sapphirecart-response-signature"],
+            text,
+            isComplete: response.complete,
+          }));
+      },
+    );
+    call.on(
+      "error",
+      (error) => finish({ status: 0, error: error.code ?? error.message }),
+    );
+    call.setTimeout(
+      deadlineMilliseconds,
+      () => call.destroy(new Error("deadline")),
+    );
     call.end(body);
   });
 }
@@ -245,7 +292,11 @@
       streamResume: false,
       ...route,
     })),
-    services: services.map((name) => ({ name, healthPath: "/health", maxConnections: 200 })),
+    services: services.map((name) => ({
+      name,
+      healthPath: "/health",
+      maxConnections: 200,
+    })),
     limits: {
       maxHeaderBytes: 16_384,
       maxBodyBytes: 4_194_304,
@@ -268,12 +319,16 @@
       defer: (cleanup) => cleanups.push(cleanup),
     });
     code = violations > 0 ? 1 : 0;
-    record.note(code === 1 ? `BROKEN: ${violations} violations` : "HELD: no violation");
+    record.note(
+      code === 1 ? `BROKEN: ${violations} violations` : "HELD: no violation",
+    );
   } catch (error) {
     record.note(`the case could not run: ${error.stack}`);
   }
   for (const cleanup of cleanups.reverse()) await cleanup();
   record.write();
-  process.stdout.write(`${code === 1 ? "broken" : code === 0 ? "held" : "could not run"}\n`);
+  process.stdout.write(
+    `${code === 1 ? "broken" : code === 0 ? "held" : "could not run"}\n`,
+  );
   process.exit(code);
 }
--- a/review/support/link.mjs
+++ b/review/support/link.mjs
@@ -9,7 +9,10 @@
   #target;
   #pairs = new Set();
   #delayMilliseconds;
-  #server = createServer({ allowHalfOpen: true }, (client) => this.#join(client));
+  #server = createServer(
+    { allowHalfOpen: true },
+    (client) => this.#join(client),
+  );
 
   /** The delay is one way. */
   constructor({ delayMilliseconds = 0 } = {}) {
@@ -19,7 +22,9 @@
   async start(target) {
     const [host, port] = target.split(":");
     this.#target = { host, port: Number(port), allowHalfOpen: true };
-    await new Promise((resolve) => this.#server.listen(0, "127.0.0.1", resolve));
+    await new Promise((resolve) =>
+      this.#server.listen(0, "127.0.0.1", resolve)
+    );
     return `127.0.0.1:${this.#server.address().port}`;
   }
 
--- a/review/support/runner.mjs
+++ b/review/support/runner.mjs
@@ -27,7 +27,9 @@
       this.#handle(request, response).catch(() => response.destroy());
     });
     this.#server.keepAliveTimeout = 60_000;
-    await new Promise((resolve) => this.#server.listen(0, "127.0.0.1", resolve));
+    await new Promise((resolve) =>
+      this.#server.listen(0, "127.0.0.1", resolve)
+    );
     this.address = `127.0.0.1:${this.#server.address().port}`;
   }
 
@@ -52,7 +54,8 @@
   }
 
   async #handle(request, response) {
-    const { id, service, workMilliseconds = () => 5, onRun, onEnd } = this.#options;
+    const { id, service, workMilliseconds = () => 5, onRun, onEnd } =
+      this.#options;
     const requestId = request.headers["x-sapphirecart-request-id"];
     const head = { "X-Sapphirecart-Request-Id": requestId ?? "" };
     let body = "";
@@ -68,10 +71,19 @@
       response.writeHead(isMisdirected ? 421 : 400, head).end();
       return;
     }
-    const run = { at: Date.now(), id: requestId, runner: id, service, path: request.url };
+    const run = {
+      at: Date.now(),
+      id: requestId,
+      runner: id,
+      service,
+      path: request.url,
+    };
     onRun?.(run);
-    await new Promise((resolve) => setTimeout(resolve, workMilliseconds(request)));
-    const text = `${service} ${id} ran ${request.method} ${request.url} ${body}`;
+    await new Promise((resolve) =>
+      setTimeout(resolve, workMilliseconds(request))
+    );
+    const text =
+      `${service} ${id} ran ${request.method} ${request.url} ${body}`;
     head["X-Sapphirecart-Response-Signature"] = `s.${id}.${requestId}`;
     head["Content-Length"] = Buffer.byteLength(text);
     onEnd?.({ ...run, ended: Date.now(), isCut: response.destroyed });
--- a/review/support/store.mjs
+++ b/review/support/store.mjs
@@ -19,7 +19,9 @@
   async start() {
     // The program keeps idle connections for some seconds.
     this.#server.keepAliveTimeout = 60_000;
-    await new Promise((resolve) => this.#server.listen(0, "127.0.0.1", resolve));
+    await new Promise((resolve) =>
+      this.#server.listen(0, "127.0.0.1", resolve)
+    );
     return `127.0.0.1:${this.#server.address().port}`;
   }
 
@@ -85,7 +87,11 @@
     if (request.method === "POST") {
       const existing = this.#kind(kind).get(body.metadata.name);
       if (existing) return this.#send(response, 409, existing);
-      return this.#send(response, 200, this.put(kind, body.metadata.name, body.spec));
+      return this.#send(
+        response,
+        200,
+        this.put(kind, body.metadata.name, body.spec),
+      );
     }
     if (!object) return this.#send(response, 404, {});
     const expected = body.metadata?.revision;
@@ -97,7 +103,11 @@
       return this.#send(response, 200, object);
     }
     const isSame = JSON.stringify(object.spec) === JSON.stringify(body.spec);
-    this.#send(response, 200, isSame ? object : this.put(kind, name, body.spec));
+    this.#send(
+      response,
+      200,
+      isSame ? object : this.put(kind, name, body.spec),
+    );
   }
 
   #read(response, kind, name, query) {
@@ -118,7 +128,9 @@
       since < this.#events[0].revision;
     if (isLost) return this.#send(response, 410, {});
     const find = () =>
-      this.#events.filter((event) => event.kind === kind && event.revision > since);
+      this.#events.filter((event) =>
+        event.kind === kind && event.revision > since
+      );
     const answer = () => {
       clearTimeout(timer);
       this.#waiting.delete(wake);
