Run nothing on a connection that was answered with 408

Cause: two faults. The check of the header timeout runs on a timer, and after a pause of the process timers run before arrived input is read, so a complete head counted as late. The rejection then ended only the writing direction; the parser read on and its requests were handled. Ruled out: 421, 429 and 503, which are responses of the request itself. The same fault on related paths: a head completed after the 408 ran without any pause, and a request that was running got the 400 or 408 of what followed it on its connection.

Change: pending_input.ts reads what has arrived before a timer judges. It serves the header and idle timeouts, the planned stop's closing of idle connections, peers' dials, handshakes, keepalives and requests, and all periodic timers. CallerConnection.close ends a connection in both directions: later requests are dropped, logged and counted, and a request that was read in full keeps its own response.

--- a/src/caller_connection.ts
+++ b/src/caller_connection.ts
@@ -1,22 +1,42 @@
 /**
- * The connection on which a caller's request arrived. It outlives the request,
- * and the requests that a caller pipelines share it: only the one whose turn it
- * is owns the response stream, so its events do not reach the others.
+ * The connection on which a caller's requests arrive. It outlives a request, and the
+ * requests that a caller pipelines share it: only the one whose turn it is owns the
+ * response stream, so its events do not reach the others.
  *
  * An event loop that stood still finds a request and the close that followed it
  * in the same moment, and reads the request first. Work must therefore not start
  * before everything that has arrived was read.
+ *
+ * A connection that the gateway closes serves nothing more. Its final response may
+ * promise that nothing ran, and a request that is read behind it has no response.
  */
+import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { afterPendingInput } from "./pending_input.ts";
 
 /**
- * Turns of the event loop until everything that has arrived was read. The current
- * turn still handles the events of its last poll; the next one polls again.
+ * How long a caller may take to close its end after the final response. Closing a
+ * socket with unread input resets it, and the caller may lose the response.
  */
-const TURNS_UNTIL_READ = 2;
+const CLOSE_TIMEOUT_MILLISECONDS = 1_000;
 
-/** Tells the requests of a connection that their caller has left. */
+/** The requests of one connection, and whether their caller is still there. */
 export interface CallerConnection {
+  /** Number of requests that were accepted. */
+  readonly requestCount: number;
+  /** Time since the connection was accepted, in milliseconds. */
+  ageMilliseconds(): number;
+  /**
+   * Accepts a request whose head was read, by its response; false if the connection is
+   * closing, so that the request must not run.
+   */
+  accept(response: ServerResponse): boolean;
+  /**
+   * Closes the connection. A request that was read in full gets its response first.
+   * Otherwise the final response is sent, unless an earlier one was: a second one
+   * could be taken for the response to another request.
+   */
+  close(finalResponse: string): void;
   /**
    * Calls the listener once the caller has left, soon if it has left already;
    * returns a function that removes the listener.
@@ -31,48 +51,105 @@
 
 const _connections = new WeakMap<Socket, CallerConnection>();
 
-function _afterTurns(turns: number, listener: () => void): void {
-  setImmediate(() => {
-    if (turns <= 1) listener();
-    else _afterTurns(turns - 1, listener);
-  });
-}
+class _CallerConnection implements CallerConnection {
+  readonly #socket: Socket;
+  readonly #openedAt = performance.now();
+  readonly #listeners = new Set<() => void>();
+  /** Responses to accepted requests that have not ended. */
+  readonly #openResponses = new Set<ServerResponse>();
+  #requestCount = 0;
+  #hasLeft: boolean;
+  #isClosing = false;
+
+  constructor(socket: Socket) {
+    this.#socket = socket;
+    this.#hasLeft = socket.destroyed || socket.readableEnded;
+    socket.once("end", () => this.#leave());
+    socket.once("close", () => this.#leave());
+  }
+
+  get requestCount(): number {
+    return this.#requestCount;
+  }
+
+  ageMilliseconds(): number {
+    return performance.now() - this.#openedAt;
+  }
 
-function _createCallerConnection(socket: Socket): CallerConnection {
-  const listeners = new Set<() => void>();
-  let hasLeft = socket.destroyed || socket.readableEnded;
+  accept(response: ServerResponse): boolean {
+    // A socket that is no longer writable carries no response.
+    if (this.#isClosing || !this.#socket.writable) return false;
+    this.#requestCount++;
+    this.#openResponses.add(response);
+    response.once("close", () => {
+      this.#openResponses.delete(response);
+      if (this.#isClosing) this.#endWhenAnswered();
+    });
+    return true;
+  }
+
+  close(finalResponse: string): void {
+    if (this.#isClosing) return;
+    this.#isClosing = true;
+    // Open responses announce the close, if their head is still to be sent.
+    for (const response of this.#openResponses) {
+      response.shouldKeepAlive = false;
+    }
+    if (this.#hasWholeRequest()) return;
+    this.#leave();
+    const hasResponded = this.#socket.bytesWritten > 0;
+    if (hasResponded || !this.#socket.writable) {
+      this.#socket.destroy();
+      return;
+    }
+    this.#socket.end(finalResponse);
+    this.#destroyLater();
+  }
+
+  onLeft(listener: () => void): () => void {
+    if (this.#hasLeft) {
+      const immediate = setImmediate(listener);
+      return () => clearImmediate(immediate);
+    }
+    this.#listeners.add(listener);
+    return () => void this.#listeners.delete(listener);
+  }
+
+  whenStillThere(listener: () => void): void {
+    afterPendingInput(() => {
+      if (!this.#hasLeft) listener();
+    });
+  }
+
+  #hasWholeRequest(): boolean {
+    return [...this.#openResponses].some(({ req }) => req.complete);
+  }
 
-  function leave(): void {
-    if (hasLeft) return;
-    hasLeft = true;
-    for (const listener of [...listeners]) listener();
-    listeners.clear();
+  #endWhenAnswered(): void {
+    if (!this.#hasWholeRequest()) this.#socket.destroySoon();
   }
 
-  socket.once("end", leave);
-  socket.once("close", leave);
-  return {
-    onLeft(listener) {
-      if (hasLeft) {
-        const immediate = setImmediate(listener);
-        return () => clearImmediate(immediate);
-      }
-      listeners.add(listener);
-      return () => void listeners.delete(listener);
-    },
-    whenStillThere(listener) {
-      _afterTurns(TURNS_UNTIL_READ, () => {
-        if (!hasLeft) listener();
-      });
-    },
-  };
+  #destroyLater(): void {
+    const timer = setTimeout(
+      () => this.#socket.destroy(),
+      CLOSE_TIMEOUT_MILLISECONDS,
+    );
+    this.#socket.once("close", () => clearTimeout(timer));
+  }
+
+  #leave(): void {
+    if (this.#hasLeft) return;
+    this.#hasLeft = true;
+    for (const listener of [...this.#listeners]) listener();
+    this.#listeners.clear();
+  }
 }
 
 /** Returns the connection of a socket; all requests on it share one. */
 export function callerConnectionOf(socket: Socket): CallerConnection {
   let connection = _connections.get(socket);
   if (!connection) {
-    connection = _createCallerConnection(socket);
+    connection = new _CallerConnection(socket);
     _connections.set(socket, connection);
   }
   return connection;
--- a/src/caller_connection_test.ts
+++ b/src/caller_connection_test.ts
@@ -11,7 +11,7 @@
 } from "../stand_ins/gateway_test_bench.ts";
 import { callerConnectionOf } from "./caller_connection.ts";
 import {
-  ABANDONED_PREFIX,
+  LATE_PREFIX,
   stall,
   startLeavingCallers,
 } from "../stand_ins/leaving_callers.ts";
@@ -33,23 +33,23 @@
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
-for (const isKept of [false, true]) {
+for (const connection of ["new", "used"] as const) {
   for (const end of ["close", "reset"] as const) {
-    const connections = isKept ? "kept" : "new";
+    const connections = connection === "used" ? "kept" : "new";
     test.serial(`guards against forwarding requests that are read after their callers left (${connections} connections, ${end})`, async (t) => {
       const bench = await startBench();
       const callers = await startLeavingCallers({
         callers: bench.gateways[0]!.callers,
         path: "/safe/x",
         count: CALLERS,
-        isKept,
+        connection,
         end,
       });
-      callers.leave();
+      callers.send();
       stall(STALL_MILLISECONDS);
       await wait(CANCEL_MILLISECONDS);
       const abandoned = received(bench)
-        .filter(({ id }) => id.startsWith(ABANDONED_PREFIX));
+        .filter(({ id }) => id.startsWith(LATE_PREFIX));
       t.is(abandoned.length, 0);
       await callers.stop();
     });
--- a/src/decision_log.ts
+++ b/src/decision_log.ts
@@ -39,6 +39,7 @@
   "router.removed": "state",
   "lines.dropped": "state",
   "request.malformed": "failure",
+  "request.dropped": "failure",
   "request.rejected": "failure",
   "request.failed": "failure",
   "request.retried": "failure",
--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -17,18 +17,8 @@
   type IncarnationId,
   type SocketAddress,
 } from "./core/ids.ts";
-import { createPromptCrashes } from "./core/prompt_crashes.ts";
-import { createPromptDirectory } from "./core/prompt_directory.ts";
 import type { LoadBound } from "./core/placement.ts";
 import { createSeededRandom } from "./core/random.ts";
-import {
-  createServerIncarnations,
-  type IncarnationKey,
-  incarnationKeyOf,
-} from "./core/server_incarnations.ts";
-import { createServerNotices } from "./core/server_notices.ts";
-import { createServerRateLimits } from "./core/server_rate_limits.ts";
-import { createServerOutcomes } from "./core/server_outcomes.ts";
 import { createStallDetector } from "./core/stall_detector.ts";
 import {
   createDecisionLog,
@@ -56,8 +46,10 @@
 import { createCrashDetection } from "./crash_detection.ts";
 import { toListenAddress } from "./listen_address.ts";
 import type { PassThroughContext } from "./pass_through_context.ts";
+import { afterPendingInput } from "./pending_input.ts";
 import { createPlannedStop } from "./planned_stop.ts";
 import { createRetryBudgets, type RetryAllowance } from "./retry_budgets.ts";
+import { createServerKnowledge } from "./server_knowledge.ts";
 import { observeStore } from "./store_observation.ts";
 import { createTcpPeerNetwork } from "./tcp_peer_network.ts";
 import {
@@ -142,28 +134,8 @@
   const state = createGatewayStateTask({ store, timers, random, log });
   observeStore(store, { state, log, metrics });
   const load = createFleetLoad();
-  const outcomes = createServerOutcomes({
-    onExcluded: (exclusion) => log.write("server.excluded", { ...exclusion }),
-  });
-  const notices = createServerNotices({
-    onLeaving: ({ id }, source) =>
-      log.write("server.leaving", { server: id, source }),
-    onPausing: ({ id }, milliseconds) =>
-      log.write("server.pausing", { server: id, milliseconds }),
-  });
-  const rateLimits = createServerRateLimits({
-    onChange: ({ incarnation, ...change }) =>
-      log.write("server.rate_limit", {
-        server: findServer(incarnation)?.id,
-        ...change,
-      }),
-  });
-  const directory = createPromptDirectory();
-  const crashes = createPromptCrashes({
-    onQuarantined: (quarantine) =>
-      log.write("prompt.quarantined", { ...quarantine }),
-    onCleared: (part) => log.write("prompt.cleared", { part }),
-  });
+  const knowledge = createServerKnowledge({ state, log });
+  const { outcomes, notices, rateLimits, directory, crashes } = knowledge;
   const crashDetection = createCrashDetection({
     crashes,
     outcomes,
@@ -171,7 +143,6 @@
     log,
     metrics,
   });
-  const incarnations = createServerIncarnations();
   const connections = createBackendConnections({
     onIdleLimit: (service, milliseconds) =>
       log.write("service.idle_limit", {
@@ -269,8 +240,13 @@
   const callerServer = createGatewayServer((request, response) => {
     inFlight++;
     handleRequest(context, request, response);
-  }, (error, caller) => {
-    log.write("request.malformed", { error, caller });
+  }, {
+    onMalformed: (rejection) =>
+      log.write("request.malformed", { ...rejection }),
+    onDropped(connection) {
+      metrics.droppedRequests.inc();
+      log.write("request.dropped", { ...connection });
+    },
   });
   const entryServer = createEntryServer(interfaces);
   const statusServer = createStatusServer(interfaces);
@@ -279,11 +255,6 @@
     return isListening && !plannedStop.isStopping && state.isKnown();
   }
 
-  function findServer(incarnation: IncarnationKey) {
-    const { servers } = state.registry.list();
-    return servers.find((server) => incarnationKeyOf(server) === incarnation);
-  }
-
   function runHousekeeping(): void {
     const latest = performance.eventLoopUtilization();
     busyShare = performance.eventLoopUtilization(latest, utilization)
@@ -314,15 +285,7 @@
   }
 
   function applyState(): void {
-    const { servers } = state.registry.list();
-    for (const server of servers) {
-      if (!server.isDraining) continue;
-      notices.recordLeaving(server, "registry", clock.monotonicMilliseconds());
-    }
-    for (const server of incarnations.update(servers)) {
-      directory.removeServer(server);
-      outcomes.forget(server);
-    }
+    knowledge.applyRegistrations(clock.monotonicMilliseconds());
     const table = state.table();
     if (table) applyRequestBounds(callerServer, table.configuration.bounds);
   }
@@ -347,9 +310,9 @@
     );
   }
 
+  /** Stops to listen and closes idle connections, once what has arrived is read. */
   function close(server: Server): void {
-    server.close();
-    server.closeIdleConnections();
+    afterPendingInput(() => server.close());
   }
 
   async function stop(): Promise<void> {
@@ -362,7 +325,7 @@
     close(callerServer);
     while (inFlight > 0 && plannedStop.remainingMilliseconds() > 0) {
       await timers.sleep(STOP_POLL_MILLISECONDS, "stop");
-      callerServer.closeIdleConnections();
+      afterPendingInput(() => callerServer.closeIdleConnections());
     }
     plannedStop.abandonRest();
     close(entryServer);
--- a/src/gateway_metrics.ts
+++ b/src/gateway_metrics.ts
@@ -113,6 +113,12 @@
       help: "Answers of backend servers that belonged to no request",
       registers,
     }),
+    droppedRequests: new Counter({
+      name: `${prefix}dropped_requests_total`,
+      help:
+        "Requests that were read behind the end of their connection and did not run",
+      registers,
+    }),
     excessResponses: new Counter({
       name: `${prefix}excess_responses_total`,
       help:
--- a/src/peer_connection.ts
+++ b/src/peer_connection.ts
@@ -23,6 +23,7 @@
 } from "./frame_codec.ts";
 import type { PeerIdentity } from "./peer_network.ts";
 import type { PeerTraffic } from "./peer_traffic.ts";
+import { afterPendingInput } from "./pending_input.ts";
 
 const NONCE_BYTES = 16;
 /** Time within which both sides must authenticate. */
@@ -103,9 +104,15 @@
   let authenticated = false;
   let closed = false;
   let unansweredSince: number | undefined;
-  const handshakeTimer = setTimeout(() => {
+  const handshakeTimer = setTimeout(
+    () => afterPendingInput(timeOutHandshake),
+    HANDSHAKE_TIMEOUT_MILLISECONDS,
+  );
+
+  function timeOutHandshake(): void {
+    if (authenticated) return;
     close(createError("peer_unreachable", "the handshake timed out"));
-  }, HANDSHAKE_TIMEOUT_MILLISECONDS);
+  }
 
   function close(reason: ApplicationError): void {
     if (closed) return;
--- a/src/peer_keepalive.ts
+++ b/src/peer_keepalive.ts
@@ -4,6 +4,7 @@
  * reveals the loss.
  */
 import { createError } from "./core/errors.ts";
+import { afterPendingInput } from "./pending_input.ts";
 import type { PeerConnection } from "./peer_connection.ts";
 import type { PeerMessageKind } from "./peer_network.ts";
 
@@ -48,7 +49,10 @@
     }
   }
 
-  const timer = setInterval(check, CHECK_PERIOD_MILLISECONDS);
+  const timer = setInterval(
+    () => afterPendingInput(check),
+    CHECK_PERIOD_MILLISECONDS,
+  );
   return {
     silentConnections: () => silentConnections,
     stop: () => clearInterval(timer),
--- a/src/tcp_peer_network.ts
+++ b/src/tcp_peer_network.ts
@@ -4,7 +4,6 @@
  */
 import {
   type AddressInfo,
-  connect,
   createServer,
   type Server,
   type Socket,
@@ -17,13 +16,13 @@
   type ErrorKind,
 } from "./core/errors.ts";
 import { brandId, type SocketAddress } from "./core/ids.ts";
-import { toListenAddress } from "./listen_address.ts";
 import type { Frame } from "./frame_codec.ts";
 import {
   type Keepalive,
   KEEPALIVE_KIND,
   startKeepalive,
 } from "./peer_keepalive.ts";
+import { dialPeer } from "./peer_dial.ts";
 import {
   createPeerConnection,
   type PeerConnection,
@@ -36,9 +35,8 @@
   PeerNetwork,
 } from "./peer_network.ts";
 import { PeerTraffic } from "./peer_traffic.ts";
+import { afterPendingInput } from "./pending_input.ts";
 
-/** Time allowed for opening a connection to a peer. */
-const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
 /** No new connection to a peer is tried for this long after a failed one. */
 const REDIAL_DELAY_MILLISECONDS = 200;
 const MAXIMUM_WAITING_MESSAGES = 256;
@@ -155,7 +153,7 @@
     return new Promise((resolve) => {
       const correlation = this.#nextCorrelation++;
       const timer = setTimeout(
-        () => this.#timeOut(correlation, to),
+        () => afterPendingInput(() => this.#timeOut(correlation, to)),
         timeoutMilliseconds,
       );
       this.#pending.set(correlation, {
@@ -254,22 +252,10 @@
 
   #dial(to: SocketAddress, link: _Link): void {
     link.dialing = true;
-    const socket = connect({
-      ...toListenAddress(to),
-      timeout: CONNECT_TIMEOUT_MILLISECONDS,
+    dialPeer(to, {
+      onConnected: (socket) => this.#addSocket(socket, true, to),
+      onFailed: () => this.#onDialFailure(to),
     });
-    socket.once("timeout", () => socket.destroy());
-    const onFailure = this.#onDialFailure.bind(this, to);
-    socket.once("connect", () => {
-      socket.setTimeout(0);
-      // The connection reports its own close; a late event would fail the next
-      // dial.
-      socket.off("error", onFailure);
-      socket.off("close", onFailure);
-      this.#addSocket(socket, true, to);
-    });
-    socket.once("error", onFailure);
-    socket.once("close", onFailure);
   }
 
   #onDialFailure(to: SocketAddress): void {
--- a/src/timer_service.ts
+++ b/src/timer_service.ts
@@ -52,6 +52,11 @@
   }
 }
 
+/**
+ * Timers run before the input that arrived while the event loop stood still is read,
+ * and that input may make a timeout needless. Listeners are therefore called in the
+ * same turn after its poll.
+ */
 class _SystemTimerService extends TimerService {
   override readonly clock: Clock = new _SystemClock();
   readonly #pending = new Set<Subscription>();
@@ -61,8 +66,14 @@
     _name: string,
     listener: () => void,
   ): Subscription {
-    const timer = setInterval(listener, periodMilliseconds);
-    return this.#track(() => clearInterval(timer));
+    let immediate: NodeJS.Immediate | undefined;
+    const timer = setInterval(() => {
+      immediate = setImmediate(listener);
+    }, periodMilliseconds);
+    return this.#track(() => {
+      clearInterval(timer);
+      clearImmediate(immediate);
+    });
   }
 
   override after(
@@ -72,8 +83,6 @@
   ): Subscription {
     let immediate: NodeJS.Immediate | undefined;
     const timer = setTimeout(() => {
-      // Timers run before the input that arrived while the event loop stood
-      // still is read, and that input may make a timeout needless.
       immediate = setImmediate(() => {
         this.#pending.delete(subscription);
         listener();
--- a/stand_ins/leaving_callers.ts
+++ b/stand_ins/leaving_callers.ts
@@ -1,6 +1,7 @@
 /**
- * Callers that send one request each and leave while the gateway's event loop
- * stands still. They run in a thread of their own, so a test can block the loop.
+ * Callers that send one request each while the gateway's event loop stands still, and
+ * leave or wait for the response. They run in a thread of their own, so a test can
+ * block the loop.
  */
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
@@ -21,20 +22,23 @@
   readonly callers: string;
   readonly path: string;
   readonly count: number;
-  /** Whether each caller has used its connection for a request before. */
-  readonly isKept: boolean;
-  readonly end: "close" | "reset";
+  /** Whether the callers connect only then, have connected, or have sent a request. */
+  readonly connection: "new" | "open" | "used";
+  /** How a caller leaves; one that stays keeps its end open. */
+  readonly end: "close" | "reset" | "stay";
 }
 
 /** Callers that are ready to send. */
 export interface LeavingCallers {
-  /** Makes each caller send its request and leave soon after. */
-  leave(): void;
+  /** Makes each caller send its request and end as it should. */
+  send(): void;
+  /** Returns what each caller has received since it was told to send. */
+  responses(): Promise<readonly string[]>;
   stop(): Promise<void>;
 }
 
-/** Prefix of the ids of requests that the callers abandon. */
-export const ABANDONED_PREFIX = "abandoned-";
+/** Prefix of the ids of the requests that are sent while the loop stands still. */
+export const LATE_PREFIX = "late-";
 
 async function _open(callers: string): Promise<Socket> {
   const [host, port] = callers.split(":") as [string, string];
@@ -54,12 +58,22 @@
   return socket;
 }
 
-function _sendAndLeave(
+async function _prepare(
+  options: LeavingCallersOptions,
+  index: number,
+): Promise<Socket | undefined> {
+  if (options.connection === "new") return undefined;
+  if (options.connection === "open") return await _open(options.callers);
+  return await _openUsed(options, index);
+}
+
+function _send(
   socket: Socket,
   { path, end }: LeavingCallersOptions,
   index: number,
 ): void {
-  socket.write(requestText(path, `${ABANDONED_PREFIX}${index}`));
+  socket.write(requestText(path, `${LATE_PREFIX}${index}`));
+  if (end === "stay") return;
   setTimeout(() => {
     if (end === "reset") socket.resetAndDestroy();
     else socket.destroy();
@@ -68,19 +82,20 @@
 
 async function _runCallers(options: LeavingCallersOptions): Promise<void> {
   const indexes = Array.from({ length: options.count }, (_, index) => index);
-  const used = options.isKept
-    ? await Promise.all(indexes.map((index) => _openUsed(options, index)))
-    : [];
-  parentPort?.once("message", () => {
-    for (const index of indexes) {
-      const socket = used[index];
-      if (socket) _sendAndLeave(socket, options, index);
-      else {
-        void _open(options.callers).then((opened) =>
-          _sendAndLeave(opened, options, index)
-        );
-      }
-    }
+  const responses = indexes.map(() => "");
+  const prepared = await Promise.all(
+    indexes.map((index) => _prepare(options, index)),
+  );
+
+  async function send(index: number): Promise<void> {
+    const socket = prepared[index] ?? await _open(options.callers);
+    socket.on("data", (bytes) => (responses[index] += String(bytes)));
+    _send(socket, options, index);
+  }
+
+  parentPort?.on("message", (message: "send" | "report") => {
+    if (message === "report") parentPort?.postMessage(responses);
+    else for (const index of indexes) void send(index);
   });
   parentPort?.postMessage("ready");
 }
@@ -94,7 +109,12 @@
   const worker = new Worker(new URL(import.meta.url), { workerData: options });
   await once(worker, "message");
   return {
-    leave: () => worker.postMessage("leave"),
+    send: () => worker.postMessage("send"),
+    async responses() {
+      worker.postMessage("report");
+      const [responses] = await once(worker, "message") as [string[]];
+      return responses;
+    },
     async stop() {
       await worker.terminate();
     },
