Bound the work and the memory for what a peer sends

Callers would see a router that answers nobody, or that ran out of memory.

Cause: the event splitter joined what it held with every chunk; bodies, held responses and frames were kept as lists of pieces, an object each; schemas collected the faults of every item of a list, and threw where these were too many for the stack, in a task that nothing catches.

Change: core/byte_buffer.ts grows with what is appended, and core/list_schema.ts stops at the first invalid item.

--- a/src/backend_response.ts
+++ b/src/backend_response.ts
@@ -1,6 +1,7 @@
 /** Reads complete responses of backend servers. */
 import { err, ok, type Result } from "neverthrow";
 import type { UnreadResponse } from "./backend_transport.ts";
+import { createByteBuffer } from "./core/byte_buffer.ts";
 import { type ApplicationError, createError } from "./core/errors.ts";
 
 /** A complete response of any status, including error statuses. */
@@ -18,13 +19,11 @@
   response: UnreadResponse,
   maximumBytes: number,
 ): Promise<Result<BackendResponse, ApplicationError>> {
-  const chunks: Buffer[] = [];
-  let receivedBytes = 0;
+  const received = createByteBuffer();
   try {
     for await (const chunk of response.body) {
-      chunks.push(chunk as Buffer);
-      receivedBytes += (chunk as Buffer).length;
-      if (receivedBytes > maximumBytes) {
+      received.append(chunk as Buffer);
+      if (received.length > maximumBytes) {
         const detail = `the response is larger than ${maximumBytes} bytes`;
         return err(createError("outcome_unknown", detail));
       }
@@ -35,7 +34,7 @@
     response.release();
   }
   const { status, headers } = response;
-  return ok({ status, headers, body: Buffer.concat(chunks) });
+  return ok({ status, headers, body: received.bytes() });
 }
 
 /** Fails with `backend_failed` unless the status is 2xx. */
--- a/src/core/configuration_parser.ts
+++ b/src/core/configuration_parser.ts
@@ -1,5 +1,5 @@
 /** Parses configurations that peers send, without a schema for each route. */
-import { ok, Result } from "neverthrow";
+import { ok, type Result } from "neverthrow";
 import { z } from "zod";
 import {
   type GatewayConfiguration,
@@ -8,7 +8,7 @@
   gatewayRouteSchema,
 } from "./gateway_configuration.ts";
 import { checkPlainRoute } from "./plain_route.ts";
-import { safeParseWith } from "./schema_result.ts";
+import { parseAll, safeParseWith } from "./schema_result.ts";
 
 const _configuration = gatewayConfigurationPartsSchema.extend({
   routes: z.array(z.unknown()),
@@ -27,7 +27,7 @@
   value: unknown,
 ): Result<GatewayConfiguration, string> {
   return safeParseWith(_configuration, value).andThen((parsed) =>
-    Result.combine(parsed.routes.map(safeParseRoute))
+    parseAll(parsed.routes, safeParseRoute)
       .map((routes) => ({ ...parsed, routes }))
   );
 }
--- a/src/core/event_stream.ts
+++ b/src/core/event_stream.ts
@@ -4,6 +4,8 @@
  * server without a partial or repeated event.
  */
 
+import { createByteBuffer } from "./byte_buffer.ts";
+
 /** The events that a chunk completed. */
 export interface CompletedEvents {
   /** Bytes of the events; empty if the chunk completed none. */
@@ -17,11 +19,11 @@
 const EVENT_END_BYTES = 3;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const ID_FIELD = /^id:[ ]?(.*)$/;
+const ID_FIELDS = /^id:[ ]?(.*)$/gm;
 
 /** Buffers the bytes of an event until the event is complete. */
 export class EventSplitter {
-  #pending: Buffer = Buffer.alloc(0);
+  readonly #pending = createByteBuffer();
   #lastEventId: string | undefined;
 
   /** Id of the last complete event that had one. */
@@ -36,13 +38,12 @@
 
   /** Adds a chunk and returns the events that it completes. */
   push(chunk: Buffer): CompletedEvents {
-    const all = this.#pending.length > 0
-      ? Buffer.concat([this.#pending, chunk])
-      : chunk;
-    let start = 0;
-    let events = 0;
     // The end of an event may be split between two chunks.
     const firstUnread = Math.max(0, this.#pending.length - EVENT_END_BYTES);
+    this.#pending.append(chunk);
+    const all = this.#pending.bytes();
+    let start = 0;
+    let events = 0;
     for (
       let end = _eventEnd(all, firstUnread);
       end > 0;
@@ -52,19 +53,17 @@
       start = end;
       events++;
     }
-    this.#pending = all.subarray(start);
-    return { bytes: all.subarray(0, start), events };
+    return { bytes: this.#pending.take(start), events };
   }
 
   /** Discards an incomplete event after its stream broke. */
   reset(): void {
-    this.#pending = Buffer.alloc(0);
+    this.#pending.clear();
   }
 
   #readId(event: Buffer): void {
-    for (const line of event.toString("latin1").split(/\r\n|\r|\n/)) {
-      const id = ID_FIELD.exec(line)?.[1];
-      if (id !== undefined) this.#lastEventId = id;
+    for (const [, id] of event.toString("latin1").matchAll(ID_FIELDS)) {
+      this.#lastEventId = id;
     }
   }
 }
--- a/src/core/gateway_configuration.ts
+++ b/src/core/gateway_configuration.ts
@@ -4,6 +4,7 @@
  * inferred from schemas because peers send configurations to each other.
  */
 import { z } from "zod";
+import { listSchema } from "./list_schema.ts";
 import { type Branded, brandId, type WorkspaceId } from "./ids.ts";
 
 /** A named group of backend servers that serve the same requests. */
@@ -39,7 +40,7 @@
   /** Begins and ends with a slash. */
   pathPrefix: z.string().startsWith("/").endsWith("/"),
   kind: z.enum(ROUTE_KINDS),
-  targets: z.array(_target),
+  targets: listSchema(_target),
   /** Maximum number of backend servers that may run the same request. */
   maximumBackendServers: z.number().int().min(1),
   timeoutMilliseconds: z.number().positive(),
@@ -64,7 +65,7 @@
 
 const _workspace = z.object({
   id: _workspaceId,
-  keys: z.array(z.string().min(1)),
+  keys: listSchema(z.string().min(1)),
   /** Overrides the priority of the route. */
   priority: z.number().min(0).optional(),
 });
@@ -80,9 +81,9 @@
 export const gatewayConfigurationPartsSchema = z.object({
   /** Rises with every change; gaps are normal. */
   version: z.number(),
-  services: z.array(_service),
+  services: listSchema(_service),
   /** Absent if requests need no key. */
-  workspaces: z.array(_workspace).optional(),
+  workspaces: listSchema(_workspace).optional(),
   bounds: _bounds,
 });
 
--- a/src/core/server_registry.ts
+++ b/src/core/server_registry.ts
@@ -14,6 +14,7 @@
 import { type BackendServerId, brandId, type DataCentreId } from "./ids.ts";
 import { evictOldest } from "./bounded_map.ts";
 import { hash32 } from "./hash32.ts";
+import { listSchema, tolerantListSchema } from "./list_schema.ts";
 import {
   type IncarnationKey,
   incarnationKeyOf,
@@ -34,6 +35,8 @@
  * registrations of servers that no longer renew them.
  */
 export const RETURN_GRACE_MILLISECONDS = 5_000;
+/** Servers of one list; a longer one is malformed. */
+const MAXIMUM_SERVERS = 20_000;
 /** Servers that left are remembered up to this number. */
 const MAXIMUM_DEPARTED_SERVERS = 4_096;
 /** Share of a service's servers that disappears at once only in an outage. */
@@ -64,8 +67,7 @@
 export const registrationListSchema = z.object({
   revision: z.number(),
   /** An invalid entry, which a router of another release may know, is left out. */
-  servers: z.array(registeredServerSchema.optional().catch(undefined))
-    .transform((servers) => servers.filter((server) => server !== undefined)),
+  servers: tolerantListSchema(registeredServerSchema, MAXIMUM_SERVERS),
 });
 
 /** All registrations at a revision of the store. */
@@ -82,7 +84,7 @@
   /** A peer at this revision or later misses only these changes. */
   afterRevision: z.number(),
   revision: z.number(),
-  changes: z.array(_changeSchema),
+  changes: listSchema(_changeSchema),
 });
 
 /** A change of one registration. No `server` means that it was removed. */
--- a/src/frame_codec.ts
+++ b/src/frame_codec.ts
@@ -6,6 +6,7 @@
  */
 import { Decoder, Encoder } from "cbor-x";
 import { err, ok, type Result } from "neverthrow";
+import { createByteBuffer } from "./core/byte_buffer.ts";
 import { type ApplicationError, createError } from "./core/errors.ts";
 import { NUMBERED_MESSAGE_KINDS } from "./peer_network.ts";
 
@@ -97,39 +98,20 @@
 export function createFrameReader(
   onSize: (kind: string, bytes: number) => void = () => {},
 ): FrameReader {
-  let chunks: Buffer[] = [];
-  let bufferedBytes = 0;
-
-  function consume(length: number): Buffer {
-    const all = chunks.length === 1
-      ? chunks[0] as Buffer
-      : Buffer.concat(chunks);
-    const rest = all.subarray(length);
-    chunks = rest.length > 0 ? [rest] : [];
-    bufferedBytes = rest.length;
-    return all.subarray(0, length);
-  }
-
-  function peekLength(): number {
-    const first = chunks[0] as Buffer;
-    if (first.length >= LENGTH_BYTES) return first.readUInt32BE(0);
-    chunks = [Buffer.concat(chunks)];
-    return (chunks[0] as Buffer).readUInt32BE(0);
-  }
+  const buffered = createByteBuffer();
 
   return {
     push(bytes) {
-      chunks.push(bytes);
-      bufferedBytes += bytes.length;
+      buffered.append(bytes);
       const frames: Frame[] = [];
-      while (bufferedBytes >= LENGTH_BYTES) {
-        const length = peekLength();
+      while (buffered.length >= LENGTH_BYTES) {
+        const length = buffered.bytes().readUInt32BE(0);
         if (length > MAXIMUM_FRAME_BYTES) {
           return err(createError("frame_too_large", `${length} bytes`));
         }
-        if (bufferedBytes < LENGTH_BYTES + length) break;
+        if (buffered.length < LENGTH_BYTES + length) break;
         const frame = _decodePayload(
-          consume(LENGTH_BYTES + length).subarray(LENGTH_BYTES),
+          buffered.take(LENGTH_BYTES + length).subarray(LENGTH_BYTES),
         );
         if (frame.isErr()) return err(frame.error);
         onSize(frame.value.k, LENGTH_BYTES + length);
--- a/src/gateway_peer_messages.ts
+++ b/src/gateway_peer_messages.ts
@@ -11,6 +11,7 @@
   type HostId,
   type SocketAddress,
 } from "./core/ids.ts";
+import { listSchema, numberListSchema } from "./core/list_schema.ts";
 import type { PartEvidence } from "./core/prompt_crashes.ts";
 import type { PartEntry } from "./core/prompt_directory.ts";
 import { hash32 } from "./core/hash32.ts";
@@ -86,6 +87,8 @@
   brandId<SocketAddress>(text)
 );
 const _number = z.number();
+/** Routers that one message may name. */
+const MAXIMUM_ROUTERS = 10_000;
 const _text = z.string().min(1).max(256);
 /** Fractions and capacities are encoded as integer hundredths. */
 const HUNDREDTHS = 100;
@@ -110,9 +113,9 @@
   _number,
   _number,
   _number,
-  z.array(_number),
-  z.array(_number),
-  z.array(_packedListing),
+  numberListSchema,
+  numberListSchema,
+  listSchema(_packedListing, MAXIMUM_ROUTERS),
 ]);
 const _packedReport = z.tuple([
   _address,
@@ -122,20 +125,22 @@
   _number,
   _number,
   _number,
-  z.array(_number),
-  z.array(_number),
-  z.array(_number),
+  numberListSchema,
+  numberListSchema,
+  numberListSchema,
   _packedSummary.nullable(),
   // Left out while empty, as routers of earlier releases expect.
-  z.array(_number).optional(),
-  z.array(_number).optional(),
+  numberListSchema.optional(),
+  numberListSchema.optional(),
 ]);
 
 /** A report in its encoded form. */
 export type PackedReport = z.infer<typeof _packedReport>;
 
 /** Schema for the router addresses that the sender knows. */
-export const gatewayPeersSchema = z.object({ addresses: z.array(_address) });
+export const gatewayPeersSchema = z.object({
+  addresses: listSchema(_address, MAXIMUM_ROUTERS),
+});
 
 function _toHundredths(value: number): number {
   return Math.round(value * HUNDREDTHS);
--- a/src/http_platform_client.ts
+++ b/src/http_platform_client.ts
@@ -5,6 +5,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { type Dispatcher, Pool } from "undici";
 import { z } from "zod";
+import { readBody } from "./body_reader.ts";
 import { type ApplicationError, createError } from "./core/errors.ts";
 import {
   type ListedHost,
@@ -20,6 +21,8 @@
 export const EXPECTED_VERSION_HEADER = "x-expected-version";
 
 const MAXIMUM_CONNECTIONS = 32;
+/** Longest response that is read: an object, written as text within JSON. */
+const MAXIMUM_RESPONSE_BYTES = 8 * 1024 * 1024;
 /** Time for the reply to a watch, besides the wait that the watch asks for. */
 const WATCH_GRACE_MILLISECONDS = 1_000;
 /** Keys read with If-None-Match, so that unchanged values aren't sent again. */
@@ -97,6 +100,7 @@
       connections: MAXIMUM_CONNECTIONS,
       pipelining: 1,
       connectTimeout: options.timeoutMilliseconds,
+      maxResponseSize: MAXIMUM_RESPONSE_BYTES,
     });
   }
 
@@ -262,7 +266,7 @@
   }
 
   async #readResponse(response: Dispatcher.ResponseData): Promise<_Response> {
-    const text = await response.body.text();
+    const text = (await readBody(response.body)).toString();
     if (response.statusCode >= 500) this.#counters.failures++;
     const version = Number(response.headers[VERSION_HEADER] ?? Number.NaN);
     return { status: response.statusCode, version, text };
--- a/src/request_body.ts
+++ b/src/request_body.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingMessage } from "node:http";
 import { PassThrough, type Readable } from "node:stream";
+import { createByteBuffer } from "./core/byte_buffer.ts";
 
 /** Largest body that is buffered. */
 export const MAXIMUM_BUFFERED_BODY_BYTES = 256 * 1024;
@@ -32,15 +33,12 @@
 
 function _toStream(
   request: IncomingMessage,
-  buffered: readonly Buffer[],
+  buffered: Buffer,
   maximumBytes: number,
 ): Readable {
   const stream = new PassThrough();
-  let totalBytes = 0;
-  for (const chunk of buffered) {
-    totalBytes += chunk.length;
-    stream.write(chunk);
-  }
+  let totalBytes = buffered.length;
+  stream.write(buffered);
   request.on("data", (chunk: Buffer) => {
     totalBytes += chunk.length;
     if (totalBytes > maximumBytes) {
@@ -70,8 +68,7 @@
   if (Number(request.headers["content-length"] ?? 0) > maximumBytes) {
     return onBody({ kind: "too_large" });
   }
-  const chunks: Buffer[] = [];
-  let totalBytes = 0;
+  const received = createByteBuffer();
   let isSettled = false;
 
   function settle(body: RequestBody): void {
@@ -84,19 +81,15 @@
   }
 
   function onData(chunk: Buffer): void {
-    chunks.push(chunk);
-    totalBytes += chunk.length;
-    if (totalBytes > maximumBytes) return settle({ kind: "too_large" });
-    if (totalBytes <= MAXIMUM_BUFFERED_BODY_BYTES) return;
-    const stream = _toStream(request, chunks, maximumBytes);
+    received.append(chunk);
+    if (received.length > maximumBytes) return settle({ kind: "too_large" });
+    if (received.length <= MAXIMUM_BUFFERED_BODY_BYTES) return;
+    const stream = _toStream(request, received.bytes(), maximumBytes);
     settle({ kind: "stream", stream });
   }
 
   function onEnd(): void {
-    const bytes = chunks.length === 1
-      ? chunks[0] as Buffer
-      : Buffer.concat(chunks);
-    settle({ kind: "whole", bytes });
+    settle({ kind: "whole", bytes: received.bytes() });
   }
 
   function onClose(): void {
--- a/src/response_relay.ts
+++ b/src/response_relay.ts
@@ -4,6 +4,7 @@
  * detects it.
  */
 import type { ServerResponse } from "node:http";
+import { createByteBuffer } from "./core/byte_buffer.ts";
 import {
   createEventSplitter,
   type EventSplitter,
@@ -62,8 +63,7 @@
   readonly #options: ResponseRelayOptions;
   readonly #splitter: EventSplitter | undefined;
   #head: ResponseHead | undefined;
-  #buffered: Buffer[] = [];
-  #bufferedBytes = 0;
+  readonly #buffered = createByteBuffer();
   #isBuffering: boolean;
   #exchange: Exchange | undefined;
   #isPaused = false;
@@ -94,8 +94,7 @@
   begin(head: ResponseHead, exchange: Exchange): ResponseSink {
     // A resumed response keeps the head of its first server.
     if (!this.hasBegun) this.#head = head;
-    this.#buffered = [];
-    this.#bufferedBytes = 0;
+    this.#buffered.clear();
     this.#splitter?.reset();
     this.#exchange = exchange;
     return {
@@ -115,9 +114,8 @@
       return;
     }
     if (!this.#isBuffering) return this.#write(chunk);
-    this.#buffered.push(chunk);
-    this.#bufferedBytes += chunk.length;
-    if (this.#bufferedBytes <= MAXIMUM_BUFFERED_RESPONSE_BYTES) return;
+    this.#buffered.append(chunk);
+    if (this.#buffered.length <= MAXIMUM_BUFFERED_RESPONSE_BYTES) return;
     this.#isBuffering = false;
     this.#writeBuffered();
   }
@@ -147,8 +145,8 @@
   }
 
   #writeBuffered(): void {
-    for (const chunk of this.#buffered) this.#write(chunk);
-    this.#buffered = [];
+    const { length } = this.#buffered;
+    if (length > 0) this.#write(this.#buffered.take(length));
   }
 
   #writeHead(): void {
