Notice silent connections to the store within three seconds

Cause: a waiting call is the only proof that its connection lives, and all routers wait alike: a change ends all calls, and they begin anew together, for 15 s (6 s for registrations). The failed call then counted as an outage, so that removed servers were kept for 2 s more. Ruled out: the exchange between routers, which passes a change on within a second once one of them knows it.

Change: core/watch_schedule.ts ends the calls of a fleet a second apart, by the routers' ranks, and again so after each change. A call without a response is platform_silent: the router replaces all its connections to the store and repeats the calls without a wait, and only a second failure in a row is an outage. Logged as dependency.silent, counted in store_calls_total.

--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -202,6 +202,12 @@
     "unknown",
     false,
   ),
+  platform_silent: _response(
+    503,
+    "the platform did not respond on an open connection",
+    "not_run",
+    true,
+  ),
   platform_history_lost: _response(
     410,
     "the platform no longer has the changes since that revision",
--- a/src/decision_log.ts
+++ b/src/decision_log.ts
@@ -17,6 +17,7 @@
   "settings.reloaded": "state",
   "settings.rejected": "state",
   "dependency.lost": "state",
+  "dependency.silent": "state",
   "dependency.returned": "state",
   "store.restored": "state",
   "configuration.in_force": "state",
--- a/src/fleet_store.ts
+++ b/src/fleet_store.ts
@@ -53,7 +53,8 @@
 export type StoreResult<T> = Promise<Result<T, ApplicationError>>;
 
 /**
- * The store of a fleet. Calls fail with `platform_unavailable`, writes with
+ * The store of a fleet. Calls fail with `platform_unavailable`, reads with
+ * `platform_silent` if an open connection carried no response in time, writes with
  * `platform_outcome_unknown` if the response was lost, and watches with
  * `platform_history_lost` if the changes since the revision are no longer kept, or
  * if the store has returned from a copy since.
--- a/src/gateway_state_task.ts
+++ b/src/gateway_state_task.ts
@@ -5,6 +5,7 @@
  */
 import { ok, type Result } from "neverthrow";
 import { z } from "zod";
+import type { ApplicationError } from "./core/errors.ts";
 import { safeParseConfiguration } from "./core/configuration_parser.ts";
 import type { GatewayConfiguration } from "./core/gateway_configuration.ts";
 import { createRouteTable, type RouteTable } from "./core/route_table.ts";
@@ -16,26 +17,29 @@
   registrationListSchema,
   type ServerRegistry,
 } from "./core/server_registry.ts";
+import {
+  createWatchSchedule,
+  ONLY_WATCHER,
+  type WatchPosition,
+} from "./core/watch_schedule.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { FleetStore, StoredConfiguration } from "./fleet_store.ts";
-import { createRegistryTask, type RegistryTask } from "./registry_task.ts";
+import {
+  createRegistryTask,
+  type RegistryTask,
+  type WatchDecision,
+} from "./registry_task.ts";
 import { StoreHealth } from "./store_health.ts";
 import { Task } from "./task.ts";
 import type { TimerService } from "./timer_service.ts";
 
 /**
- * Timeout of a watch; a dead watch is noticed earlier, from peers' reports. The
- * store keeps its history for 20 s, and a longer watch would end with the error
- * that the changes since its start are lost.
+ * Longest duration of a watch. The store keeps its history for 20 s, and a longer
+ * watch would end with the error that the changes since its start are lost.
  */
-const WATCH_MILLISECONDS = 15_000;
-/** Timeout of a watch on which other routers rely. */
-const SHARED_WATCH_MILLISECONDS = 6_000;
+const MAXIMUM_WATCH_MILLISECONDS = 15_000;
 /** How often a router that does not watch checks whether it should start to. */
 const WATCH_CHECK_MILLISECONDS = 200;
-/** Minimum of the random first timeout, which spreads the ends of a fleet's watches. */
-const MINIMUM_FIRST_WATCH_MILLISECONDS = 2_000;
-
 /** Delay before the next call, to read successive versions together: each wakes every router. */
 const BATCH_MILLISECONDS = 400;
 /** From this size on, reading a version takes a notable share of a small host. */
@@ -74,9 +78,6 @@
   });
 }
 
-/** Whether a router watches the configuration, for itself or for others. */
-export type ConfigurationWatch = "for_itself" | "for_others" | "not";
-
 /** Called with an applied configuration and whether it is the first. */
 export type ConfigurationListener = (
   next: GatewayConfiguration,
@@ -97,7 +98,8 @@
   readonly #storeHealth: StoreHealth;
   readonly #listeners: (() => void)[] = [];
   readonly #configurationListeners: ConfigurationListener[] = [];
-  #decideWatch: () => ConfigurationWatch = () => "for_itself";
+  readonly #schedule = createWatchSchedule(MAXIMUM_WATCH_MILLISECONDS);
+  #decideWatch: WatchDecision = () => ONLY_WATCHER;
   #table: RouteTable | undefined;
   #configurationRevision = 0;
   /** Newest version that a peer announced without sending its content. */
@@ -171,7 +173,7 @@
   }
 
   /** Sets the function that decides whether this router watches the store. */
-  setWatchDecision(decideWatch: () => ConfigurationWatch): void {
+  setWatchDecision(decideWatch: WatchDecision): void {
     this.#decideWatch = decideWatch;
   }
 
@@ -236,48 +238,56 @@
     };
   }
 
-  #firstTimeout(): number {
-    const range = WATCH_MILLISECONDS - MINIMUM_FIRST_WATCH_MILLISECONDS;
-    return MINIMUM_FIRST_WATCH_MILLISECONDS +
-      this.#options.random.integer(range);
+  #now(): number {
+    return this.#options.timers.clock.monotonicMilliseconds();
   }
 
   async #followConfiguration(): Promise<void> {
     const { store } = this.#options;
-    let timeout = this.#firstTimeout();
     while (this.#running) {
-      const decision = this.#mustRead() ? "for_itself" : this.#decideWatch();
-      if (decision === "not") {
+      const position = this.#mustRead() ? ONLY_WATCHER : this.#decideWatch();
+      if (!position) {
         await this.#options.timers.sleep(
           WATCH_CHECK_MILLISECONDS,
           "versions idle",
         );
         continue;
       }
-      if (decision === "for_others") {
-        timeout = Math.min(timeout, SHARED_WATCH_MILLISECONDS);
-      }
       const isWatch = !this.#readsCurrent();
-      // After a failure the first call does not wait: it may have been a return
-      // from a copy, which only a response shows.
-      const wait = this.#storeHealth.isUnavailable ? 0 : timeout;
       const result = isWatch
-        ? await store.watchConfiguration(this.#configurationRevision, wait)
+        ? await store.watchConfiguration(
+          this.#configurationRevision,
+          this.#nextWait(position),
+        )
         : await store.readConfiguration();
       if (!this.#running) return;
       if (result.isErr()) {
         if (result.error.kind === "platform_history_lost") {
           this.#configurationRevision = 0;
           await this.#storeHealth.recordLostHistory();
-        } else await this.#storeHealth.recordFailure(result.error);
+        } else await this.#recordFailure(result.error);
         continue;
       }
-      if (isWatch) timeout = WATCH_MILLISECONDS;
       this.#storeHealth.recordSuccess();
       await this.#applyStored(result.value, isWatch);
     }
   }
 
+  async #recordFailure(error: ApplicationError): Promise<void> {
+    const isSilence = error.kind === "platform_silent" &&
+      this.#storeHealth.recordSilence(error);
+    if (!isSilence) await this.#storeHealth.recordFailure(error);
+  }
+
+  /**
+   * Returns how long a watch waits. After a failure the first call does not wait: it
+   * may have been a return from a copy, which only a response shows.
+   */
+  #nextWait(position: WatchPosition): number {
+    if (!this.#storeHealth.isProven) return 0;
+    return this.#schedule.nextWait(position, this.#now());
+  }
+
   /**
    * Whether to read the current version instead of waiting for newer ones. A
    * watch returns the content of every version since the last call, which would
@@ -304,6 +314,7 @@
     this.#changesQuickly = !isFirst &&
       (isWatch ? supersededVersions > 0 : isNewer);
     if (isFirst || !isNewer) return;
+    this.#schedule.recordChange(this.#now());
     const isLarge = configuration.routes.length > LARGE_CONFIGURATION_ROUTES;
     await this.#options.timers.sleep(
       isLarge ? LARGE_BATCH_MILLISECONDS : BATCH_MILLISECONDS,
--- a/src/registry_task.ts
+++ b/src/registry_task.ts
@@ -12,22 +12,28 @@
   type RegistryChanges,
   type ServerRegistry,
 } from "./core/server_registry.ts";
+import {
+  createWatchSchedule,
+  ONLY_WATCHER,
+  type WatchPosition,
+} from "./core/watch_schedule.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { FleetStore } from "./fleet_store.ts";
 import { StoreHealth } from "./store_health.ts";
 import { Task } from "./task.ts";
 import type { Subscription, TimerService } from "./timer_service.ts";
 
-/** Longest duration of one watch call; a dead watch is detected when it ends. */
-const WATCH_TIMEOUT_MILLISECONDS = 6_000;
-/** Minimum of the first watch's random duration, which keeps watches of a fleet from aligning. */
-const MINIMUM_FIRST_WATCH_TIMEOUT_MILLISECONDS = 1_000;
+/** Longest duration of one watch call. */
+const MAXIMUM_WATCH_MILLISECONDS = 6_000;
 /** Delay after a change, so that the next call returns all changes of a burst. */
 const BATCH_DELAY_MILLISECONDS = 200;
 /** How often a router that does not watch checks whether it should start. */
 const IDLE_CHECK_PERIOD_MILLISECONDS = 100;
 const EXPIRY_PERIOD_MILLISECONDS = 250;
 
+/** Returns this router's place among those that watch; undefined if it should not. */
+export type WatchDecision = () => WatchPosition | undefined;
+
 /** Options of {@link RegistryTask}. */
 export interface RegistryTaskOptions {
   readonly store: FleetStore;
@@ -43,7 +49,8 @@
   readonly storeHealth: StoreHealth;
   readonly #options: RegistryTaskOptions;
   readonly #listeners: ((changes: RegistryChanges) => void)[] = [];
-  #shouldWatch: () => boolean = () => true;
+  readonly #schedule = createWatchSchedule(MAXIMUM_WATCH_MILLISECONDS);
+  #decideWatch: WatchDecision = () => ONLY_WATCHER;
   #isListed = false;
   #isWatching = false;
   #running = false;
@@ -61,8 +68,8 @@
   }
 
   /** Sets the function that decides whether this router watches the store. */
-  setWatchDecision(shouldWatch: () => boolean): void {
-    this.#shouldWatch = shouldWatch;
+  setWatchDecision(decideWatch: WatchDecision): void {
+    this.#decideWatch = decideWatch;
   }
 
   /** Calls the listener with every batch of registry changes. */
@@ -125,45 +132,50 @@
   }
 
   async #runWatchLoop(): Promise<void> {
-    const { random, timers } = this.#options;
-    let waitMilliseconds = MINIMUM_FIRST_WATCH_TIMEOUT_MILLISECONDS +
-      random.integer(
-        WATCH_TIMEOUT_MILLISECONDS - MINIMUM_FIRST_WATCH_TIMEOUT_MILLISECONDS,
-      );
+    const { timers } = this.#options;
     while (this.#running) {
       const isKnown = this.registry.revision > 0;
-      if (isKnown && !this.#shouldWatch()) {
+      const position = isKnown ? this.#decideWatch() : ONLY_WATCHER;
+      if (!position) {
         this.#isWatching = false;
         await timers.sleep(IDLE_CHECK_PERIOD_MILLISECONDS, "registry idle");
         continue;
       }
       // Reported while the call waits, so that others do not start to watch too.
       this.#isWatching = this.#isListed;
-      // After a failure the first call does not wait: it may have been a return
-      // from a copy, which only a response shows.
-      const wait = this.storeHealth.isUnavailable ? 0 : waitMilliseconds;
       const wasListed = this.#isListed;
       const failure: ApplicationError | undefined = wasListed
-        ? await this.#watch(wait)
+        ? await this.#watch(this.#nextWait(position))
         : await this.#list();
       if (!this.#running) return;
       if (!failure) {
         this.storeHealth.recordSuccess();
         this.#isListed = true;
-        if (wasListed) waitMilliseconds = WATCH_TIMEOUT_MILLISECONDS;
-        if (this.#publish("store") && wasListed) {
-          await timers.sleep(BATCH_DELAY_MILLISECONDS, "registry batch");
-        }
+        if (!this.#publish("store") || !wasListed) continue;
+        this.#schedule.recordChange(this.#now());
+        await timers.sleep(BATCH_DELAY_MILLISECONDS, "registry batch");
       } else if (failure.kind === "platform_history_lost") {
         this.#isListed = false;
         await this.storeHealth.recordLostHistory();
-      } else {
+      } else if (
+        failure.kind !== "platform_silent" ||
+        !this.storeHealth.recordSilence(failure)
+      ) {
         this.registry.markStoreDown();
         await this.storeHealth.recordFailure(failure);
       }
     }
   }
 
+  /**
+   * Returns how long a watch waits. After a failure the first call does not wait: it
+   * may have been a return from a copy, which only a response shows.
+   */
+  #nextWait(position: WatchPosition): number {
+    if (!this.storeHealth.isProven) return 0;
+    return this.#schedule.nextWait(position, this.#now());
+  }
+
   async #list(): Promise<ApplicationError | undefined> {
     const listed = await this.#options.store.listServers();
     if (listed.isErr()) return listed.error;
--- a/src/state_catch_up.ts
+++ b/src/state_catch_up.ts
@@ -10,14 +10,11 @@
 import type { HostId, SocketAddress } from "./core/ids.ts";
 import { decideEra, eraOf } from "./core/store_revision.ts";
 import { registryChangesSchema } from "./core/server_registry.ts";
+import type { WatchPosition } from "./core/watch_schedule.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { GatewayPeer } from "./gateway_peer.ts";
 import type { RouterListing } from "./gateway_peer_messages.ts";
-import {
-  type ConfigurationWatch,
-  type GatewayStateTask,
-  safeParseState,
-} from "./gateway_state_task.ts";
+import { type GatewayStateTask, safeParseState } from "./gateway_state_task.ts";
 import type {
   PeerIdentity,
   PeerMessageKind,
@@ -114,8 +111,8 @@
   constructor(options: StateCatchUpOptions) {
     this.#options = options;
     const { network, state } = options;
-    state.registryTask.setWatchDecision(() => this.#shouldWatch());
-    state.setWatchDecision(() => this.#decideConfigurationWatch());
+    state.registryTask.setWatchDecision(() => this.#registryWatch());
+    state.setWatchDecision(() => this.#configurationWatch());
     state.registryTask.onChange((changes) =>
       this.#relay("gateway.registry", changes)
     );
@@ -182,13 +179,25 @@
         report.registryDigest !== state.registry.digest);
   }
 
-  /** Whether too few higher-ranked routers watch the registry. */
-  #shouldWatch(): boolean {
+  /** Place among the routers that watch the registry, if too few others do. */
+  #registryWatch(): WatchPosition | undefined {
     const { receivesFromCollectors } = this.#options;
-    if (this.#isDiscovering()) return false;
-    if (!receivesFromCollectors()) return true;
-    const watchers = this.#countPreferred(({ isWatching }) => isWatching);
-    return watchers < WATCHER_COUNT;
+    if (this.#isDiscovering()) return undefined;
+    const rank = this.#countPreferred(({ isWatching }) => isWatching);
+    if (receivesFromCollectors() && rank >= WATCHER_COUNT) return undefined;
+    const expected = Math.min(WATCHER_COUNT, this.#countLive());
+    return { rank, watchers: Math.max(rank + 1, expected) };
+  }
+
+  /**
+   * Place among the routers that watch the configuration. In a large fleet they are
+   * those that watch the registry: a version completes all their watch calls.
+   */
+  #configurationWatch(): WatchPosition | undefined {
+    if (this.#options.isHierarchical()) return this.#registryWatch();
+    if (this.#isDiscovering()) return undefined;
+    const rank = this.#countPreferred(() => true);
+    return { rank, watchers: this.#countLive() };
   }
 
   /**
@@ -234,6 +243,15 @@
     return count;
   }
 
+  /** Number of live routers, including this one. */
+  #countLive(): number {
+    let count = 1;
+    for (const peer of this.#options.peers()) {
+      if (peer.listing && this.#isAlive(peer)) count++;
+    }
+    return count;
+  }
+
   #isAlive({ directAt, heardAt }: GatewayPeer): boolean {
     // A router that now reports only to others is known from their listings.
     const isListed = heardAt > directAt;
@@ -243,13 +261,6 @@
     return this.#options.now() - heardAt < limit;
   }
 
-  /** Limits the watching routers of a large fleet: a version completes all their watch calls. */
-  #decideConfigurationWatch(): ConfigurationWatch {
-    if (this.#isDiscovering()) return "not";
-    if (!this.#options.isHierarchical()) return "for_itself";
-    return this.#shouldWatch() ? "for_others" : "not";
-  }
-
   #relayConfiguration(
     configuration: GatewayConfiguration,
     isFirst: boolean,
--- a/src/store_health.ts
+++ b/src/store_health.ts
@@ -31,6 +31,8 @@
 export class StoreHealth {
   readonly #options: StoreHealthOptions;
   #failures = 0;
+  /** Whether the last call had no response on a connection that was open. */
+  #isSilent = false;
   #lastSuccessAt: number | undefined;
   #historyLostAt = Number.NEGATIVE_INFINITY;
 
@@ -43,6 +45,11 @@
     return this.#failures > 0;
   }
 
+  /** Whether the last call succeeded; until then a call must not wait. */
+  get isProven(): boolean {
+    return this.#failures === 0 && !this.#isSilent;
+  }
+
   /** Time since the last successful call, in milliseconds; -1 before the first. */
   ageMilliseconds(): number {
     const now = this.#options.timers.clock.monotonicMilliseconds();
@@ -53,6 +60,7 @@
   recordSuccess(): void {
     const { timers, log, subject } = this.#options;
     this.#lastSuccessAt = timers.clock.monotonicMilliseconds();
+    this.#isSilent = false;
     if (this.#failures === 0) return;
     this.#failures = 0;
     log.write("dependency.returned", { dependency: "store", subject });
@@ -68,6 +76,24 @@
     await timers.sleep(LOST_HISTORY_DELAY_MILLISECONDS, "store history");
   }
 
+  /**
+   * Records that a call had no response in time on an open connection; false if it
+   * was not the first in a row. The first says that the connection is dead, which is
+   * no outage of the store: the call is repeated at once, on another connection.
+   */
+  recordSilence(error: ApplicationError): boolean {
+    if (!this.isProven) return false;
+    this.#isSilent = true;
+    const { log, subject } = this.#options;
+    log.write("dependency.silent", {
+      dependency: "store",
+      subject,
+      detail: error.detail,
+      age: Math.round(this.ageMilliseconds()),
+    });
+    return true;
+  }
+
   /** Records a failed call and resolves after the backoff delay. */
   async recordFailure(error: ApplicationError): Promise<void> {
     const { timers, random, log, subject } = this.#options;
--- a/stand_ins/memory_fleet_store.ts
+++ b/stand_ins/memory_fleet_store.ts
@@ -120,12 +120,20 @@
   }
 }
 
+/** How much later than its wait a silenced watch is given up. */
+const SILENCE_GRACE_MILLISECONDS = 1_000;
+const SILENT = createError("platform_silent", "the store did not respond");
+
 /** A client of an in-memory fleet. */
 export class MemoryFleetStore extends FleetStore {
   readonly #fleet: MemoryFleet;
   readonly #timers: TimerService | undefined;
   #failure: ApplicationError | undefined;
   #blocksWatches = false;
+  /** Counts the replacements of this client's connections. */
+  #connections = 0;
+  /** Connections up to this count are silent. */
+  #silentConnections = -1;
   /** Time until lists respond, in milliseconds; needs a timer service. */
   listDelayMilliseconds = 0;
   /** Number of configurations that this client has read. */
@@ -154,6 +162,18 @@
     this.#blocksWatches = isBlocked;
   }
 
+  /** Makes the open connections silent; new ones work. */
+  silence(): void {
+    this.#silentConnections = this.#connections;
+  }
+
+  /** Makes all connections silent, new ones too, or lets new ones work again. */
+  setSilent(isSilent: boolean): void {
+    this.#silentConnections = isSilent
+      ? Number.POSITIVE_INFINITY
+      : this.#connections - 1;
+  }
+
   override async readConfiguration(): StoreResult<StoredConfiguration> {
     await this.#delayList();
     return this.#respond("list", () => ({
@@ -169,11 +189,12 @@
   ): StoreResult<StoredConfiguration> {
     if (this.#isRestoredSince(afterRevision)) return this.#loseHistory();
     this.waitingConfigurationWatches++;
-    await this.#waitUntil(
+    const hasResponse = await this.#waitUntil(
       () => this.#fleet.configurationRevision > afterRevision,
       waitMilliseconds,
     );
     this.waitingConfigurationWatches--;
+    if (!hasResponse) return this.#failSilently();
     if (this.#isRestoredSince(afterRevision)) return this.#loseHistory();
     const { length: versions } = this.#fleet.configurationRevisions
       .filter((revision) => revision > afterRevision);
@@ -205,8 +226,12 @@
       return this.#loseHistory();
     }
     this.waitingServerWatches++;
-    await this.#waitUntil(() => newerChanges().length > 0, waitMilliseconds);
+    const hasResponse = await this.#waitUntil(
+      () => newerChanges().length > 0,
+      waitMilliseconds,
+    );
     this.waitingServerWatches--;
+    if (!hasResponse) return this.#failSilently();
     if (this.#isRestoredSince(afterRevision)) return this.#loseHistory();
     return this.#respond("watch", () => ({
       revision: this.#fleet.revision,
@@ -264,21 +289,43 @@
     return this.#timers?.clock.monotonicMilliseconds() ?? Date.now();
   }
 
+  /** Gives up all connections, as a client does when one is silent. */
+  #failSilently<T>(): Result<T, ApplicationError> {
+    this.onCall("watch", SILENT.kind);
+    return err(SILENT);
+  }
+
+  /** Waits on a connection; false if it has fallen silent. */
   async #waitUntil(
     isReady: () => boolean,
     waitMilliseconds: number,
-  ): Promise<void> {
+  ): Promise<boolean> {
+    const connections = this.#connections;
     const end = this.#now() + waitMilliseconds;
-    const timeout = this.#timers?.after(
-      waitMilliseconds,
-      "watch timeout",
-      () => this.#fleet.wake(),
+    const timeouts = [0, SILENCE_GRACE_MILLISECONDS].map((grace) =>
+      this.#timers?.after(
+        waitMilliseconds + grace,
+        "watch timeout",
+        () => this.#fleet.wake(),
+      )
     );
-    while (!this.#failure && (this.#blocksWatches || !isReady())) {
-      const remaining = end - this.#now();
+    while (!this.#failure && connections === this.#connections) {
+      const isSilent = connections <= this.#silentConnections;
+      if (!isSilent && !this.#blocksWatches && isReady()) break;
+      const grace = isSilent ? SILENCE_GRACE_MILLISECONDS : 0;
+      const remaining = end + grace - this.#now();
       if (remaining <= 0) break;
       await this.#fleet.wait(remaining);
     }
-    timeout?.cancel();
+    for (const timeout of timeouts) timeout?.cancel();
+    if (this.#failure || connections > this.#silentConnections) return true;
+    if (connections === this.#connections) this.#replaceConnections();
+    return false;
+  }
+
+  /** Ends the other calls that wait on silent connections. */
+  #replaceConnections(): void {
+    this.#connections++;
+    this.#fleet.wake();
   }
 }
