End a planned stop once, when no request is due any more

Callers that had connected just before the listening socket closed, and sent soon after, got no answer.

Cause: stop() returned at once while a stop was under way, and the program exits when it returns. The stop waited for requests that had been read, not for open connections on which one was due, and a request that was read after the wait could still be passed on.

Change: every caller of stop() waits for the one stop. It lasts until responses have left and no caller that connected within a second still has to send; then nothing more runs, and a first request that is partly there gets 503. The caller port becomes a class that knows its open connections.

--- a/src/caller_connection.ts
+++ b/src/caller_connection.ts
@@ -19,11 +19,17 @@
  * socket with unread input resets it, and the caller may lose the response.
  */
 const CLOSE_TIMEOUT_MILLISECONDS = 1_000;
+/** A caller that has connected sends its request within this time. */
+const FIRST_REQUEST_MILLISECONDS = 1_000;
 
 /** The requests of one connection, and whether their caller is still there. */
 export interface CallerConnection {
   /** Number of requests that were accepted. */
   readonly requestCount: number;
+  /** Whether bytes of a first request have arrived, but not all of its head. */
+  hasUnreadRequest(): boolean;
+  /** Whether a response is still being sent, or the first request may follow. */
+  isBusy(): boolean;
   /** Time since the connection was accepted, in milliseconds. */
   ageMilliseconds(): number;
   /**
@@ -33,10 +39,10 @@
   accept(response: ServerResponse): boolean;
   /**
    * Closes the connection. A request that was read in full gets its response first.
-   * Otherwise the final response is sent, unless an earlier one was: a second one
-   * could be taken for the response to another request.
+   * Otherwise the final response is sent, if there is one and unless an earlier one
+   * was: a second one could be taken for the response to another request.
    */
-  close(finalResponse: string): void;
+  close(finalResponse: string | undefined): void;
   /**
    * Calls the listener once the caller has left, soon if it has left already;
    * returns a function that removes the listener.
@@ -76,6 +82,16 @@
     return performance.now() - this.#openedAt;
   }
 
+  hasUnreadRequest(): boolean {
+    return this.#requestCount === 0 && this.#socket.bytesRead > 0;
+  }
+
+  isBusy(): boolean {
+    if (this.#openResponses.size > 0) return true;
+    return this.#requestCount === 0 &&
+      this.ageMilliseconds() < FIRST_REQUEST_MILLISECONDS;
+  }
+
   accept(response: ServerResponse): boolean {
     // A socket that is no longer writable carries no response.
     if (this.#isClosing || !this.#socket.writable) return false;
@@ -88,7 +104,7 @@
     return true;
   }
 
-  close(finalResponse: string): void {
+  close(finalResponse: string | undefined): void {
     if (this.#isClosing) return;
     this.#isClosing = true;
     // Open responses announce the close, if their head is still to be sent.
@@ -97,9 +113,14 @@
     }
     if (this.#hasWholeRequest()) return;
     this.#leave();
+    // A normal close would mark a begun response without a length as complete.
+    if (this.#hasBegunResponse()) {
+      this.#socket.resetAndDestroy();
+      return;
+    }
     const hasResponded = this.#socket.bytesWritten > 0;
-    if (hasResponded || !this.#socket.writable) {
-      this.#socket.destroy();
+    if (hasResponded || !this.#socket.writable || !finalResponse) {
+      this.#socket.destroySoon();
       return;
     }
     this.#socket.end(finalResponse);
@@ -125,6 +146,10 @@
     return [...this.#openResponses].some(({ req }) => req.complete);
   }
 
+  #hasBegunResponse(): boolean {
+    return [...this.#openResponses].some(({ headersSent }) => headersSent);
+  }
+
   #endWhenAnswered(): void {
     if (!this.#hasWholeRequest()) this.#socket.destroySoon();
   }
--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -4,7 +4,6 @@
  * gateway can run on different platforms.
  */
 import { randomBytes } from "node:crypto";
-import type { Server } from "node:http";
 import type { Result } from "neverthrow";
 import { createBackendConnections } from "./backend_connections.ts";
 import type { ApplicationError } from "./core/errors.ts";
@@ -39,14 +38,13 @@
   createGatewayProtocol,
   type GatewayProtocol,
 } from "./gateway_protocol.ts";
-import { applyRequestBounds, createGatewayServer } from "./gateway_server.ts";
+import { createCallerServer } from "./gateway_server.ts";
 import { createGatewayStateTask } from "./gateway_state_task.ts";
 import { createGatewayStatus } from "./gateway_status.ts";
 import { handleRequest } from "./gateway_requests.ts";
 import { createCrashDetection } from "./crash_detection.ts";
 import { toListenAddress } from "./listen_address.ts";
 import type { PassThroughContext } from "./pass_through_context.ts";
-import { afterPendingInput } from "./pending_input.ts";
 import { createPlannedStop } from "./planned_stop.ts";
 import { createRetryBudgets, type RetryAllowance } from "./retry_budgets.ts";
 import { createServerKnowledge } from "./server_knowledge.ts";
@@ -66,6 +64,9 @@
 /** How long new connections are still accepted after a stop signal. */
 const STOP_ACCEPT_MILLISECONDS = 3_000;
 const STOP_POLL_MILLISECONDS = 50;
+/** How long the last responses may take to leave at the end of a stop. */
+const STOP_CLOSE_MILLISECONDS = 200;
+const STOP_CLOSE_POLL_MILLISECONDS = 10;
 
 /** Listen addresses of the gateway's interfaces, as `ip:port`. */
 export interface GatewayAddresses {
@@ -237,7 +238,7 @@
     metricsText: () => status.renderMetrics(),
     describe: () => status.describe(),
   };
-  const callerServer = createGatewayServer((request, response) => {
+  const callerServer = createCallerServer((request, response) => {
     inFlight++;
     handleRequest(context, request, response);
   }, {
@@ -287,7 +288,7 @@
   function applyState(): void {
     knowledge.applyRegistrations(clock.monotonicMilliseconds());
     const table = state.table();
-    if (table) applyRequestBounds(callerServer, table.configuration.bounds);
+    if (table) callerServer.applyBounds(table.configuration.bounds);
   }
 
   async function start(): Promise<void> {
@@ -298,7 +299,7 @@
     await peers.start();
     await listen(statusServer, toListenAddress(addresses.status));
     await listen(entryServer, toListenAddress(addresses.entry));
-    await listen(callerServer, toListenAddress(addresses.callers));
+    await callerServer.listen(toListenAddress(addresses.callers));
     isListening = true;
     subscriptions.push(
       timers.every(
@@ -310,26 +311,46 @@
     );
   }
 
-  /** Stops to listen and closes idle connections, once what has arrived is read. */
-  function close(server: Server): void {
-    afterPendingInput(() => server.close());
+  /** Waits while requests are served, or may still come on open connections. */
+  async function finishRequests(): Promise<void> {
+    callerServer.stopListening();
+    while (
+      callerServer.isBusy() && plannedStop.remainingMilliseconds() > 0
+    ) {
+      await timers.sleep(STOP_POLL_MILLISECONDS, "stop");
+      callerServer.closeIdle();
+    }
+    plannedStop.abandonRest();
+  }
+
+  /** Closes the callers' connections and waits until what was sent has left. */
+  async function closeCallers(): Promise<void> {
+    const deadline = clock.monotonicMilliseconds() + STOP_CLOSE_MILLISECONDS;
+    callerServer.closeAll();
+    do await timers.sleep(STOP_CLOSE_POLL_MILLISECONDS, "stop"); while (
+      callerServer.connectionCount > 0 &&
+      clock.monotonicMilliseconds() < deadline
+    );
   }
 
-  async function stop(): Promise<void> {
-    if (plannedStop.isStopping) return;
+  let stopped: Promise<void> | undefined;
+
+  /** Every caller waits for the end of the one stop. */
+  function stop(): Promise<void> {
+    stopped ??= stopOnce();
+    return stopped;
+  }
+
+  async function stopOnce(): Promise<void> {
     const stoppedAt = clock.monotonicMilliseconds();
     plannedStop.begin(tuning.graceMilliseconds);
     log.write("process.stopping", { inFlight });
     peers.announce();
     await timers.sleep(STOP_ACCEPT_MILLISECONDS, "stop");
-    close(callerServer);
-    while (inFlight > 0 && plannedStop.remainingMilliseconds() > 0) {
-      await timers.sleep(STOP_POLL_MILLISECONDS, "stop");
-      afterPendingInput(() => callerServer.closeIdleConnections());
-    }
-    plannedStop.abandonRest();
-    close(entryServer);
-    close(statusServer);
+    await finishRequests();
+    await closeCallers();
+    entryServer.close();
+    statusServer.close();
     for (const subscription of subscriptions) subscription.cancel();
     await peers.stop();
     await state.stop();
--- a/src/gateway_server.ts
+++ b/src/gateway_server.ts
@@ -5,8 +5,13 @@
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { callerConnectionOf } from "./caller_connection.ts";
+import {
+  type CallerConnection,
+  callerConnectionOf,
+} from "./caller_connection.ts";
 import type { RequestBounds } from "./core/gateway_configuration.ts";
+import { listen } from "./gateway_interfaces.ts";
+import type { ListenAddress } from "./listen_address.ts";
 import { afterPendingInput } from "./pending_input.ts";
 
 /** Header limit of the parser; the configured limit is checked later. */
@@ -25,6 +30,8 @@
   switch (code) {
     case "HPE_HEADER_OVERFLOW":
       return "431 Request Header Fields Too Large";
+    case "ERR_STOPPING":
+      return "503 Service Unavailable";
     case "ERR_HTTP_REQUEST_TIMEOUT":
       return "408 Request Timeout";
     default:
@@ -65,6 +72,9 @@
   }\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
 }
 
+/** The final response to a request that a stopping router has not read in full. */
+const NOT_RUN = _finalResponse("ERR_STOPPING");
+
 function _rejectMalformed(
   error: Error,
   socket: Socket,
@@ -106,37 +116,85 @@
   });
 }
 
-/** Creates the server without listening. */
-export function createGatewayServer(
-  handler: RequestHandler,
-  listener: RefusalListener,
-): Server {
-  const server = createServer({
-    maxHeaderSize: MAXIMUM_PARSED_HEADER_BYTES,
-    headersTimeout: DEFAULT_HEADER_TIMEOUT_MILLISECONDS,
-    requestTimeout: 0,
-    keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MILLISECONDS,
-    connectionsCheckingInterval: TIMEOUT_CHECK_MILLISECONDS,
-  }, (request, response) => {
-    const connection = callerConnectionOf(request.socket);
-    if (connection.accept(response)) handler(request, response);
-    else listener.onDropped(_describe(request.socket));
-  });
-  // Created now, so that it knows its age.
-  server.on("connection", callerConnectionOf);
-  server.on(
-    "clientError",
-    (error, socket) => _onClientError(error, socket as Socket, listener),
-  );
-  server.on("timeout", _closeIdle);
-  return server;
+/** The caller port of a gateway. */
+export class CallerServer {
+  readonly #server: Server;
+  readonly #connections = new Set<CallerConnection>();
+
+  constructor(handler: RequestHandler, listener: RefusalListener) {
+    this.#server = createServer({
+      maxHeaderSize: MAXIMUM_PARSED_HEADER_BYTES,
+      headersTimeout: DEFAULT_HEADER_TIMEOUT_MILLISECONDS,
+      requestTimeout: 0,
+      keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MILLISECONDS,
+      connectionsCheckingInterval: TIMEOUT_CHECK_MILLISECONDS,
+    }, (request, response) => {
+      const connection = callerConnectionOf(request.socket);
+      if (connection.accept(response)) handler(request, response);
+      else listener.onDropped(_describe(request.socket));
+    });
+    this.#server.on("connection", (socket: Socket) => this.#add(socket));
+    this.#server.on(
+      "clientError",
+      (error, socket) => _onClientError(error, socket as Socket, listener),
+    );
+    this.#server.on("timeout", _closeIdle);
+  }
+
+  /** Starts to listen; resolves once callers can connect. */
+  listen(address: ListenAddress): Promise<void> {
+    return listen(this.#server, address);
+  }
+
+  /** Applies configured timeouts to connections opened from now on. */
+  applyBounds(bounds: RequestBounds): void {
+    this.#server.headersTimeout = bounds.headerTimeoutMilliseconds;
+    this.#server.keepAliveTimeout = bounds.idleTimeoutMilliseconds;
+  }
+
+  /** Whether any connection waits for its first request or for a response. */
+  isBusy(): boolean {
+    return [...this.#connections].some((connection) => connection.isBusy());
+  }
+
+  /** Stops to listen, once connections that have arrived are accepted. */
+  stopListening(): void {
+    afterPendingInput(() => this.#server.close());
+  }
+
+  /** Closes idle connections, unless a request has arrived on them unread. */
+  closeIdle(): void {
+    afterPendingInput(() => this.#server.closeIdleConnections());
+  }
+
+  /**
+   * Closes all connections. Open responses are sent first; a caller that is in the
+   * middle of its first request is told that it has not run.
+   */
+  closeAll(): void {
+    afterPendingInput(() => {
+      for (const connection of this.#connections) {
+        connection.close(connection.hasUnreadRequest() ? NOT_RUN : undefined);
+      }
+    });
+  }
+
+  /** Number of open connections. */
+  get connectionCount(): number {
+    return this.#connections.size;
+  }
+
+  #add(socket: Socket): void {
+    const connection = callerConnectionOf(socket);
+    this.#connections.add(connection);
+    socket.once("close", () => this.#connections.delete(connection));
+  }
 }
 
-/** Applies configured timeouts to connections opened from now on. */
-export function applyRequestBounds(
-  server: Server,
-  bounds: RequestBounds,
-): void {
-  server.headersTimeout = bounds.headerTimeoutMilliseconds;
-  server.keepAliveTimeout = bounds.idleTimeoutMilliseconds;
+/** Creates the caller port without listening. */
+export function createCallerServer(
+  handler: RequestHandler,
+  listener: RefusalListener,
+): CallerServer {
+  return new CallerServer(handler, listener);
 }
--- a/src/planned_stop.ts
+++ b/src/planned_stop.ts
@@ -34,7 +34,7 @@
 
   /** Whether this router is shutting down. */
   get isStopping(): boolean {
-    return Number.isFinite(this.#deadline);
+    return this.#deadline < Number.POSITIVE_INFINITY;
   }
 
   /** Begins the stop; the process is killed after the grace time. */
@@ -53,6 +53,7 @@
    */
   canFinish({ name, latencyObjectiveMilliseconds }: StoppableRoute): boolean {
     if (!this.isStopping) return true;
+    if (this.remainingMilliseconds() === 0) return false;
     const longest = this.#durations.longest(name, this.#now());
     const expected = longest > 0 ? longest : latencyObjectiveMilliseconds;
     return expected <= this.remainingMilliseconds();
@@ -71,8 +72,9 @@
     this.#durations.record(route, milliseconds, this.#now());
   }
 
-  /** Ends the requests that are left, each with an answer. */
+  /** Ends the requests that are left, each with an answer; no further one runs. */
   abandonRest(): void {
+    this.#deadline = Number.NEGATIVE_INFINITY;
     for (const request of [...this.#served]) request.abandon();
   }
 
--- a/src/silent_store_fleet_test.ts
+++ b/src/silent_store_fleet_test.ts
@@ -74,6 +74,10 @@
   return fleet;
 }
 
+function isKnownToAll(fleet: SimulatedGatewayFleet, change: _Change): boolean {
+  return fleet.routers.every((router) => change.isKnown(router));
+}
+
 for (const routers of [1, 3, 14, LARGE_FLEET_ROUTERS]) {
   const moments = routers < LARGE_FLEET_ROUTERS
     ? MOMENTS
@@ -91,7 +95,7 @@
           CONTACT_MILLISECONDS - changedAfter,
         );
         let elapsed = 0;
-        while (!fleet.routers.every(change.isKnown) && elapsed < 20_000) {
+        while (!isKnownToAll(fleet, change) && elapsed < 20_000) {
           await fleet.advance(STEP_MILLISECONDS);
           elapsed += STEP_MILLISECONDS;
         }
