Let no request and no unhandled error end a process at once

Cause: the URL parser throws on some request targets, in a listener that nothing catches. Ruled out: the caller port, which does not parse targets with it.

Change: request_target.ts parses targets without the URL parser; what is no path gets 400. fault_handler.ts is the last resort for errors: an exception is logged with its stack, counted, and survived; after a rejected promise, or six exceptions in a minute, the process stops as planned and exits with 1. Listening sockets keep a handler for errors. The end of a stop for callers moves to caller_shutdown.ts.

--- a/src/decision_log.ts
+++ b/src/decision_log.ts
@@ -12,6 +12,8 @@
 export const LOG_EVENTS = {
   "process.started": "state",
   "process.stalled": "state",
+  "process.fault": "state",
+  "listener.failed": "state",
   "process.stopping": "state",
   "process.stopped": "state",
   "settings.reloaded": "state",
--- a/src/entry_format.ts
+++ b/src/entry_format.ts
@@ -2,6 +2,7 @@
  * Format of the requests with which callers look up router addresses, and of
  * the responses. A deployment may replace the path, names and units.
  */
+import { parseRequestTarget } from "./request_target.ts";
 import { brandId, type DataCentreId, type SocketAddress } from "./core/ids.ts";
 
 /** A caller's request for router addresses. */
@@ -30,9 +31,9 @@
 /** The gateway's default format. */
 export class DefaultEntryFormat extends EntryFormat {
   override readRequest(url: string): EntryRequest | undefined {
-    const { pathname, searchParams } = new URL(url, "http://gateway");
-    if (pathname !== ENTRY_ADDRESSES_PATH) return undefined;
-    const dataCentre = searchParams.get("data_centre");
+    const target = parseRequestTarget(url);
+    if (target?.path !== ENTRY_ADDRESSES_PATH) return undefined;
+    const dataCentre = target.query.get("data_centre");
     return {
       dataCentre: dataCentre === null
         ? undefined
--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -6,6 +6,7 @@
 import { randomBytes } from "node:crypto";
 import type { Result } from "neverthrow";
 import { createBackendConnections } from "./backend_connections.ts";
+import { shutDownCallers } from "./caller_shutdown.ts";
 import type { ApplicationError } from "./core/errors.ts";
 import { createFleetLoad } from "./core/fleet_load.ts";
 import {
@@ -25,6 +26,7 @@
   type LogOutput,
 } from "./decision_log.ts";
 import { DefaultEntryFormat, type EntryFormat } from "./entry_format.ts";
+import { createFaultHandler, type FaultHandler } from "./fault_handler.ts";
 import type { FleetStore } from "./fleet_store.ts";
 import {
   createEntryServer,
@@ -63,10 +65,6 @@
 const ENTRY_LIFETIME_MILLISECONDS = 2_000;
 /** How long new connections are still accepted after a stop signal. */
 const STOP_ACCEPT_MILLISECONDS = 3_000;
-const STOP_POLL_MILLISECONDS = 50;
-/** How long the last responses may take to leave at the end of a stop. */
-const STOP_CLOSE_MILLISECONDS = 200;
-const STOP_CLOSE_POLL_MILLISECONDS = 10;
 
 /** Listen addresses of the gateway's interfaces, as `ip:port`. */
 export interface GatewayAddresses {
@@ -109,6 +107,8 @@
    * may exit.
    */
   stop(): Promise<void>;
+  /** Records an error that no code handled. */
+  readonly handleFault: FaultHandler;
   /** Applies reloaded settings; invalid settings are logged and ignored. */
   reload(settings: Result<GatewayTuning, ApplicationError>): void;
 }
@@ -291,15 +291,31 @@
     if (table) callerServer.applyBounds(table.configuration.bounds);
   }
 
+  function reportListenError(port: string, error: string): void {
+    metrics.listenErrors.inc({ port });
+    log.write("listener.failed", { port, error, inFlight });
+  }
+
   async function start(): Promise<void> {
     log.write("process.started", { incarnation, addresses });
     state.onChange(applyState);
     await network.start();
     await state.start();
     await peers.start();
-    await listen(statusServer, toListenAddress(addresses.status));
-    await listen(entryServer, toListenAddress(addresses.entry));
-    await callerServer.listen(toListenAddress(addresses.callers));
+    await listen(
+      statusServer,
+      toListenAddress(addresses.status),
+      (error) => reportListenError("status", error),
+    );
+    await listen(
+      entryServer,
+      toListenAddress(addresses.entry),
+      (error) => reportListenError("entry", error),
+    );
+    await callerServer.listen(
+      toListenAddress(addresses.callers),
+      (error) => reportListenError("callers", error),
+    );
     isListening = true;
     subscriptions.push(
       timers.every(
@@ -311,28 +327,6 @@
     );
   }
 
-  /** Waits while requests are served, or may still come on open connections. */
-  async function finishRequests(): Promise<void> {
-    callerServer.stopListening();
-    while (
-      callerServer.isBusy() && plannedStop.remainingMilliseconds() > 0
-    ) {
-      await timers.sleep(STOP_POLL_MILLISECONDS, "stop");
-      callerServer.closeIdle();
-    }
-    plannedStop.abandonRest();
-  }
-
-  /** Closes the callers' connections and waits until what was sent has left. */
-  async function closeCallers(): Promise<void> {
-    const deadline = clock.monotonicMilliseconds() + STOP_CLOSE_MILLISECONDS;
-    callerServer.closeAll();
-    do await timers.sleep(STOP_CLOSE_POLL_MILLISECONDS, "stop"); while (
-      callerServer.connectionCount > 0 &&
-      clock.monotonicMilliseconds() < deadline
-    );
-  }
-
   let stopped: Promise<void> | undefined;
 
   /** Every caller waits for the end of the one stop. */
@@ -347,8 +341,7 @@
     log.write("process.stopping", { inFlight });
     peers.announce();
     await timers.sleep(STOP_ACCEPT_MILLISECONDS, "stop");
-    await finishRequests();
-    await closeCallers();
+    await shutDownCallers({ callerServer, plannedStop, timers });
     entryServer.close();
     statusServer.close();
     for (const subscription of subscriptions) subscription.cancel();
@@ -377,5 +370,6 @@
     log.write("settings.reloaded", { ...tuning });
   }
 
-  return { start, stop, reload };
+  const handleFault = createFaultHandler({ log, metrics, clock });
+  return { start, stop, reload, handleFault };
 }
--- a/src/gateway_interfaces.ts
+++ b/src/gateway_interfaces.ts
@@ -12,6 +12,7 @@
   chooseEntryAddresses,
   type EntryRouter,
 } from "./core/entry_addresses.ts";
+import { parseRequestTarget } from "./request_target.ts";
 import type { EntryFormat } from "./entry_format.ts";
 import type { ListenAddress } from "./listen_address.ts";
 
@@ -28,12 +29,26 @@
   readonly describe: () => unknown;
 }
 
-/** Starts to listen and resolves once the server accepts connections. */
-export function listen(server: Server, address: ListenAddress): Promise<void> {
+/** Called with the code of an error of a socket that listens. */
+export type ListenErrorListener = (code: string) => void;
+
+/**
+ * Starts to listen and resolves once the server accepts connections. Later errors, such
+ * as a lack of file descriptors at an accept, are reported and survived.
+ */
+export function listen(
+  server: Server,
+  address: ListenAddress,
+  onError: ListenErrorListener,
+): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(address.port, address.host, () => {
       server.off("error", reject);
+      server.on(
+        "error",
+        (error: NodeJS.ErrnoException) => onError(error.code ?? error.message),
+      );
       resolve();
     });
   });
@@ -57,7 +72,9 @@
   response: ServerResponse,
   options: GatewayInterfacesOptions,
 ): void {
-  const entryRequest = options.entryFormat.readRequest(request.url ?? "/");
+  const { url = "" } = request;
+  if (!parseRequestTarget(url)) return _send(response, 400, EMPTY_BODY);
+  const entryRequest = options.entryFormat.readRequest(url);
   if (!entryRequest) return _send(response, 404, EMPTY_BODY);
   const addresses = chooseEntryAddresses(
     options.routers(),
--- a/src/gateway_metrics.ts
+++ b/src/gateway_metrics.ts
@@ -168,6 +168,18 @@
       help: "Time in which the process stood still for half a second or more",
       registers,
     }),
+    faults: new Counter({
+      name: `${prefix}faults_total`,
+      help: "Errors that no code handled, by origin",
+      labelNames: ["origin"],
+      registers,
+    }),
+    listenErrors: new Counter({
+      name: `${prefix}listen_errors_total`,
+      help: "Errors of listening sockets after the start, by port",
+      labelNames: ["port"],
+      registers,
+    }),
     droppedLines: new Gauge({
       name: `${prefix}dropped_log_lines`,
       help: "Log lines dropped to keep the volume bounded",
--- a/src/gateway_server.ts
+++ b/src/gateway_server.ts
@@ -10,7 +10,7 @@
   callerConnectionOf,
 } from "./caller_connection.ts";
 import type { RequestBounds } from "./core/gateway_configuration.ts";
-import { listen } from "./gateway_interfaces.ts";
+import { listen, type ListenErrorListener } from "./gateway_interfaces.ts";
 import type { ListenAddress } from "./listen_address.ts";
 import { afterPendingInput } from "./pending_input.ts";
 
@@ -142,8 +142,11 @@
   }
 
   /** Starts to listen; resolves once callers can connect. */
-  listen(address: ListenAddress): Promise<void> {
-    return listen(this.#server, address);
+  listen(
+    address: ListenAddress,
+    onError: ListenErrorListener,
+  ): Promise<void> {
+    return listen(this.#server, address, onError);
   }
 
   /** Applies configured timeouts to connections opened from now on. */
--- a/src/operations_page_test.ts
+++ b/src/operations_page_test.ts
@@ -26,6 +26,8 @@
       "state_age_seconds",
       "routers",
       "excess_responses_total",
+      "faults_total",
+      "listen_errors_total",
       "dropped_requests_total",
       "stray_answers",
       "dropped_log_lines",
--- a/src/tcp_peer_network.ts
+++ b/src/tcp_peer_network.ts
@@ -111,7 +111,12 @@
     });
     await new Promise<void>((resolve, reject) => {
       server.once("error", reject);
-      server.listen(this.#options.port, this.#options.host, resolve);
+      server.listen(this.#options.port, this.#options.host, () => {
+        server.off("error", reject);
+        // A connection that cannot be accepted is dialled again by its peer.
+        server.on("error", () => this.#rejectedConnections++);
+        resolve();
+      });
     });
     const { port } = server.address() as AddressInfo;
     this.#address = brandId<SocketAddress>(`${this.#options.host}:${port}`);
