--- a/src/core/server_registry.ts
+++ b/src/core/server_registry.ts
@@ -44,10 +44,12 @@
 const MINIMUM_MASS_REMOVAL_SERVERS = 2;
 
 const _text = z.string().min(1).max(256);
+/** A server's name travels in a header: ASCII, without white space at its ends. */
+const _serverName = _text.regex(/^[\x21-\x7e]([\x20-\x7e]*[\x21-\x7e])?$/);
 
 /** Schema of a registered backend server. */
 export const registeredServerSchema = z.object({
-  id: _text.transform((text) => brandId<BackendServerId>(text)),
+  id: _serverName.transform((text) => brandId<BackendServerId>(text)),
   service: serviceIdSchema,
   address: socketAddressSchema,
   dataCentre: _text.transform((text) => brandId<DataCentreId>(text)),
