--- a/soak/fault_schedule.ts
+++ b/soak/fault_schedule.ts
@@ -23,7 +23,12 @@
 export const NOTICE_KINDS = ["backend_leaves", "backend_pauses"] as const;
 
 /** Kinds of fault that were added later, each drawn from a source of its own. */
-export const SEPARATE_KINDS = ["backend_limits", "store_restored"] as const;
+export const SEPARATE_KINDS = [
+  "backend_limits",
+  "store_restored",
+  "store_silenced",
+  "router_stopped_twice",
+] as const;
 
 /** Name of a kind of fault that schedules contain. */
 export type FaultKind =
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -38,6 +38,8 @@
 const RATE_LIMITS = [0, 0.5, 2, 6];
 /** Shortest time for which a limit is named; it binds after three seconds. */
 const SHORTEST_LIMIT_MILLISECONDS = 6_000;
+/** Time after a disturbance from which on the bounds hold again. */
+const CONTACT_MILLISECONDS = 3_000;
 const RESTART_TIMEOUT_MILLISECONDS = 15_000;
 const RETRY_ALLOWANCES_REQUESTS = [20, 100, 200];
 
@@ -228,6 +230,27 @@
     targets.writeAgain();
     end();
   },
+  /** Silences all open connections; changes follow when the bounds hold again. */
+  async store_silenced(_fault, targets) {
+    const end = targets.begin("store", false);
+    targets.storeProxy.setFault("silence");
+    targets.storeProxy.setFault("none");
+    end();
+    await sleep(CONTACT_MILLISECONDS);
+    const endChange = targets.begin("fleet", true);
+    targets.changeConfiguration();
+    await targets.replaceKey();
+    endChange();
+  },
+  async router_stopped_twice({ target, forMilliseconds }, targets) {
+    const router = _pick(targets.routers, target);
+    const end = targets.begin(router.settings.host, true);
+    const restarted = router.restart("terminate", RESTART_TIMEOUT_MILLISECONDS);
+    await sleep(forMilliseconds);
+    if (router.isStopping) router.signal("SIGTERM");
+    await restarted;
+    end();
+  },
   async store_forgets(_fault, targets) {
     const end = targets.begin("store", false);
     targets.store.discardHistory();
--- a/soak/soak_routers.ts
+++ b/soak/soak_routers.ts
@@ -83,7 +83,13 @@
     return false;
   }
 
-  signal(signal: "SIGSTOP" | "SIGCONT" | "SIGHUP"): void {
+  /** Whether the process was told to end and has not ended yet. */
+  get isStopping(): boolean {
+    return this.#isExitExpected && this.#child?.exitCode === null &&
+      this.#child.signalCode === null;
+  }
+
+  signal(signal: "SIGSTOP" | "SIGCONT" | "SIGHUP" | "SIGTERM"): void {
     this.#child?.kill(signal);
   }
 
