Decide in one place whether a failed store call was a silence

Cause: the configuration's and the registry's task each checked the kind of the error before they asked StoreHealth, and one had a method for it.

Change: StoreHealth.recordSilence checks the kind itself; both tasks ask it only. Behaviour is the same.

--- a/src/gateway_state_task.ts
+++ b/src/gateway_state_task.ts
@@ -5,7 +5,6 @@
  */
 import { ok, type Result } from "neverthrow";
 import { z } from "zod";
-import type { ApplicationError } from "./core/errors.ts";
 import { safeParseConfiguration } from "./core/configuration_parser.ts";
 import type { GatewayConfiguration } from "./core/gateway_configuration.ts";
 import { createRouteTable, type RouteTable } from "./core/route_table.ts";
@@ -265,7 +264,9 @@
         if (result.error.kind === "platform_history_lost") {
           this.#configurationRevision = 0;
           await this.#storeHealth.recordLostHistory();
-        } else await this.#recordFailure(result.error);
+        } else if (!this.#storeHealth.recordSilence(result.error)) {
+          await this.#storeHealth.recordFailure(result.error);
+        }
         continue;
       }
       this.#storeHealth.recordSuccess();
@@ -273,12 +274,6 @@
     }
   }
 
-  async #recordFailure(error: ApplicationError): Promise<void> {
-    const isSilence = error.kind === "platform_silent" &&
-      this.#storeHealth.recordSilence(error);
-    if (!isSilence) await this.#storeHealth.recordFailure(error);
-  }
-
   /**
    * Returns how long a watch waits. After a failure the first call does not wait: it
    * may have been a return from a copy, which only a response shows.
--- a/src/registry_task.ts
+++ b/src/registry_task.ts
@@ -157,10 +157,7 @@
       } else if (failure.kind === "platform_history_lost") {
         this.#isListed = false;
         await this.storeHealth.recordLostHistory();
-      } else if (
-        failure.kind !== "platform_silent" ||
-        !this.storeHealth.recordSilence(failure)
-      ) {
+      } else if (!this.storeHealth.recordSilence(failure)) {
         this.registry.markStoreDown();
         await this.storeHealth.recordFailure(failure);
       }
--- a/src/store_health.ts
+++ b/src/store_health.ts
@@ -78,11 +78,11 @@
 
   /**
    * Records that a call had no response in time on an open connection; false if it
-   * was not the first in a row. The first says that the connection is dead, which is
+   * failed otherwise, or was not the first in a row. The first says that the connection is dead, which is
    * no outage of the store: the call is repeated at once, on another connection.
    */
   recordSilence(error: ApplicationError): boolean {
-    if (!this.isProven) return false;
+    if (error.kind !== "platform_silent" || !this.isProven) return false;
     this.#isSilent = true;
     const { log, subject } = this.#options;
     log.write("dependency.silent", {
