Log what a stopping router knows of each request

Change: the last line of a request that ends during a stop carries the field stop, process.stopping the grace time, process.stopped what of the callers' responses ends with the process; stop_requests_total counts by outcome. The time limit of a request moves from pass_through.ts to request_timeout.ts. Conclusion: one line of a cut request says when it was passed on and why.

--- a/src/caller_connection.ts
+++ b/src/caller_connection.ts
@@ -32,6 +32,8 @@
   isBusy(): boolean;
   /** Time since the connection was accepted, in milliseconds. */
   ageMilliseconds(): number;
+  /** Bytes written that the operating system has not taken yet. */
+  unsentBytes(): number;
   /**
    * Accepts a request whose head was read, by its response; false if the connection is
    * closing, so that the request must not run.
@@ -82,6 +84,10 @@
     return performance.now() - this.#openedAt;
   }
 
+  unsentBytes(): number {
+    return this.#socket.writableLength;
+  }
+
   hasUnreadRequest(): boolean {
     return this.#requestCount === 0 && this.#socket.bytesRead > 0;
   }
--- a/src/caller_shutdown.ts
+++ b/src/caller_shutdown.ts
@@ -15,6 +15,14 @@
   readonly timers: TimerService;
 }
 
+/** What is left of the callers when a shutdown ends. */
+export interface UnfinishedCallers {
+  /** Connections that are still open and end with the process. */
+  readonly openConnections: number;
+  /** Bytes of responses that are lost with them. */
+  readonly unsentBytes: number;
+}
+
 /** Waits while requests are served, or may still come on open connections. */
 async function _finishRequests(
   { callerServer, plannedStop, timers }: CallerShutdownOptions,
@@ -42,7 +50,12 @@
 /** Serves what is due within the grace time, then closes all connections. */
 export async function shutDownCallers(
   options: CallerShutdownOptions,
-): Promise<void> {
+): Promise<UnfinishedCallers> {
+  const { callerServer } = options;
   await _finishRequests(options);
   await _closeConnections(options);
+  return {
+    openConnections: callerServer.connectionCount,
+    unsentBytes: callerServer.unsentBytes(),
+  };
 }
--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -337,11 +337,16 @@
 
   async function stopOnce(): Promise<void> {
     const stoppedAt = clock.monotonicMilliseconds();
-    plannedStop.begin(tuning.graceMilliseconds);
-    log.write("process.stopping", { inFlight });
+    const { graceMilliseconds } = tuning;
+    plannedStop.begin(graceMilliseconds);
+    log.write("process.stopping", { inFlight, graceMilliseconds });
     peers.announce();
     await timers.sleep(STOP_ACCEPT_MILLISECONDS, "stop");
-    await shutDownCallers({ callerServer, plannedStop, timers });
+    const unfinished = await shutDownCallers({
+      callerServer,
+      plannedStop,
+      timers,
+    });
     entryServer.close();
     statusServer.close();
     for (const subscription of subscriptions) subscription.cancel();
@@ -352,6 +357,7 @@
     await store.close();
     log.write("process.stopped", {
       inFlight,
+      ...unfinished,
       milliseconds: Math.round(clock.monotonicMilliseconds() - stoppedAt),
     });
     log.flush();
--- a/src/gateway_metrics.ts
+++ b/src/gateway_metrics.ts
@@ -33,6 +33,12 @@
       labelNames: ["kind", "outcome"],
       registers,
     }),
+    stopRequests: new Counter({
+      name: `${prefix}stop_requests_total`,
+      help: "Requests that ended during a planned stop, by outcome",
+      labelNames: ["outcome"],
+      registers,
+    }),
     attempts: new Counter({
       name: `${prefix}attempts_total`,
       help: "Attempts at backend servers by result",
--- a/src/gateway_server.ts
+++ b/src/gateway_server.ts
@@ -187,6 +187,15 @@
     return this.#connections.size;
   }
 
+  /** Bytes of responses that have not left the process. */
+  unsentBytes(): number {
+    let bytes = 0;
+    for (const connection of this.#connections) {
+      bytes += connection.unsentBytes();
+    }
+    return bytes;
+  }
+
   #add(socket: Socket): void {
     const connection = callerConnectionOf(socket);
     this.#connections.add(connection);
--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -40,13 +40,9 @@
 import { RequestLog } from "./request_log.ts";
 import { placeRequest } from "./request_placement.ts";
 import { chooseServer, unavailableServers } from "./server_choice.ts";
+import { startRequestTimeout } from "./request_timeout.ts";
 import type { Subscription } from "./timer_service.ts";
 
-/** A response may arrive this much after the request's timeout. */
-const TIMEOUT_GRACE_MILLISECONDS = 40;
-/** A response that has begun may end this much after the timeout. */
-const STREAM_GRACE_MILLISECONDS = 300;
-
 /** State of a request that passed the checks. */
 class _ForwardedRequest implements ServedRequest {
   readonly #context: PassThroughContext;
@@ -61,7 +57,7 @@
   #body: RequestBody | undefined;
   #relay: ResponseRelay | undefined;
   #attempt: RequestAttempt | undefined;
-  #timeout: Subscription | undefined;
+  #timeout: Pick<Subscription, "cancel"> | undefined;
 
   constructor(
     context: PassThroughContext,
@@ -94,11 +90,12 @@
     }
     this.#context.plannedStop.add(this);
     this.#ignoreCaller = this.#caller.onLeft(() => this.#onClose());
-    this.#timeout = this.#context.timers.after(
-      timeoutMilliseconds + TIMEOUT_GRACE_MILLISECONDS,
-      "request limit",
-      () => this.#onTimeout(),
-    );
+    this.#timeout = startRequestTimeout({
+      timers: this.#context.timers,
+      timeoutMilliseconds,
+      hasBegun: () => this.#response.headersSent,
+      onTimeout: () => this.#onTimeout(),
+    });
     readRequestBody(
       this.#request,
       bounds.maximumBodyBytes,
@@ -121,6 +118,7 @@
   #onBody(body: RequestBody): void {
     if (this.#ending.isFinished) return;
     this.#body = body;
+    this.#history.recordBody();
     if (body.kind === "aborted") return this.#onClose();
     if (body.kind === "too_large") {
       return this.#reject("body_too_large", "the body is too large", "full");
@@ -329,16 +327,7 @@
 
   #onTimeout(): void {
     if (this.#ending.isFinished) return;
-    const detail = "the request timed out";
-    if (this.#response.headersSent) {
-      this.#timeout = this.#context.timers.after(
-        STREAM_GRACE_MILLISECONDS,
-        "stream limit",
-        () => this.#truncate(detail),
-      );
-      return;
-    }
-    this.#giveUp(detail, "timeout");
+    this.#giveUp("the request timed out", "timeout");
   }
 
   /** Ends a request without a response and says whether it may have run. */
--- a/src/planned_stop.ts
+++ b/src/planned_stop.ts
@@ -27,6 +27,7 @@
   readonly #durations = createRequestDurations();
   readonly #served = new Set<ServedRequest>();
   #deadline = Number.POSITIVE_INFINITY;
+  #signalledAt = Number.POSITIVE_INFINITY;
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -39,7 +40,14 @@
 
   /** Begins the stop; the process is killed after the grace time. */
   begin(graceMilliseconds: number): void {
-    this.#deadline = this.#now() + graceMilliseconds - STOP_MARGIN_MILLISECONDS;
+    this.#signalledAt = this.#now();
+    this.#deadline = this.#signalledAt + graceMilliseconds -
+      STOP_MARGIN_MILLISECONDS;
+  }
+
+  /** Time since the stop began. */
+  sinceSignalMilliseconds(): number {
+    return this.#now() - this.#signalledAt;
   }
 
   /** Time until all requests must have an answer. */
@@ -54,11 +62,16 @@
   canFinish({ name, latencyObjectiveMilliseconds }: StoppableRoute): boolean {
     if (!this.isStopping) return true;
     if (this.remainingMilliseconds() === 0) return false;
-    const longest = this.#durations.longest(name, this.#now());
+    const longest = this.longestRecent(name);
     const expected = longest > 0 ? longest : latencyObjectiveMilliseconds;
     return expected <= this.remainingMilliseconds();
   }
 
+  /** Longest duration of a route's recent requests in milliseconds; 0 if none. */
+  longestRecent(route: string): number {
+    return this.#durations.longest(route, this.#now());
+  }
+
   add(request: ServedRequest): void {
     this.#served.add(request);
   }
--- a/src/request_history.ts
+++ b/src/request_history.ts
@@ -26,6 +26,8 @@
   #attempts = 0;
   #runs = 0;
   #firstByteMilliseconds: number | undefined;
+  #bodyMilliseconds: number | undefined;
+  #placedMilliseconds: number | undefined;
   /** When a part of the response was last relayed. */
   #lastRelayAt = 0;
 
@@ -52,8 +54,7 @@
   }
 
   remainingMilliseconds(): number {
-    const elapsed = this.#clock.monotonicMilliseconds() - this.#startedAt;
-    return this.#checked.timeoutMilliseconds - elapsed;
+    return this.#checked.timeoutMilliseconds - this.#elapsed();
   }
 
   progress(): RequestProgress {
@@ -62,13 +63,22 @@
       route: this.#checked.route,
       attempts: this.#attempts,
       runs: this.#runs,
-      milliseconds: this.#clock.monotonicMilliseconds() - this.#startedAt,
+      milliseconds: this.#elapsed(),
       firstByteMilliseconds: this.#firstByteMilliseconds,
+      bodyMilliseconds: this.#bodyMilliseconds,
+      placedMilliseconds: this.#placedMilliseconds,
+      remainingMilliseconds: this.remainingMilliseconds(),
     };
   }
 
+  /** Records that the body was read, as far as it is buffered. */
+  recordBody(): void {
+    this.#bodyMilliseconds = this.#elapsed();
+  }
+
   recordAttempt(server: BackendServerId): void {
     this.#attempts++;
+    this.#placedMilliseconds = this.#elapsed();
     this.#tried.add(server);
   }
 
@@ -94,6 +104,10 @@
     return milliseconds;
   }
 
+  #elapsed(): number {
+    return this.#clock.monotonicMilliseconds() - this.#startedAt;
+  }
+
   /** Decides what to do after a failed attempt. */
   nextStep(
     failure: AttemptFailure,
--- a/src/request_log.ts
+++ b/src/request_log.ts
@@ -6,6 +6,7 @@
 import type { DecisionLog } from "./decision_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewayStateTask } from "./gateway_state_task.ts";
+import type { PlannedStop } from "./planned_stop.ts";
 import type { TimerService } from "./timer_service.ts";
 
 /** Leaving and pausing servers that a line about a placement names. */
@@ -25,6 +26,7 @@
   readonly state: GatewayStateTask;
   readonly load: FleetLoad;
   readonly timers: TimerService;
+  readonly plannedStop: PlannedStop;
 }
 
 /** Progress of a request when a log line is written. */
@@ -37,6 +39,12 @@
   readonly milliseconds: number;
   /** Time from the arrival to the first byte of the response. */
   readonly firstByteMilliseconds: number | undefined;
+  /** Time from the arrival until the body was read; absent while it is not. */
+  readonly bodyMilliseconds?: number | undefined;
+  /** Time from the arrival until the last server was chosen; absent before. */
+  readonly placedMilliseconds?: number | undefined;
+  /** Time until the request times out; absent if it failed the checks. */
+  readonly remainingMilliseconds?: number | undefined;
 }
 
 /** Additional fields of a log line. */
@@ -77,6 +85,41 @@
   };
 }
 
+function _round(milliseconds: number | undefined): number | undefined {
+  return milliseconds === undefined ? undefined : Math.round(milliseconds);
+}
+
+/**
+ * What a stopping router knows of a request: how far the stop is, and when the head,
+ * the last byte of the body and the last placement came, relative to the signal.
+ */
+function _stopFields(
+  stop: PlannedStop,
+  progress: RequestProgress,
+): RequestFields {
+  if (!stop.isStopping) return {};
+  const { route, milliseconds, remainingMilliseconds } = progress;
+  const since = stop.sinceSignalMilliseconds();
+  const head = since - milliseconds;
+
+  function sinceSignal(sinceHead: number | undefined): number | undefined {
+    return sinceHead === undefined ? undefined : Math.round(head + sinceHead);
+  }
+
+  return {
+    stop: {
+      since: Math.round(since),
+      left: Math.round(stop.remainingMilliseconds()),
+      head: Math.round(head),
+      body: sinceSignal(progress.bodyMilliseconds),
+      placed: sinceSignal(progress.placedMilliseconds),
+      firstByte: sinceSignal(progress.firstByteMilliseconds),
+      timeout: _round(remainingMilliseconds),
+      longestRecent: route && Math.round(stop.longestRecent(route.name)),
+    },
+  };
+}
+
 /** Logs a request's events and updates the metrics. */
 export class RequestLog {
   readonly #context: RequestLogContext;
@@ -138,13 +181,15 @@
     outcome: string,
     fields: RequestFields,
   ): void {
-    const { log, metrics, state } = this.#context;
+    const { log, metrics, state, plannedStop } = this.#context;
     metrics.requests.inc({ kind: progress.route?.kind ?? "none", outcome });
+    if (plannedStop.isStopping) metrics.stopRequests.inc({ outcome });
     log.write(end, () => ({
       ..._commonFields(progress),
       outcome,
       ..._firstByteFields(progress),
       ...(end === "request.ended" ? {} : _stateFields(state)),
+      ..._stopFields(plannedStop, progress),
       ...fields,
     }));
   }
