Send nothing on in a planned stop that the router may not finish

Cause: whether a request could be finished was asked once, when its head had arrived, and answered with the longest recent duration of its route. The body may take seconds after that, a retry comes later still, and the next stream may take longer than all recent ones. A guess made early was kept as a promise. Ruled out: refusing all requests from the signal on: callers hold the address for two seconds and would lose their one retry in a rolling stop. Change: one pure decision (core/stop_admission.ts), asked at every moment at which a request is about to be sent: a request goes on if its own time limit ends before the router does; an estimate counts only in the two seconds in which callers learn of the stop, and twice over if another router serves. Requests that still wait for their body are rejected as soon as they cannot be finished. The log line names the decision. Conclusion: what is sent on after the signal ends before the router, or was estimated with a margin while callers could not know.

--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -66,6 +66,9 @@
 /** How long new connections are still accepted after a stop signal. */
 const STOP_ACCEPT_MILLISECONDS = 3_000;
 
+/** How often a stopping router looks for requests that it cannot finish. */
+const STOP_CHECK_MILLISECONDS = 100;
+
 /** Listen addresses of the gateway's interfaces, as `ip:port`. */
 export interface GatewayAddresses {
   readonly callers: string;
@@ -161,7 +164,10 @@
     fleetKey: options.fleetKey,
     identity: { host, dataCentre, incarnation },
   });
-  const plannedStop = createPlannedStop(clock);
+  const plannedStop = createPlannedStop({
+    clock,
+    hasOtherRouters: () => peers.servingRouters().length > 0,
+  });
   let isListening = false;
   let inFlight = 0;
   let utilization = performance.eventLoopUtilization();
@@ -341,6 +347,13 @@
     plannedStop.begin(graceMilliseconds);
     log.write("process.stopping", { inFlight, graceMilliseconds });
     peers.announce();
+    subscriptions.push(
+      timers.every(
+        STOP_CHECK_MILLISECONDS,
+        "stop",
+        () => plannedStop.reconsiderAll(),
+      ),
+    );
     await timers.sleep(STOP_ACCEPT_MILLISECONDS, "stop");
     const unfinished = await shutDownCallers({
       callerServer,
--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -84,10 +84,8 @@
   }
 
   start(): void {
-    const { bounds, timeoutMilliseconds, route } = this.#checked;
-    if (!this.#context.plannedStop.canFinish(route)) {
-      return this.#reject("stopping", "it could not be finished", "stopping");
-    }
+    const { bounds, timeoutMilliseconds } = this.#checked;
+    if (!this.#canFinish()) return this.#rejectUnfinishable();
     this.#context.plannedStop.add(this);
     this.#ignoreCaller = this.#caller.onLeft(() => this.#onClose());
     this.#timeout = startRequestTimeout({
@@ -103,6 +101,11 @@
     );
   }
 
+  reconsider(): void {
+    const isWaiting = this.#attempt === undefined;
+    if (isWaiting && !this.#canFinish()) this.#rejectUnfinishable();
+  }
+
   abandon(): void {
     this.#giveUp("the router stopped before the response", "stopping");
   }
@@ -115,6 +118,22 @@
     return this.#context.retries(this.#checked.service);
   }
 
+  /** Whether this router can finish the request, if it is sent to a server now. */
+  #canFinish(): boolean {
+    const admission = this.#context.plannedStop.admit({
+      route: this.#checked.route.name,
+      timeoutMilliseconds: this.#history.remainingMilliseconds(),
+    });
+    this.#history.recordAdmission(admission);
+    return admission !== "too_long";
+  }
+
+  #rejectUnfinishable(): void {
+    // An earlier attempt may have run, so it cannot be said that none did.
+    const kind = this.#history.runs > 0 ? "outcome_unknown" : "stopping";
+    this.#reject(kind, "it could not be finished", "stopping");
+  }
+
   #onBody(body: RequestBody): void {
     if (this.#ending.isFinished) return;
     this.#body = body;
@@ -138,6 +157,10 @@
   }
 
   #placeAndSend(): void {
+    // A stream that has begun goes on for as long as it can.
+    if (!this.#response.headersSent && !this.#canFinish()) {
+      return this.#rejectUnfinishable();
+    }
     const placed = placeRequest(this.#context, this.#checked, this.#history);
     if (placed.isErr()) {
       const { kind, detail, cause, waitMilliseconds } = placed.error;
@@ -194,40 +217,28 @@
   }
 
   #onNotSent(reason: NotSentReason, detail: string): void {
-    const server = this.#attempt?.server.id;
-    this.#attempt?.cancel("not_sent");
+    const attempt = this.#attempt;
+    attempt?.cancel("not_sent");
     if (reason === "malformed") {
       return this.#reject("malformed_request", detail, "full");
     }
-    if (server && reason === "unreachable") {
-      this.#context.outcomes.recordUnreachable(server, this.#now());
-    }
-    if (server && reason === "connection_closed") {
-      this.#history.allowAgain(server);
+    if (reason === "unreachable") attempt?.recordUnreachable();
+    if (attempt && reason === "connection_closed") {
+      this.#history.allowAgain(attempt.server.id);
     }
     this.#onFailure("not_sent", detail);
   }
 
   #onNotRun(status: number): void {
-    const server = this.#attempt?.server.id;
-    if (server && status === MISDIRECTED_REQUEST) {
-      // Another server has its address, so its registration is out of date.
-      this.#context.outcomes.recordUnreachable(server, this.#now());
-    }
+    // Another server has its address, so its registration is out of date.
+    if (status === MISDIRECTED_REQUEST) this.#attempt?.recordUnreachable();
     this.#attempt?.discard("not_run");
     this.#onFailure("not_run", `the server responded with ${status}`);
   }
 
-  /** Records that a server dropped the request, which a crash may explain. */
-  #recordDropped(): void {
-    const server = this.#attempt?.server;
-    const { promptParts } = this.#checked.metadata;
-    if (server) this.#context.crashDetection.recordDropped(server, promptParts);
-  }
-
   #onOutcomeUnknown(detail: string): void {
     this.#history.recordRun();
-    this.#recordDropped();
+    this.#attempt?.recordDropped(this.#checked.metadata.promptParts);
     this.#attempt?.cancel("unknown");
     this.#onFailure("unknown", detail);
   }
@@ -285,7 +296,7 @@
     const server = this.#attempt?.server.id;
     if (!isComplete) {
       this.#attempt?.recordOutcome(true);
-      this.#recordDropped();
+      this.#attempt?.recordDropped(this.#checked.metadata.promptParts);
       this.#attempt?.cancel("broken");
       return this.#onFailure("broken", detail);
     }
--- a/src/pass_through_context.ts
+++ b/src/pass_through_context.ts
@@ -5,14 +5,12 @@
 import type { AttemptContext } from "./request_attempt.ts";
 import type { RequestLogContext } from "./request_log.ts";
 import type { ServerChoiceContext } from "./server_choice.ts";
-import type { CrashDetection } from "./crash_detection.ts";
 
 /** Dependencies shared by all requests. */
 export interface PassThroughContext
   extends AttemptContext, RequestLogContext, ServerChoiceContext {
   readonly retries: (service: string) => RetryBudget;
   readonly crashes: PromptCrashes;
-  readonly crashDetection: CrashDetection;
   readonly plannedStop: PlannedStop;
   /** Called once when a request has ended, whatever its outcome. */
   readonly onFinished: () => void;
--- a/src/planned_stop.ts
+++ b/src/planned_stop.ts
@@ -4,6 +4,10 @@
  * server is slower than expected get an answer before the process ends.
  */
 import { createRequestDurations } from "./core/request_durations.ts";
+import {
+  decideStopAdmission,
+  type StopAdmission,
+} from "./core/stop_admission.ts";
 import type { Clock } from "./timer_service.ts";
 
 /** Time at the end of the grace in which answers are written and tasks stop. */
@@ -11,26 +15,36 @@
 
 /** A request that is being served. */
 export interface ServedRequest {
+  /** Rejects the request if it waits to be sent and cannot be finished any more. */
+  reconsider(): void;
   /** Ends the request with an answer that says what is known of it. */
   abandon(): void;
 }
 
 /** What decides whether a request can be finished. */
-export interface StoppableRoute {
-  readonly name: string;
-  readonly latencyObjectiveMilliseconds: number;
+export interface FinishableRequest {
+  readonly route: string;
+  /** Time until it times out, in milliseconds. */
+  readonly timeoutMilliseconds: number;
+}
+
+/** Dependencies of a planned stop. */
+export interface PlannedStopOptions {
+  readonly clock: Clock;
+  /** Whether a rejected caller can turn to another router. */
+  readonly hasOtherRouters: () => boolean;
 }
 
 /** Follows the requests of one router and its stop. */
 export class PlannedStop {
-  readonly #clock: Clock;
+  readonly #options: PlannedStopOptions;
   readonly #durations = createRequestDurations();
   readonly #served = new Set<ServedRequest>();
   #deadline = Number.POSITIVE_INFINITY;
   #signalledAt = Number.POSITIVE_INFINITY;
 
-  constructor(clock: Clock) {
-    this.#clock = clock;
+  constructor(options: PlannedStopOptions) {
+    this.#options = options;
   }
 
   /** Whether this router is shutting down. */
@@ -43,6 +57,7 @@
     this.#signalledAt = this.#now();
     this.#deadline = this.#signalledAt + graceMilliseconds -
       STOP_MARGIN_MILLISECONDS;
+    this.reconsiderAll();
   }
 
   /** Time since the stop began. */
@@ -56,15 +71,19 @@
   }
 
   /**
-   * Whether a request that arrives now can be finished: within the longest duration
-   * of its route's recent requests, or its objective if there were none.
+   * Whether a request that is sent to a server now ends before this router does, and
+   * why. Ask whenever it is about to be sent: the time that is left gets shorter.
    */
-  canFinish({ name, latencyObjectiveMilliseconds }: StoppableRoute): boolean {
-    if (!this.isStopping) return true;
-    if (this.remainingMilliseconds() === 0) return false;
-    const longest = this.longestRecent(name);
-    const expected = longest > 0 ? longest : latencyObjectiveMilliseconds;
-    return expected <= this.remainingMilliseconds();
+  admit({ route, timeoutMilliseconds }: FinishableRequest): StopAdmission {
+    if (!this.isStopping) return "not_stopping";
+    return decideStopAdmission({
+      sinceSignalMilliseconds: this.sinceSignalMilliseconds(),
+      remainingMilliseconds: this.remainingMilliseconds(),
+      hasOtherRouters: this.#options.hasOtherRouters(),
+    }, {
+      timeoutMilliseconds,
+      longestRecentMilliseconds: this.longestRecent(route),
+    });
   }
 
   /** Longest duration of a route's recent requests in milliseconds; 0 if none. */
@@ -85,6 +104,11 @@
     this.#durations.record(route, milliseconds, this.#now());
   }
 
+  /** Rejects the requests that wait to be sent and cannot be finished any more. */
+  reconsiderAll(): void {
+    for (const request of [...this.#served]) request.reconsider();
+  }
+
   /** Ends the requests that are left, each with an answer; no further one runs. */
   abandonRest(): void {
     this.#deadline = Number.NEGATIVE_INFINITY;
@@ -92,11 +116,11 @@
   }
 
   #now(): number {
-    return this.#clock.monotonicMilliseconds();
+    return this.#options.clock.monotonicMilliseconds();
   }
 }
 
 /** Creates the stop of a router that serves. */
-export function createPlannedStop(clock: Clock): PlannedStop {
-  return new PlannedStop(clock);
+export function createPlannedStop(options: PlannedStopOptions): PlannedStop {
+  return new PlannedStop(options);
 }
--- /dev/null
+++ b/src/planned_stop_test.ts
@@ -0,0 +1,164 @@
+/** Requests that meet a planned stop of their router, against real gateways. */
+import { connect, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import test from "ava";
+import {
+  type Bench,
+  callerHeaders,
+  received,
+  startBench,
+  stopBenches,
+} from "../stand_ins/gateway_test_bench.ts";
+import {
+  type RawBackend,
+  refuse,
+  responseHeaders,
+} from "../stand_ins/raw_backend.ts";
+import { DEFAULT_HEADER_NAMES as NAMES } from "./gateway_protocol.ts";
+
+/** A slow stream lasts longer than the grace time of the gateways. */
+const DURATIONS_MILLISECONDS: Readonly<Record<string, number>> = {
+  quick: 100,
+  medium: 2_200,
+  slow: 6_000,
+};
+/** When a server refuses a request that it was sent. */
+const REFUSAL_MILLISECONDS = 900;
+const EVENT_PERIOD_MILLISECONDS = 50;
+/** Grace time of the gateways that a bench starts, and some for their end. */
+const ENDED_MILLISECONDS = 4_200;
+
+test.after.always(stopBenches);
+
+/** A caller of one request on a connection of its own. */
+interface _Caller {
+  readonly socket: Socket;
+  readonly closed: Promise<unknown>;
+  text: string;
+}
+
+function openCaller(bench: Bench, gateway = 0): _Caller {
+  const [host, port] = bench.gateways[gateway]!.callers.split(":");
+  const socket = connect(Number(port), host);
+  socket.on("error", () => undefined);
+  const closed = new Promise((resolve) => socket.once("close", resolve));
+  const caller = { socket, closed, text: "" };
+  socket.on("data", (bytes) => (caller.text += bytes.toString("latin1")));
+  return caller;
+}
+
+/** The head of a request whose body comes in chunks. */
+function chunkedHead(path: string, id: string): string {
+  const headers = Object.entries({
+    ...callerHeaders(id),
+    [NAMES.deadline]: "15000",
+    "transfer-encoding": "chunked",
+  });
+  const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`);
+  return `POST ${path} HTTP/1.1\r\n${lines.join("")}\r\n`;
+}
+
+const LAST_CHUNK = "4\r\nlast\r\n0\r\n\r\n";
+
+/** Responds with events until a time that the path names has passed. */
+function streamEvents(backend: RawBackend): void {
+  backend.script(({ id, path }, response) => {
+    const [, , speed = "quick"] = path.split("/");
+    const milliseconds = DURATIONS_MILLISECONDS[speed] ?? 0;
+    response.writeHead(200, {
+      ...responseHeaders(id),
+      "content-type": "text/event-stream",
+    });
+    let number = 0;
+    const events = setInterval(() => {
+      response.write(`id: ${++number}\ndata: x\n\n`);
+      if (number * EVENT_PERIOD_MILLISECONDS < milliseconds) return;
+      clearInterval(events);
+      response.end();
+    }, EVENT_PERIOD_MILLISECONDS);
+    response.on("close", () => clearInterval(events));
+  });
+}
+
+/** Runs a stream, so that the router expects further ones to take as long. */
+async function streamOnce(
+  bench: Bench,
+  path = "/single/quick",
+): Promise<void> {
+  const caller = openCaller(bench);
+  caller.socket.write(chunkedHead(path, "first") + LAST_CHUNK);
+  while (!caller.text.endsWith("0\r\n\r\n")) await sleep(20);
+  caller.socket.destroy();
+}
+
+function isWhole(text: string): boolean {
+  if (text.includes("transfer-encoding: chunked")) {
+    return text.endsWith("\r\n0\r\n\r\n");
+  }
+  const [head = "", body = ""] = text.split("\r\n\r\n", 2);
+  const length = /content-length: (\d+)/i.exec(head)?.[1];
+  return length !== undefined && body.length === Number(length);
+}
+
+function outcomeOf(caller: _Caller, bench: Bench, id: string) {
+  return {
+    status: caller.text.slice(9, 12),
+    isWhole: isWhole(caller.text),
+    ran: received(bench).some((request) => request.id === id),
+  };
+}
+
+const REJECTED = { status: "503", isWhole: true, ran: false };
+
+test.serial("guards against passing on a request whose body is whole too late for its server to finish in a planned stop", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  const [backend] = bench.backends as [RawBackend];
+  streamEvents(backend);
+  await streamOnce(bench);
+  const stopped = bench.gateways[0]!.gateway.stop();
+  await sleep(500);
+  const caller = openCaller(bench);
+  caller.socket.write(chunkedHead("/single/slow", "late"));
+  await sleep(2_600);
+  caller.socket.write(LAST_CHUNK);
+  const ended = await Promise.race([
+    caller.closed.then(() => "closed"),
+    sleep(ENDED_MILLISECONDS, "open"),
+  ]);
+  await stopped;
+  t.is(ended, "closed");
+  t.deepEqual(outcomeOf(caller, bench, "late"), REJECTED);
+});
+
+test.serial("guards against passing on a request that its router may not finish although another router serves", async (t) => {
+  const bench = await startBench({ gateways: 2, backends: 1 });
+  const [backend] = bench.backends as [RawBackend];
+  streamEvents(backend);
+  await streamOnce(bench, "/single/medium");
+  const stopped = bench.gateways[0]!.gateway.stop();
+  await sleep(200);
+  const caller = openCaller(bench);
+  caller.socket.write(chunkedHead("/single/slow", "tail") + LAST_CHUNK);
+  await Promise.race([caller.closed, sleep(ENDED_MILLISECONDS)]);
+  await stopped;
+  t.deepEqual(outcomeOf(caller, bench, "tail"), REJECTED);
+});
+
+test.serial("guards against a retry at another server that cannot be finished in a planned stop", async (t) => {
+  const bench = await startBench({ backends: 2 });
+  for (const backend of bench.backends) {
+    backend.script((request, response) => {
+      setTimeout(() => refuse(request, response), REFUSAL_MILLISECONDS);
+    });
+  }
+  const caller = openCaller(bench);
+  caller.socket.write(chunkedHead("/single/slow", "retry") + LAST_CHUNK);
+  await sleep(100);
+  const stopped = bench.gateways[0]!.gateway.stop();
+  await caller.closed;
+  const attempts = received(bench).filter(({ id }) => id === "retry").length;
+  t.is(attempts, 1);
+  const { status, isWhole } = outcomeOf(caller, bench, "retry");
+  t.deepEqual({ status, isWhole }, { status: "503", isWhole: true });
+  await stopped;
+});
--- a/src/request_attempt.ts
+++ b/src/request_attempt.ts
@@ -11,6 +11,8 @@
   type ResponseSink,
   startExchange,
 } from "./backend_exchange.ts";
+import type { PromptPart } from "./core/prompt.ts";
+import type { CrashDetection } from "./crash_detection.ts";
 import type { FleetLoad } from "./core/fleet_load.ts";
 import type { RegisteredServer } from "./core/server_registry.ts";
 import type { ServerNotices } from "./core/server_notices.ts";
@@ -37,6 +39,7 @@
   readonly rateLimits: ServerRateLimits;
   readonly log: DecisionLog;
   readonly timers: TimerService;
+  readonly crashDetection: CrashDetection;
   readonly metrics: GatewayMetrics;
 }
 
@@ -103,6 +106,16 @@
     this.#context.outcomes.record(this.server.id, isFailure, this.#now());
   }
 
+  /** Records that no connection to the server can be opened. */
+  recordUnreachable(): void {
+    this.#context.outcomes.recordUnreachable(this.server.id, this.#now());
+  }
+
+  /** Records that the server dropped the request, which a crash may explain. */
+  recordDropped(promptParts: readonly PromptPart[]): void {
+    this.#context.crashDetection.recordDropped(this.server, promptParts);
+  }
+
   /** Ends the attempt and cancels its exchange. */
   cancel(result: string): void {
     if (this.#isFinished) return;
--- a/src/request_history.ts
+++ b/src/request_history.ts
@@ -7,6 +7,7 @@
   decideNextStep,
   type NextStep,
 } from "./core/next_attempt.ts";
+import type { StopAdmission } from "./core/stop_admission.ts";
 import type { CheckedRequest } from "./request_check.ts";
 import type { RequestProgress } from "./request_log.ts";
 import type { Clock } from "./timer_service.ts";
@@ -26,6 +27,7 @@
   #attempts = 0;
   #runs = 0;
   #firstByteMilliseconds: number | undefined;
+  #admission: StopAdmission | undefined;
   #bodyMilliseconds: number | undefined;
   #placedMilliseconds: number | undefined;
   /** When a part of the response was last relayed. */
@@ -65,12 +67,18 @@
       runs: this.#runs,
       milliseconds: this.#elapsed(),
       firstByteMilliseconds: this.#firstByteMilliseconds,
+      admission: this.#admission,
       bodyMilliseconds: this.#bodyMilliseconds,
       placedMilliseconds: this.#placedMilliseconds,
       remainingMilliseconds: this.remainingMilliseconds(),
     };
   }
 
+  /** Records why the request is sent or rejected, as far as a stop matters. */
+  recordAdmission(admission: StopAdmission): void {
+    this.#admission = admission;
+  }
+
   /** Records that the body was read, as far as it is buffered. */
   recordBody(): void {
     this.#bodyMilliseconds = this.#elapsed();
--- a/src/request_log.ts
+++ b/src/request_log.ts
@@ -1,6 +1,7 @@
 /** Log lines and metrics of a request. */
 import type { FleetLoad } from "./core/fleet_load.ts";
 import type { GatewayRoute } from "./core/gateway_configuration.ts";
+import type { StopAdmission } from "./core/stop_admission.ts";
 import type { Placement } from "./core/placement.ts";
 import type { UnavailableServer } from "./core/server_notices.ts";
 import type { DecisionLog } from "./decision_log.ts";
@@ -39,6 +40,8 @@
   readonly milliseconds: number;
   /** Time from the arrival to the first byte of the response. */
   readonly firstByteMilliseconds: number | undefined;
+  /** The last decision whether it can be finished; absent if it failed the checks. */
+  readonly admission?: StopAdmission | undefined;
   /** Time from the arrival until the body was read; absent while it is not. */
   readonly bodyMilliseconds?: number | undefined;
   /** Time from the arrival until the last server was chosen; absent before. */
@@ -110,6 +113,7 @@
     stop: {
       since: Math.round(since),
       left: Math.round(stop.remainingMilliseconds()),
+      admission: progress.admission,
       head: Math.round(head),
       body: sinceSignal(progress.bodyMilliseconds),
       placed: sinceSignal(progress.placedMilliseconds),
