Read on after the last response of a closing connection

What callers saw: a caller in the middle of its upload found its connection reset when its router stopped, instead of the 503 that had been written for it. Cause: after a response with Connection: close the HTTP server closes the socket at once. Input that was not read, or comes later, resets the connection, and the caller loses a response that it has not read yet. Change: the connection closes its own end after the response and reads on until the caller has closed, for a second at most, as it did after its final responses already; requests behind it do not run.

--- a/src/caller_connection.ts
+++ b/src/caller_connection.ts
@@ -74,6 +74,8 @@
     this.#hasLeft = socket.destroyed || socket.readableEnded;
     socket.once("end", () => this.#leave());
     socket.once("close", () => this.#leave());
+    // The HTTP server calls this after a response that closes the connection.
+    socket.destroySoon = () => this.#closeAfterOutput();
   }
 
   get requestCount(): number {
@@ -125,12 +127,8 @@
       return;
     }
     const hasResponded = this.#socket.bytesWritten > 0;
-    if (hasResponded || !this.#socket.writable || !finalResponse) {
-      this.#socket.destroySoon();
-      return;
-    }
-    this.#socket.end(finalResponse);
-    this.#destroyLater();
+    const isOpen = !hasResponded && this.#socket.writable;
+    this.#closeAfterOutput(isOpen ? finalResponse : undefined);
   }
 
   onLeft(listener: () => void): () => void {
@@ -157,7 +155,18 @@
   }
 
   #endWhenAnswered(): void {
-    if (!this.#hasWholeRequest()) this.#socket.destroySoon();
+    if (!this.#hasWholeRequest()) this.#closeAfterOutput();
+  }
+
+  /**
+   * Closes this end after what was written and a last response, and reads on until
+   * the caller closes its own: unread input would reset the connection.
+   */
+  #closeAfterOutput(lastResponse?: string): void {
+    if (this.#socket.writableEnded) return;
+    this.#isClosing = true;
+    this.#socket.end(lastResponse ?? "", () => this.#destroyLater());
+    this.#socket.resume();
   }
 
   #destroyLater(): void {
--- a/src/planned_stop_test.ts
+++ b/src/planned_stop_test.ts
@@ -162,3 +162,23 @@
   t.deepEqual({ status, isWhole }, { status: "503", isWhole: true });
   await stopped;
 });
+test.serial("guards against an upload that waits for the end of a planned stop, or is reset, instead of being rejected at once", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  const caller = openCaller(bench);
+  caller.socket.write(chunkedHead("/single/slow", "upload"));
+  await sleep(100);
+  const startedAt = performance.now();
+  const stopped = bench.gateways[0]!.gateway.stop();
+  // The caller goes on sending, as one does that reads when it has sent all.
+  caller.socket.pause();
+  for (let chunk = 0; chunk < 10; chunk++) {
+    caller.socket.write(`400\r\n${"x".repeat(1024)}\r\n`);
+    await sleep(20);
+  }
+  caller.socket.resume();
+  await caller.closed;
+  const milliseconds = performance.now() - startedAt;
+  t.deepEqual(outcomeOf(caller, bench, "upload"), REJECTED);
+  t.true(milliseconds < 1_000, `${milliseconds} ms`);
+  await stopped;
+});
