Say that a chat stream is malformed instead of that it ended early

Change: the parser's error is the reason of the failure. Conclusion: the error of a truncated answer names its cause.

--- a/src/chat_stream.ts
+++ b/src/chat_stream.ts
@@ -95,8 +95,9 @@
   let malformed = false;
   const parser = createParser({
     onEvent: (event) => parsedEvents.push(event.data),
-    onError: () => {
+    onError: ({ message }) => {
       malformed = true;
+      state.failure = `the event stream is malformed: ${message}`;
     },
     maxBufferSize: MAXIMUM_EVENT_CHARACTERS,
   });
