Say in the readiness check why a router is not ready

Change: the detail says that the router shuts down or has no configuration. Figures: both cases of caller_interface_test failed before, pass now. Conclusion: an operator sees the reason in the response.

--- a/src/caller_interface.ts
+++ b/src/caller_interface.ts
@@ -166,7 +166,9 @@
       if (services.isReady() && !services.isStopping()) return { ready: true };
       return sendError(
         reply,
-        createError(services.isStopping() ? "stopping" : "not_ready", ""),
+        services.isStopping()
+          ? createError("stopping", "the router is shutting down")
+          : createError("not_ready", "no configuration is in force yet"),
       );
     });
     server.get("/metrics", async (_request, reply) => {
