--- a/invariants/whole_answers.ts
+++ b/invariants/whole_answers.ts
@@ -66,11 +66,12 @@
   tokens: readonly string[],
   expected: readonly string[],
 ): string | undefined {
-  const position = expected.findIndex((token, index) =>
+  const differing = expected.findIndex((token, index) =>
     tokens[index] !== token
   );
-  if (position < 0 && tokens.length === expected.length) return undefined;
-  const token = tokens[position < 0 ? expected.length : position];
+  if (differing < 0 && tokens.length === expected.length) return undefined;
+  const position = differing < 0 ? expected.length : differing;
+  const token = tokens[position];
   return `${tokens.length} of ${expected.length} tokens, first difference at ${position} (${token})`;
 }
 
