--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -7,7 +7,6 @@
 import { createFleetSize } from "./core/fleet_size.ts";
 import type { SocketAddress } from "./core/ids.ts";
 import type { RandomSource } from "./core/random.ts";
-import { eraOf } from "./core/store_revision.ts";
 import type { ServerRateLimits } from "./core/server_rate_limits.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { FleetStore } from "./fleet_store.ts";
@@ -81,8 +80,6 @@
   readonly #rateLimits: RateLimitExchange;
   readonly #silence: PeerSilence;
   readonly #fleetSize = createFleetSize();
-  /** Era of the store's state that this router has; undefined before the first. */
-  #storeEra: number | undefined;
   #startedAt = Number.NEGATIVE_INFINITY;
   #serverIds: ServerIdsByHash = new Map();
   #tick = 0;
@@ -266,17 +263,8 @@
     this.#hierarchy.update();
     this.#updateFleetSize();
     this.#rateLimits.updateView();
-    this.#followStoreEra();
-  }
-
-  /** Registers again when the store has returned from a copy without the record. */
-  #followStoreEra(): void {
     const { registryRevision } = this.#options.state.versions();
-    if (registryRevision === 0) return;
-    const era = eraOf(registryRevision);
-    const isRestored = this.#storeEra !== undefined && era > this.#storeEra;
-    this.#storeEra = era;
-    if (isRestored) void this.#discovery.registerAgain();
+    this.#discovery.followStoreEra(registryRevision);
   }
 
   /** Sends a report; peers with the same content share one encoded body. */
--- a/src/router_discovery.ts
+++ b/src/router_discovery.ts
@@ -7,6 +7,7 @@
 import type { ApplicationError } from "./core/errors.ts";
 import type { SocketAddress } from "./core/ids.ts";
 import type { RandomSource } from "./core/random.ts";
+import { eraOf } from "./core/store_revision.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { FleetStore, RouterRecord } from "./fleet_store.ts";
 import { StoreHealth } from "./store_health.ts";
@@ -43,6 +44,8 @@
   #isRegistered = false;
   #isListed = false;
   #listedAt = Number.NEGATIVE_INFINITY;
+  /** Era of the store's state that this router has; undefined before the first. */
+  #storeEra: number | undefined;
   #running = false;
 
   constructor(options: RouterDiscoveryOptions) {
@@ -65,6 +68,15 @@
     this.#running = false;
   }
 
+  /** Registers again when the store has returned from a copy without the record. */
+  followStoreEra(registryRevision: number): void {
+    if (registryRevision === 0) return;
+    const era = eraOf(registryRevision);
+    const isRestored = this.#storeEra !== undefined && era > this.#storeEra;
+    this.#storeEra = era;
+    if (isRestored) void this.registerAgain();
+  }
+
   /** Registers this router again after a loss of records in the store. */
   async registerAgain(): Promise<void> {
     const { timers, random } = this.#options;
