Let a router that stops as planned tell its peers that it leaves

Cause: a stopping router says at the signal that it no longer serves, but nothing at its end. Its peers took that for a crash after 1.2 s (peer.lost), kept its last report in their loads for up to 3 s (core/fleet_load.ts) although its requests had ended, and in a large fleet the last sum of a collector that had left until it was 0.7 s old, since the others' sums cover one router less. Ruled out: removing its record from the store at the stop. It costs two priced calls for each restart, and a call whose response is lost may run seconds later and remove the record of the next process, which then registers again only with its next list; a record that stays costs a new router a dial a second for 30 s. Also ruled out: telling all routers of a large fleet, since each stop would open a connection to each of them. Change: the last message is gateway.leaving, sent after the last request to the peers that get reports from the router. It travels by name, so that an earlier release ignores it. Peers drop the loads, the listing, the report and the collector's duties of exactly the incarnation that sent it, ignore its delayed reports and listings, and write peer.left. A later incarnation at the address is heard as before. A sum from a collector that has left is replaced by the next one. Conclusion: the log tells a departure from a silence, in a small fleet at all peers, in a large one at those that exchange reports with the router; the others still write peer.lost.

--- a/src/core/fleet_load.ts
+++ b/src/core/fleet_load.ts
@@ -67,6 +67,12 @@
     this.#remoteReports.set(peer, { receivedAt: now, counts });
   }
 
+  /** Drops the counts of a peer that has no request in flight any more. */
+  forgetReport(peer: string): void {
+    this.#addRemote(this.#remoteReports.get(peer)?.counts, -1);
+    this.#remoteReports.delete(peer);
+  }
+
   /** Drops the counts of peers that stopped reporting. */
   expire(now: number): void {
     for (const [peer, { receivedAt, counts }] of this.#remoteReports) {
--- a/src/decision_log.ts
+++ b/src/decision_log.ts
@@ -27,6 +27,7 @@
   "registry.changed": "state",
   "registry.entry_ignored": "state",
   "peer.connected": "state",
+  "peer.left": "state",
   "peer.lost": "state",
   "peer.message_ignored": "state",
   "server.excluded": "state",
--- a/src/gateway_peer.ts
+++ b/src/gateway_peer.ts
@@ -1,5 +1,10 @@
 /** State that a gateway keeps about a peer gateway. */
-import type { DataCentreId, HostId, SocketAddress } from "./core/ids.ts";
+import type {
+  DataCentreId,
+  HostId,
+  IncarnationId,
+  SocketAddress,
+} from "./core/ids.ts";
 import type { GatewayReport, RouterListing } from "./gateway_peer_messages.ts";
 import type { PeerIdentity } from "./peer_network.ts";
 
@@ -9,6 +14,14 @@
   readonly dataCentre: DataCentreId;
 }
 
+/** The planned departure of a router. */
+export interface PeerDeparture {
+  /** The incarnation that left; a later one may start at the same address. */
+  readonly incarnation: IncarnationId;
+  /** When this router was told. */
+  readonly at: number;
+}
+
 /** State of another router. */
 export interface GatewayPeer {
   readonly address: SocketAddress;
@@ -22,6 +35,8 @@
   registeredCapacity: number;
   /** Last listing by the peer or a collector; undefined while it is silent. */
   listing: RouterListing | undefined;
+  /** Set from its departure until it is heard again. */
+  departure: PeerDeparture | undefined;
   /** Whether it served callers when it was last heard. */
   hasServed: boolean;
   /** When any router last received its report. */
@@ -64,6 +79,7 @@
     report: undefined,
     registeredCapacity: 0,
     listing: undefined,
+    departure: undefined,
     hasServed: false,
     heardAt: Number.NEGATIVE_INFINITY,
     directAt: Number.NEGATIVE_INFINITY,
--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -23,6 +23,7 @@
 import { GatewayPeers } from "./gateway_peers.ts";
 import { ReportBuilder, type ReportBuilderOptions } from "./report_builder.ts";
 import { PeerAnnouncements } from "./peer_announcements.ts";
+import { PeerDepartures } from "./peer_departures.ts";
 import { PeerSilence } from "./peer_silence.ts";
 import type {
   PeerIdentity,
@@ -79,6 +80,7 @@
   readonly #announcements: PeerAnnouncements;
   readonly #rateLimits: RateLimitExchange;
   readonly #silence: PeerSilence;
+  readonly #departures: PeerDepartures;
   readonly #fleetSize = createFleetSize();
   #startedAt = Number.NEGATIVE_INFINITY;
   #serverIds: ServerIdsByHash = new Map();
@@ -135,15 +137,18 @@
         this.#hierarchy.isHierarchical && !this.#hierarchy.needsSummary,
     });
     this.#silence = new PeerSilence({
-      network,
-      log: options.log,
-      seeds: options.seeds,
+      ...options,
       peers: this.#peers,
       hierarchy: this.#hierarchy,
       discovery: this.#discovery,
       liveRouters: () => this.liveRouters(),
       now: () => this.#now(),
     });
+    this.#departures = new PeerDepartures({
+      ...options,
+      peers: this.#peers,
+      hierarchy: this.#hierarchy,
+    });
   }
 
   override async start(): Promise<void> {
@@ -166,11 +171,13 @@
     await this.#discovery.start();
   }
 
+  /** Stops after the last request and tells the peers that this router leaves. */
   override async stop(): Promise<void> {
     this.#running = false;
     this.#catchUp.stop();
-    await this.#discovery.stop();
     for (const subscription of this.#subscriptions) subscription.cancel();
+    this.#departures.announceOwn();
+    await this.#discovery.stop();
   }
 
   /** Reports to all peers immediately that this router stops serving. */
@@ -324,7 +331,7 @@
     const report = safeUnpackReport(body, this.#serverIds);
     if (!report) return this.#logIgnored(from, "gateway.report");
     const peer = this.#peers.add(from.address, from);
-    if (!peer) return;
+    if (!peer || this.#departures.hasLeft(peer, from)) return;
     const isNew = this.#peers.recordReport(peer, report, from);
     this.#hierarchy.receive(peer, report);
     this.#silence.markUnlisted(peer, report);
--- a/src/gateway_peers.ts
+++ b/src/gateway_peers.ts
@@ -1,5 +1,5 @@
 /** Table of the peers that a router knows, by address. */
-import type { SocketAddress } from "./core/ids.ts";
+import type { IncarnationId, SocketAddress } from "./core/ids.ts";
 import {
   createGatewayPeer,
   type GatewayPeer,
@@ -9,6 +9,12 @@
 import type { GatewayReport, RouterListing } from "./gateway_peer_messages.ts";
 import type { PeerIdentity } from "./peer_network.ts";
 
+/**
+ * A collector may list a router for this long after the router has left: until the
+ * collector is told too, and while its summary is under way.
+ */
+const LISTED_AFTER_DEPARTURE_MILLISECONDS = 1_000;
+
 /** The known peers of a router. */
 export class GatewayPeers {
   readonly #ownAddress: SocketAddress;
@@ -21,7 +27,7 @@
     this.#now = now;
   }
 
-  /** Incremented when a router is lost, or starts or stops serving or watching. */
+  /** Incremented when a router leaves or is lost, or starts or stops serving or watching. */
   get listingVersion(): number {
     return this.#listingVersion;
   }
@@ -68,6 +74,7 @@
       !peer.report;
     peer.identity = from;
     peer.name = from;
+    peer.departure = undefined;
     peer.report = report;
     peer.directAt = this.#now();
     if (!report.summary) peer.reportedAsMemberAt = peer.directAt;
@@ -105,6 +112,19 @@
     this.#listingVersion++;
   }
 
+  /** Clears what is known of the incarnation of a peer that has left. */
+  markLeft(peer: GatewayPeer, incarnation: IncarnationId): void {
+    this.markLost(peer);
+    peer.departure = { incarnation, at: this.#now() };
+    peer.hasServed = false;
+    peer.directAt = Number.NEGATIVE_INFINITY;
+    peer.reportedAsMemberAt = Number.NEGATIVE_INFINITY;
+  }
+
+  get(address: SocketAddress): GatewayPeer | undefined {
+    return this.#peers.get(address);
+  }
+
   remove(peer: GatewayPeer): void {
     this.#peers.delete(peer.address);
   }
@@ -112,7 +132,8 @@
   /** Updates the listing of a peer unless a newer one is known. */
   #updateListing(peer: GatewayPeer, listing: RouterListing): void {
     const heardAt = this.#now() - listing.ageMilliseconds;
-    if (heardAt < peer.heardAt) return;
+    if (heardAt < peer.heardAt || _precedesDeparture(peer, heardAt)) return;
+    peer.departure = undefined;
     const { listing: known } = peer;
     const hasChanged = known?.isServing !== listing.isServing ||
       known.isWatching !== listing.isWatching;
@@ -122,3 +143,12 @@
     peer.hasServed = listing.isServing;
   }
 }
+
+/** Whether a listing may still describe the incarnation that has left. */
+function _precedesDeparture(
+  { departure }: GatewayPeer,
+  heardAt: number,
+): boolean {
+  return departure !== undefined &&
+    heardAt < departure.at + LISTED_AFTER_DEPARTURE_MILLISECONDS;
+}
--- a/src/peer_network.ts
+++ b/src/peer_network.ts
@@ -47,7 +47,10 @@
 ] as const;
 
 /** Kinds of message that travel by name; a router that has no handler ignores them. */
-export const NAMED_MESSAGE_KINDS = ["gateway.rate_limits"] as const;
+export const NAMED_MESSAGE_KINDS = [
+  "gateway.rate_limits",
+  "gateway.leaving",
+] as const;
 
 /** Every kind of message between routers. */
 export const PEER_MESSAGE_KINDS = [
--- a/src/report_hierarchy.ts
+++ b/src/report_hierarchy.ts
@@ -117,8 +117,9 @@
     return this.#isHierarchical ? this.#payloads.get(peer.address) : "own";
   }
 
-  /** Whether a peer has been silent for so long that it is not used. */
+  /** Whether a peer has left, or has been silent for so long that it is not used. */
   isSilent(peer: GatewayPeer): boolean {
+    if (peer.departure) return true;
     const isLocal = peer.name?.dataCentre === this.#options.dataCentre;
     const isDirect = !this.#isHierarchical || (isLocal && this.#isCollecting);
     const limit = isDirect
--- a/src/summary_cache.ts
+++ b/src/summary_cache.ts
@@ -1,6 +1,6 @@
 /** Caches sums sent by collectors, preferring those that cover the most routers. */
 import { REPORT_LIFETIME_MILLISECONDS } from "./core/fleet_load.ts";
-import type { DataCentreId, SocketAddress } from "./core/ids.ts";
+import type { DataCentreId } from "./core/ids.ts";
 import type { GatewayPeer } from "./gateway_peer.ts";
 import type { ReportSummary } from "./gateway_peer_messages.ts";
 
@@ -11,7 +11,7 @@
 
 /** A sum and when it was made, on this router's clock. */
 export interface CachedSummary {
-  readonly from: SocketAddress;
+  readonly from: GatewayPeer;
   readonly at: number;
   readonly summary: ReportSummary;
 }
@@ -80,7 +80,7 @@
 
   #toCached(peer: GatewayPeer, summary: ReportSummary): CachedSummary {
     const at = this.#now() - summary.ageMilliseconds;
-    return { from: peer.address, at, summary };
+    return { from: peer, at, summary };
   }
 
   #isBetter(
@@ -88,7 +88,9 @@
     peer: GatewayPeer,
     cached: CachedSummary | undefined,
   ): boolean {
-    if (!cached || cached.from === peer.address) return true;
+    if (!cached || cached.from === peer) return true;
+    // The sum of a collector that has left gets no newer version.
+    if (cached.from.departure) return true;
     const age = this.#now() - cached.at;
     if (summary.ageMilliseconds > age) return false;
     return age > STALE_SUMMARY_MILLISECONDS ||
