--- a/src/gateway_peer_task.ts
+++ b/src/gateway_peer_task.ts
@@ -7,7 +7,6 @@
 import { createFleetSize } from "./core/fleet_size.ts";
 import type { SocketAddress } from "./core/ids.ts";
 import type { RandomSource } from "./core/random.ts";
-import { eraOf } from "./core/store_revision.ts";
 import type { ServerRateLimits } from "./core/server_rate_limits.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { FleetStore } from "./fleet_store.ts";
@@ -24,6 +23,7 @@
 import { GatewayPeers } from "./gateway_peers.ts";
 import { ReportBuilder, type ReportBuilderOptions } from "./report_builder.ts";
 import { PeerAnnouncements } from "./peer_announcements.ts";
+import { PeerDepartures } from "./peer_departures.ts";
 import { PeerSilence } from "./peer_silence.ts";
 import type {
   PeerIdentity,
@@ -80,9 +80,8 @@
   readonly #announcements: PeerAnnouncements;
   readonly #rateLimits: RateLimitExchange;
   readonly #silence: PeerSilence;
+  readonly #departures: PeerDepartures;
   readonly #fleetSize = createFleetSize();
-  /** Era of the store's state that this router has; undefined before the first. */
-  #storeEra: number | undefined;
   #startedAt = Number.NEGATIVE_INFINITY;
   #serverIds: ServerIdsByHash = new Map();
   #tick = 0;
@@ -138,15 +137,18 @@
         this.#hierarchy.isHierarchical && !this.#hierarchy.needsSummary,
     });
     this.#silence = new PeerSilence({
-      network,
-      log: options.log,
-      seeds: options.seeds,
+      ...options,
       peers: this.#peers,
       hierarchy: this.#hierarchy,
       discovery: this.#discovery,
       liveRouters: () => this.liveRouters(),
       now: () => this.#now(),
     });
+    this.#departures = new PeerDepartures({
+      ...options,
+      peers: this.#peers,
+      hierarchy: this.#hierarchy,
+    });
   }
 
   override async start(): Promise<void> {
@@ -169,11 +171,13 @@
     await this.#discovery.start();
   }
 
+  /** Stops after the last request and tells the peers that this router leaves. */
   override async stop(): Promise<void> {
     this.#running = false;
     this.#catchUp.stop();
-    await this.#discovery.stop();
     for (const subscription of this.#subscriptions) subscription.cancel();
+    this.#departures.announceOwn();
+    await this.#discovery.stop();
   }
 
   /** Reports to all peers immediately that this router stops serving. */
@@ -266,17 +270,8 @@
     this.#hierarchy.update();
     this.#updateFleetSize();
     this.#rateLimits.updateView();
-    this.#followStoreEra();
-  }
-
-  /** Registers again when the store has returned from a copy without the record. */
-  #followStoreEra(): void {
     const { registryRevision } = this.#options.state.versions();
-    if (registryRevision === 0) return;
-    const era = eraOf(registryRevision);
-    const isRestored = this.#storeEra !== undefined && era > this.#storeEra;
-    this.#storeEra = era;
-    if (isRestored) void this.#discovery.registerAgain();
+    this.#discovery.followStoreEra(registryRevision);
   }
 
   /** Sends a report; peers with the same content share one encoded body. */
@@ -336,7 +331,7 @@
     const report = safeUnpackReport(body, this.#serverIds);
     if (!report) return this.#logIgnored(from, "gateway.report");
     const peer = this.#peers.add(from.address, from);
-    if (!peer) return;
+    if (!peer || this.#departures.hasLeft(peer, from)) return;
     const isNew = this.#peers.recordReport(peer, report, from);
     this.#hierarchy.receive(peer, report);
     this.#silence.markUnlisted(peer, report);
