Guard four unguarded paths of connections in a planned stop

Cause: no test held these paths: a caller that does not close its end after the last response, a response without a length that a stop cuts or lets end, a second request on a connection that a begun stream kept, and a request that arrives on a kept connection in the moment in which the connections close. Change: src/planned_stop_paths_test.ts; no change of the code.

--- /dev/null
+++ b/src/planned_stop_paths_test.ts
@@ -0,0 +1,163 @@
+/** Further paths from a whole request to its answer while its router stops. */
+import { connect, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import test from "ava";
+import {
+  type Bench,
+  callerHeaders,
+  received,
+  requestText,
+  startBench,
+  stopBenches,
+  waitUntil,
+} from "../stand_ins/gateway_test_bench.ts";
+import { responseHeaders } from "../stand_ins/raw_backend.ts";
+import { DEFAULT_HEADER_NAMES as NAMES } from "./gateway_protocol.ts";
+
+const EVENT_PERIOD_MILLISECONDS = 50;
+
+test.after.always(stopBenches);
+
+/** A caller on a connection of its own. */
+interface _Caller {
+  readonly socket: Socket;
+  readonly closed: Promise<unknown>;
+  text: string;
+}
+
+function openCaller(bench: Bench, allowHalfOpen = false): _Caller {
+  const [host, port] = bench.gateways[0]!.callers.split(":");
+  const socket = connect({ port: Number(port), host: host!, allowHalfOpen });
+  socket.on("error", () => undefined);
+  const closed = new Promise((resolve) => socket.once("close", resolve));
+  const caller = { socket, closed, text: "" };
+  socket.on("data", (bytes) => (caller.text += bytes.toString("latin1")));
+  return caller;
+}
+
+function postHead(path: string, id: string, framing: string): string {
+  const headers = { ...callerHeaders(id), [NAMES.deadline]: "15000" };
+  const lines = Object.entries(headers).map(([name, value]) =>
+    `${name}: ${value}\r\n`
+  );
+  return `POST ${path} HTTP/1.1\r\n${lines.join("")}${framing}\r\n\r\n`;
+}
+
+function statusOf({ text }: _Caller): string {
+  return text.slice(9, 12);
+}
+
+function hasRun(bench: Bench, id: string): boolean {
+  return received(bench).some((request) => request.id === id);
+}
+
+/** Streams events for the time that the path ends with, in milliseconds. */
+function streamEvents(bench: Bench): void {
+  for (const backend of bench.backends) {
+    backend.script(({ id, path }, response) => {
+      const milliseconds = Number(path.split("/").at(-1));
+      response.writeHead(200, {
+        ...responseHeaders(id),
+        "content-type": "text/event-stream",
+      });
+      let number = 0;
+      const events = setInterval(() => {
+        response.write(`id: ${++number}\ndata: x\n\n`);
+        if (number * EVENT_PERIOD_MILLISECONDS < milliseconds) return;
+        clearInterval(events);
+        response.end();
+      }, EVENT_PERIOD_MILLISECONDS);
+      response.on("close", () => clearInterval(events));
+    });
+  }
+}
+
+test.serial("guards against a connection that stays open after its last response because the caller does not close it", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  const caller = openCaller(bench, true);
+  const startedAt = performance.now();
+  caller.socket.write(requestText("/once/x", "last", "Connection: close\r\n"));
+  await waitUntil(() => caller.text.includes("/once/x"), "the response came");
+  const polls = setInterval(() => caller.socket.write("x"), 100);
+  await caller.closed;
+  clearInterval(polls);
+  const milliseconds = performance.now() - startedAt;
+  t.is(statusOf(caller), "200");
+  t.true(milliseconds < 2_500, `${milliseconds} ms`);
+});
+
+test.serial("guards against marking a response without a length as complete when a planned stop cuts it, and against losing the end of a whole one", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  bench.backends[0]!.script(({ id, path }, response) => {
+    response.useChunkedEncodingByDefault = false;
+    response.writeHead(200, { ...responseHeaders(id), Connection: "close" });
+    response.write("begun");
+    if (path.endsWith("whole")) setTimeout(() => response.end("end"), 800);
+  });
+  const [whole, cut] = [openCaller(bench), openCaller(bench)];
+  const errors: string[] = [];
+  cut.socket.on("error", ({ message }) => errors.push(message));
+  whole.socket.write(requestText("/once/whole", "whole"));
+  cut.socket.write(requestText("/once/cut", "cut"));
+  await waitUntil(
+    () => [whole, cut].every(({ text }) => text.endsWith("begun")),
+    "both responses have begun",
+  );
+  const stopped = bench.gateways[0]!.gateway.stop();
+  await Promise.all([whole.closed, cut.closed]);
+  await stopped;
+  t.true(whole.text.endsWith("begunend"), whole.text);
+  t.regex(errors.join(), /ECONNRESET/);
+});
+
+test.serial("guards against a connection that a begun stream keeps open past a planned stop, and against a second request on it without a response", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  streamEvents(bench);
+  const caller = openCaller(bench);
+  caller.socket.write(postHead("/single/600", "begun", "content-length: 0"));
+  await waitUntil(() => caller.text.includes("data: x"), "it has begun");
+  const stopped = bench.gateways[0]!.gateway.stop();
+  await waitUntil(() => caller.text.endsWith("0\r\n\r\n"), "it has ended");
+  caller.socket.write(requestText("/short/100", "second"));
+  const ended = await Promise.race([
+    caller.closed.then(() => "closed"),
+    sleep(1_000, "open"),
+  ]);
+  await stopped;
+  t.is(ended, "closed");
+  t.is(caller.text.match(/HTTP\/1\.1 200/g)?.length, 2);
+  t.true(caller.text.endsWith("0\r\n\r\n"), caller.text.slice(-20));
+});
+
+test.serial("guards against running a request without answering it when it arrives on a kept connection as the connections close", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  bench.backends[0]!.script(({ id, path }, response) => {
+    setTimeout(() => {
+      response.writeHead(200, responseHeaders(id));
+      response.end(path);
+    }, 60);
+  });
+  const callers = Array.from({ length: 40 }, () => openCaller(bench));
+  for (const [index, { socket }] of callers.entries()) {
+    socket.write(requestText("/once/x", `kept-${index}`));
+  }
+  await waitUntil(
+    () => callers.every(({ text }) => text.includes("/once/x")),
+    "all connections are kept",
+  );
+  for (const caller of callers) caller.text = "";
+  const stopped = bench.gateways[0]!.gateway.stop();
+  await sleep(2_900);
+  for (const [index, { socket }] of callers.entries()) {
+    await sleep(5);
+    socket.write(requestText("/short/x", `crossing-${index}`));
+  }
+  await Promise.all(callers.map(({ closed }) => closed));
+  await stopped;
+  const lost = callers.filter(({ text }, index) =>
+    hasRun(bench, `crossing-${index}`) && !text.includes("/short/x")
+  );
+  const answered = callers.filter(({ text }) => text !== "").length;
+  t.is(lost.length, 0);
+  t.true(answered > 0 && answered < callers.length, `${answered} answered`);
+});
