--- a/src/planned_stop_paths_test.ts
+++ b/src/planned_stop_paths_test.ts
@@ -6,15 +6,30 @@
   type Bench,
   callerHeaders,
   received,
+  registerForCleanup,
   requestText,
+  ROUTES,
   startBench,
   stopBenches,
   waitUntil,
 } from "../stand_ins/gateway_test_bench.ts";
-import { responseHeaders } from "../stand_ins/raw_backend.ts";
+import {
+  startGateways,
+  testConfiguration,
+} from "../stand_ins/gateway_fleet.ts";
+import { MemoryFleet } from "../stand_ins/memory_fleet_store.ts";
+import { responseHeaders, startRawBackend } from "../stand_ins/raw_backend.ts";
 import { DEFAULT_HEADER_NAMES as NAMES } from "./gateway_protocol.ts";
 
+/** Longer than the time after which a server of the bench's routes is suspect. */
+const SILENT_WORK_MILLISECONDS = 1_400;
+/** More than is buffered, so that the body is sent on while it arrives. */
+const STREAMED_BODY_BYTES = 300 * 1024;
 const EVENT_PERIOD_MILLISECONDS = 50;
+/** When a bench's gateway has been killed, and some more. */
+const ENDED_MILLISECONDS = 4_200;
+/** Shorter than the time for which a stopping router accepts connections. */
+const SHORT_GRACE_MILLISECONDS = 2_000;
 
 test.after.always(stopBenches);
 
@@ -72,6 +87,115 @@
   }
 }
 
+test.serial("guards against cancelling a request at a slow server for a retry that a stopping router does not send", async (t) => {
+  const bench = await startBench({ backends: 2 });
+  for (const backend of bench.backends) {
+    backend.script(({ id }, response) => {
+      setTimeout(() => {
+        response.writeHead(200, responseHeaders(id));
+        response.end("done");
+      }, SILENT_WORK_MILLISECONDS);
+    });
+  }
+  const caller = openCaller(bench);
+  caller.socket.write(
+    postHead("/safe/x", "silent", "content-length: 1") + "x",
+  );
+  await waitUntil(() => hasRun(bench, "silent"), "the request runs");
+  const stopped = bench.gateways[0]!.gateway.stop();
+  await Promise.race([caller.closed, sleep(ENDED_MILLISECONDS)]);
+  await stopped;
+  t.is(statusOf(caller), "200");
+});
+
+test.serial("guards against discarding a server's error for a retry that a stopping router does not send", async (t) => {
+  const bench = await startBench({ backends: 2 });
+  for (const backend of bench.backends) {
+    backend.script(({ id }, response) => {
+      setTimeout(() => {
+        response.writeHead(500, responseHeaders(id));
+        response.end("failed");
+      }, 300);
+    });
+  }
+  const caller = openCaller(bench);
+  caller.socket.write(postHead("/safe/x", "error", "content-length: 1") + "x");
+  await waitUntil(() => hasRun(bench, "error"), "the request runs");
+  const stopped = bench.gateways[0]!.gateway.stop();
+  await Promise.race([caller.closed, sleep(ENDED_MILLISECONDS)]);
+  await stopped;
+  t.is(statusOf(caller), "500");
+});
+
+test.serial("guards against cutting a stream whose long body was still arriving when it was sent on in a planned stop", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  streamEvents(bench);
+  const first = openCaller(bench);
+  first.socket.write(postHead("/single/100", "first", "content-length: 0"));
+  await waitUntil(() => first.text.endsWith("0\r\n\r\n"), "the first ends");
+  first.socket.destroy();
+  const stopped = bench.gateways[0]!.gateway.stop();
+  await sleep(500);
+  const caller = openCaller(bench);
+  const framing = `content-length: ${STREAMED_BODY_BYTES + 1}`;
+  caller.socket.write(postHead("/single/6000", "long", framing));
+  caller.socket.write("x".repeat(STREAMED_BODY_BYTES));
+  await sleep(2_600);
+  if (!caller.socket.destroyed) caller.socket.write("x");
+  await Promise.race([caller.closed, sleep(ENDED_MILLISECONDS)]);
+  await stopped;
+  const isCut = statusOf(caller) === "200" &&
+    !caller.text.endsWith("\r\n0\r\n\r\n");
+  t.deepEqual({ isCut, hasResponse: caller.text !== "" }, {
+    isCut: false,
+    hasResponse: true,
+  });
+});
+
+test.serial("guards against a planned stop that accepts connections for longer than its grace time and leaves requests without a response", async (t) => {
+  const fleet = new MemoryFleet();
+  fleet.setConfiguration(testConfiguration(1, ROUTES));
+  const backend = await startRawBackend();
+  backend.script(() => undefined);
+  fleet.setServer(backend.registration("s0"));
+  const gateways = await startGateways(fleet, 1, SHORT_GRACE_MILLISECONDS);
+  const bench = { fleet, gateways, backends: [backend] };
+  registerForCleanup(bench);
+  await waitUntil(
+    () => gateways[0]!.lines.join("").includes("registry.changed"),
+    "the gateway is ready",
+  );
+  const caller = openCaller(bench);
+  caller.socket.write(postHead("/once/x", "short", "content-length: 1") + "x");
+  await waitUntil(() => hasRun(bench, "short"), "the request runs");
+  const stopped = gateways[0]!.gateway.stop();
+  await Promise.race([caller.closed, sleep(SHORT_GRACE_MILLISECONDS)]);
+  const status = statusOf(caller);
+  await stopped;
+  t.is(status, "502");
+});
+
+test.serial("guards against closing a connection after the first of two pipelined responses although the second request runs", async (t) => {
+  const bench = await startBench({ backends: 2 });
+  for (const backend of bench.backends) {
+    backend.script(({ id, path }, response) => {
+      setTimeout(() => {
+        response.writeHead(200, responseHeaders(id));
+        response.end(id);
+      }, path.endsWith("first") ? 300 : 600);
+    });
+  }
+  const caller = openCaller(bench);
+  caller.socket.write(
+    requestText("/once/first", "one") + requestText("/once/second", "two"),
+  );
+  await waitUntil(() => hasRun(bench, "two"), "both requests run");
+  const stopped = bench.gateways[0]!.gateway.stop();
+  await Promise.race([caller.closed, sleep(ENDED_MILLISECONDS)]);
+  await stopped;
+  t.is(caller.text.match(/HTTP\/1\.1 200/g)?.length, 2);
+});
+
 test.serial("guards against a connection that stays open after its last response because the caller does not close it", async (t) => {
   const bench = await startBench({ backends: 1 });
   const caller = openCaller(bench, true);
