Ask before a running request is given up for a retry in a planned stop

What callers saw: 502 for a request whose server was still at work, or in place of the server's own error, while their router stopped; and a cut stream for a body of more than 256 KB that was whole only seconds after the signal. Cause: the decision came after the first attempt had been cancelled, so the retry was refused and the answer lost; and a body that is sent on while it arrives kept the decision of its head. Change: a slow or failing attempt is given up only if a retry may be sent; an estimate does not count for a body that is sent on as it arrives. Conclusion: no path gives up an answer for a request that is then not sent.

--- a/src/core/stop_admission.ts
+++ b/src/core/stop_admission.ts
@@ -26,6 +26,8 @@
   readonly timeoutMilliseconds: number;
   /** Longest duration of its route's recent requests; 0 if there were none. */
   readonly longestRecentMilliseconds: number;
+  /** Whether its server gets the body while it is still arriving. */
+  readonly isStreamed: boolean;
 }
 
 /** Why a router takes a request, or that it does not. */
@@ -50,7 +52,8 @@
     return "within_timeout";
   }
   const { longestRecentMilliseconds } = request;
-  const isKnown = longestRecentMilliseconds > 0 &&
+  // A caller may take any time for the rest of a body.
+  const isKnown = longestRecentMilliseconds > 0 && !request.isStreamed &&
     stop.sinceSignalMilliseconds <= ESTIMATE_WINDOW_MILLISECONDS;
   const factor = stop.hasOtherRouters ? ESTIMATE_MARGIN_FACTOR : 1;
   return isKnown && longestRecentMilliseconds * factor <= remainingMilliseconds
--- a/src/core/stop_admission_test.ts
+++ b/src/core/stop_admission_test.ts
@@ -11,6 +11,7 @@
   const request = {
     timeoutMilliseconds: 15_000,
     longestRecentMilliseconds: 100,
+    isStreamed: false,
   };
   t.is(decideStopAdmission(EARLY, request), "within_estimate");
   for (const sinceSignalMilliseconds of [2_001, 3_000, 6_000]) {
@@ -20,7 +21,11 @@
 });
 
 test("guards against rejecting a request that ends in time by its own time limit", (t) => {
-  const request = { timeoutMilliseconds: 900, longestRecentMilliseconds: 0 };
+  const request = {
+    timeoutMilliseconds: 900,
+    longestRecentMilliseconds: 0,
+    isStreamed: false,
+  };
   const late = {
     ...EARLY,
     sinceSignalMilliseconds: 6_600,
@@ -40,6 +45,7 @@
   const request = {
     timeoutMilliseconds: 15_000,
     longestRecentMilliseconds: 3_600,
+    isStreamed: false,
   };
   t.is(decideStopAdmission(EARLY, request), "too_long");
   const alone = { ...EARLY, hasOtherRouters: false };
@@ -47,6 +53,19 @@
 });
 
 test("guards against taking requests of a route of which no duration is known", (t) => {
-  const request = { timeoutMilliseconds: 15_000, longestRecentMilliseconds: 0 };
+  const request = {
+    timeoutMilliseconds: 15_000,
+    longestRecentMilliseconds: 0,
+    isStreamed: false,
+  };
+  t.is(decideStopAdmission(EARLY, request), "too_long");
+});
+
+test("guards against taking a request on an estimate while its body is sent on as it arrives", (t) => {
+  const request = {
+    timeoutMilliseconds: 15_000,
+    longestRecentMilliseconds: 100,
+    isStreamed: true,
+  };
   t.is(decideStopAdmission(EARLY, request), "too_long");
 });
--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -92,7 +92,7 @@
       timers: this.#context.timers,
       timeoutMilliseconds,
       hasBegun: () => this.#response.headersSent,
-      onTimeout: () => this.#onTimeout(),
+      onTimeout: () => this.#giveUp("the request timed out", "timeout"),
     });
     readRequestBody(
       this.#request,
@@ -123,6 +123,7 @@
     const admission = this.#context.plannedStop.admit({
       route: this.#checked.route.name,
       timeoutMilliseconds: this.#history.remainingMilliseconds(),
+      isStreamed: this.#body?.kind === "stream",
     });
     this.#history.recordAdmission(admission);
     return admission !== "too_long";
@@ -205,6 +206,7 @@
     if (!this.#history.mayRunAgain || this.#body?.kind !== "whole") return;
     const next = this.#choose();
     if (!next || next.inFlight >= Math.max(1, next.server.slots)) return;
+    if (!this.#canFinish()) return;
     if (!this.#retries().tryTake("outcome_unknown", true, this.#now())) return;
     this.#attempt?.cancel("silent");
     this.#history.recordRun();
@@ -261,9 +263,8 @@
 
   /** Retries a repeatable request instead of relaying a server error. */
   #retryServerError(): boolean {
-    if (!this.#choose() || this.#nextStep("server_error") !== "retry") {
-      return false;
-    }
+    if (!this.#choose() || !this.#canFinish()) return false;
+    if (this.#nextStep("server_error") !== "retry") return false;
     this.#attempt?.discard("server_error");
     this.#retry("server_error", "the server responded with an error");
     return true;
@@ -336,11 +337,6 @@
     }
   }
 
-  #onTimeout(): void {
-    if (this.#ending.isFinished) return;
-    this.#giveUp("the request timed out", "timeout");
-  }
-
   /** Ends a request without a response and says whether it may have run. */
   #giveUp(detail: string, reason: "timeout" | "stopping"): void {
     if (this.#response.headersSent) return this.#truncate(detail);
--- a/src/planned_stop.ts
+++ b/src/planned_stop.ts
@@ -26,6 +26,8 @@
   readonly route: string;
   /** Time until it times out, in milliseconds. */
   readonly timeoutMilliseconds: number;
+  /** Whether its server gets the body while it is still arriving. */
+  readonly isStreamed: boolean;
 }
 
 /** Dependencies of a planned stop. */
@@ -74,7 +76,9 @@
    * Whether a request that is sent to a server now ends before this router does, and
    * why. Ask whenever it is about to be sent: the time that is left gets shorter.
    */
-  admit({ route, timeoutMilliseconds }: FinishableRequest): StopAdmission {
+  admit(
+    { route, timeoutMilliseconds, isStreamed }: FinishableRequest,
+  ): StopAdmission {
     if (!this.isStopping) return "not_stopping";
     return decideStopAdmission({
       sinceSignalMilliseconds: this.sinceSignalMilliseconds(),
@@ -83,6 +87,7 @@
     }, {
       timeoutMilliseconds,
       longestRecentMilliseconds: this.longestRecent(route),
+      isStreamed,
     });
   }
 
