Announce the close of a connection with the last of its responses

What callers saw: of two pipelined requests only the first got a response when their router stopped, though both had run. Cause: every response during a stop said that the connection closes, and the HTTP server closes after such a response. Change: only the response to the last request that was accepted says so. Conclusion: a request that was read gets its response before the close.

--- a/src/caller_connection.ts
+++ b/src/caller_connection.ts
@@ -39,6 +39,8 @@
    * closing, so that the request must not run.
    */
   accept(response: ServerResponse): boolean;
+  /** Whether no later request on the connection waits for its own response. */
+  isLastResponse(response: ServerResponse): boolean;
   /**
    * Closes the connection. A request that was read in full gets its response first.
    * Otherwise the final response is sent, if there is one and unless an earlier one
@@ -112,13 +114,16 @@
     return true;
   }
 
+  isLastResponse(response: ServerResponse): boolean {
+    return [...this.#openResponses].at(-1) === response;
+  }
+
   close(finalResponse: string | undefined): void {
     if (this.#isClosing) return;
     this.#isClosing = true;
-    // Open responses announce the close, if their head is still to be sent.
-    for (const response of this.#openResponses) {
-      response.shouldKeepAlive = false;
-    }
+    // The last open response announces the close, if its head is still to be sent.
+    const last = [...this.#openResponses].at(-1);
+    if (last) last.shouldKeepAlive = false;
     if (this.#hasWholeRequest()) return;
     this.#leave();
     // A normal close would mark a begun response without a length as complete.
--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -274,8 +274,11 @@
     return createResponseRelay({
       response: this.#response,
       mode: chooseRelayMode(this.#checked.route.kind, head.status),
-      extraHeaders: () =>
-        this.#context.plannedStop.isStopping ? ["Connection", "close"] : [],
+      extraHeaders: () => {
+        const isLast = this.#caller.isLastResponse(this.#response);
+        const isClosing = this.#context.plannedStop.isStopping && isLast;
+        return isClosing ? ["Connection", "close"] : [];
+      },
       listener: {
         onFirstByte: () => this.#onFirstByte(),
         onEvents: () => this.#onEvents(),
--- a/src/request_ending.ts
+++ b/src/request_ending.ts
@@ -1,5 +1,6 @@
 /** The end of a request: its rejection, its log line and what it leaves behind. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { callerConnectionOf } from "./caller_connection.ts";
 import { createError, type ErrorKind } from "./core/errors.ts";
 import type { PassThroughContext } from "./pass_through_context.ts";
 import { type RejectionOptions, sendRejection } from "./rejection.ts";
@@ -39,11 +40,13 @@
     retry: Pick<RejectionOptions, "cause" | "waitMilliseconds">,
   ): void {
     const { context, request, response, history } = this.#options;
+    const isLast = callerConnectionOf(request.socket).isLastResponse(response);
     const rejection = sendRejection(response, createError(kind, detail), {
       ...retry,
       remainingMilliseconds: history.remainingMilliseconds(),
       random: context.random,
-      isClosing: context.plannedStop.isStopping || !request.complete,
+      isClosing: !request.complete ||
+        (context.plannedStop.isStopping && isLast),
     });
     const event = rejection.runState === "not_run"
       ? "request.rejected"
