Accept callers in a planned stop no longer than the grace time lasts

What callers saw: with a grace of 2 s, no answer before the process was killed. Cause: a stopping router accepted connections for 3 s whatever the grace was. Change: it accepts them until all requests must have an answer, at the latest. Conclusion: the fixed wait is bounded by the time that there is.

--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -354,7 +354,10 @@
         () => plannedStop.reconsiderAll(),
       ),
     );
-    await timers.sleep(STOP_ACCEPT_MILLISECONDS, "stop");
+    await timers.sleep(
+      Math.min(STOP_ACCEPT_MILLISECONDS, plannedStop.remainingMilliseconds()),
+      "stop",
+    );
     const unfinished = await shutDownCallers({
       callerServer,
       plannedStop,
