Count the grace of a planned stop from before a pause of the process

What callers saw: no answer to a request that a router had read after a stop signal which it had handled late; the process was killed first. Cause: the grace time was counted from the moment at which the process handled its signal, with a margin of 400 ms. Ruled out: a larger margin: it would cut every stop short for the few late ones. Change: the lateness of the periodic log flush bounds for how long the process may have stood still; the grace counts from before that. process.stopping logs it.

--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -323,6 +323,7 @@
       (error) => reportListenError("callers", error),
     );
     isListening = true;
+    stalls.observe(clock.monotonicMilliseconds());
     subscriptions.push(
       timers.every(
         HOUSEKEEPING_PERIOD_MILLISECONDS,
@@ -344,8 +345,9 @@
   async function stopOnce(): Promise<void> {
     const stoppedAt = clock.monotonicMilliseconds();
     const { graceMilliseconds } = tuning;
-    plannedStop.begin(graceMilliseconds);
-    log.write("process.stopping", { inFlight, graceMilliseconds });
+    const lateness = Math.round(stalls.recentStillness(stoppedAt));
+    plannedStop.begin(graceMilliseconds, lateness);
+    log.write("process.stopping", { inFlight, graceMilliseconds, lateness });
     peers.announce();
     subscriptions.push(
       timers.every(
--- a/src/planned_stop.ts
+++ b/src/planned_stop.ts
@@ -54,9 +54,12 @@
     return this.#deadline < Number.POSITIVE_INFINITY;
   }
 
-  /** Begins the stop; the process is killed after the grace time. */
-  begin(graceMilliseconds: number): void {
-    this.#signalledAt = this.#now();
+  /**
+   * Begins the stop. The process is killed when the grace time has passed since its
+   * signal, which a busy process may have handled late.
+   */
+  begin(graceMilliseconds: number, latenessMilliseconds = 0): void {
+    this.#signalledAt = this.#now() - latenessMilliseconds;
     this.#deadline = this.#signalledAt + graceMilliseconds -
       STOP_MARGIN_MILLISECONDS;
     this.reconsiderAll();
