Tell peers of deferred changes together with the revision that covers them

Cause: a router defers removals after an outage, a return from a copy or the loss of many servers (1.5 s, 2 s), and the use of servers that had left (5 s). It gave out the revision at once and the change only later. A peer that took over its list had the revision and a removed server; once a change of another kind raised the revision there, the first router took the server back. Ruled out: the calls that end a second apart; giving out an older revision meanwhile, since a router that loses another message had no reason to ask. Change: deferred changes are in a router's changes, its list and the digest (core/deferred_changes.ts). takeChanges returns undefined if there are none. server_registry_test passes the time and expects that; nothing else in it changes. Simulated peer requests now end after their timeout. Conclusion: none that knows a revision depends on a later message.

--- a/src/core/server_registry.ts
+++ b/src/core/server_registry.ts
@@ -14,6 +14,7 @@
 import { type BackendServerId, brandId, type DataCentreId } from "./ids.ts";
 import { evictOldest } from "./bounded_map.ts";
 import { hash32 } from "./hash32.ts";
+import { DeferredChanges } from "./deferred_changes.ts";
 import { listSchema, tolerantListSchema } from "./list_schema.ts";
 import {
   type IncarnationKey,
@@ -65,18 +66,37 @@
 /** A backend server as it registered itself. */
 export type RegisteredServer = z.infer<typeof registeredServerSchema>;
 
+const _serverId = _text.transform((text) => brandId<BackendServerId>(text));
+
+const _deferredChangeSchema = z.object({
+  id: _serverId,
+  server: registeredServerSchema.optional(),
+  /** Time until the change takes effect. */
+  remainingMilliseconds: z.number().min(0).max(RETURN_GRACE_MILLISECONDS),
+});
+
+/** A change that the revision covers and that takes effect later. */
+export type DeferredChange = z.infer<typeof _deferredChangeSchema>;
+
+/** Routers of earlier releases do not send them. */
+const _deferredChangesSchema = tolerantListSchema(
+  _deferredChangeSchema,
+  MAXIMUM_SERVERS,
+).optional();
+
 /** Schema of all registrations at a revision of the store. */
 export const registrationListSchema = z.object({
   revision: z.number(),
   /** An invalid entry, which a router of another release may know, is left out. */
   servers: tolerantListSchema(registeredServerSchema, MAXIMUM_SERVERS),
+  deferred: _deferredChangesSchema,
 });
 
 /** All registrations at a revision of the store. */
 export type RegistrationList = z.infer<typeof registrationListSchema>;
 
 const _changeSchema = z.object({
-  id: _text.transform((text) => brandId<BackendServerId>(text)),
+  id: _serverId,
   /** An invalid entry counts as removed. */
   server: registeredServerSchema.optional().catch(undefined),
 });
@@ -87,6 +107,7 @@
   afterRevision: z.number(),
   revision: z.number(),
   changes: listSchema(_changeSchema),
+  deferred: _deferredChangesSchema,
 });
 
 /** A change of one registration. No `server` means that it was removed. */
@@ -94,11 +115,6 @@
 /** Changes that a router sends to its peers. */
 export type RegistryChanges = z.infer<typeof registryChangesSchema>;
 
-interface _ReturningServer {
-  readonly server: RegisteredServer;
-  readonly usableAt: number;
-}
-
 function _hashServer(server: RegisteredServer): number {
   const { id, service, address, isDraining, started } = server;
   return hash32(`${id}\0${service}\0${address}\0${isDraining}\0${started}`);
@@ -107,12 +123,13 @@
 /** The registered servers as one router knows them. */
 export class ServerRegistry {
   readonly #servers = new Map<BackendServerId, RegisteredServer>();
-  /** Servers that may register again, and when to remove them otherwise. */
-  readonly #pendingRemovals = new Map<BackendServerId, number>();
+  /**
+   * Removals of servers that may register again, and departed servers that a copy of
+   * the store lists.
+   */
+  readonly #deferred = new DeferredChanges();
   /** Incarnations that have left. */
   readonly #departed = new Map<IncarnationKey, true>();
-  /** Departed servers that a copy of the store lists, and when to use them. */
-  readonly #returning = new Map<BackendServerId, _ReturningServer>();
   #byService = new Map<ServiceId, readonly RegisteredServer[]>();
   #revision = 0;
   #version = 0;
@@ -133,7 +150,7 @@
     return this.#version;
   }
 
-  /** Digest of all registrations, regardless of the revision. */
+  /** Digest of all registrations in the store, regardless of the revision. */
   get digest(): number {
     return this.#digest;
   }
@@ -151,20 +168,20 @@
   }
 
   /** Replaces all registrations unless the list is of an older revision. */
-  replace({ revision, servers }: RegistrationList, now: number): void {
+  replace(list: RegistrationList, now: number): void {
+    const { revision, servers, deferred = [] } = list;
     if (revision < this.#revision) return;
     const isRestored = this.#revision > 0 &&
       eraOf(revision) > eraOf(this.#revision);
     // The store was away, even if no call of this router failed.
     if (isRestored) this.#storeUpSince = now;
     this.#revision = revision;
-    const listed = new Set(servers.map(({ id }) => id));
+    const listed = new Set([...servers, ...deferred].map(({ id }) => id));
     const missing = [...this.#servers.keys()].filter((id) => !listed.has(id));
     this.#removeOrDefer(missing, now);
     for (const server of servers) this.#setOrHoldBack(server, isRestored, now);
-    for (const id of this.#returning.keys()) {
-      if (!listed.has(id)) this.#returning.delete(id);
-    }
+    this.#deferred.cancelAdditions(listed);
+    this.#defer(deferred, now);
     this.#rebuild();
   }
 
@@ -174,11 +191,11 @@
     isRestored: boolean,
     now: number,
   ): void {
-    const isReturning = this.#returning.has(server.id);
+    const isReturning = this.#deferred.get(server.id)?.server !== undefined;
     const hasDeparted = this.#departed.has(incarnationKeyOf(server));
     if (!hasDeparted || !(isRestored || isReturning)) return this.#set(server);
-    const usableAt = now + RETURN_GRACE_MILLISECONDS;
-    if (!isReturning) this.#returning.set(server.id, { server, usableAt });
+    const { id } = server;
+    this.#deferred.defer({ id, server }, now + RETURN_GRACE_MILLISECONDS);
   }
 
   /**
@@ -206,42 +223,50 @@
   }
 
   /** Applies a peer's changes, to which the peer applied the grace periods. */
-  applyPeerChanges({ revision, changes }: RegistryChanges): void {
+  applyPeerChanges(peerChanges: RegistryChanges, now: number): void {
+    const { revision, changes, deferred = [] } = peerChanges;
     this.#revision = Math.max(this.#revision, revision);
     for (const { id, server } of changes) {
       if (server) this.#set(server);
       else this.#remove(id);
     }
+    this.#defer(deferred, now);
     this.#rebuild();
   }
 
-  /** Returns the changes since the last call. */
-  takeChanges(): RegistryChanges {
-    const taken = {
-      afterRevision: this.#publishedRevision,
-      revision: this.#revision,
-      changes: [...this.#changes.values()],
-    };
-    if (taken.changes.length > 0) this.#publishedRevision = this.#revision;
+  /** Defers what a peer defers, unless it has taken effect here already. */
+  #defer(deferred: readonly DeferredChange[], now: number): void {
+    for (const { id, server, remainingMilliseconds } of deferred) {
+      const own = this.#servers.get(id);
+      const isDone = server
+        ? own !== undefined &&
+          incarnationKeyOf(own) === incarnationKeyOf(server)
+        : own === undefined;
+      // What was deferred here before is older.
+      if (isDone) this.#deferred.cancel(id);
+      else this.#deferred.defer({ id, server }, now + remainingMilliseconds);
+    }
+  }
+
+  /** Returns the changes since the last call; undefined if there are none. */
+  takeChanges(now: number): RegistryChanges | undefined {
+    const deferred = [...this.#deferred.takeNew(now)];
+    const changes = [...this.#changes.values()];
     this.#changes.clear();
-    return taken;
+    if (changes.length + deferred.length === 0) return undefined;
+    const afterRevision = this.#publishedRevision;
+    this.#publishedRevision = this.#revision;
+    return { afterRevision, revision: this.#revision, changes, deferred };
   }
 
   /** Removes the servers whose grace period is over. */
   expire(now: number): void {
-    let hasChanged = false;
-    for (const [id, removeAt] of this.#pendingRemovals) {
-      if (now < removeAt) continue;
-      this.#remove(id);
-      hasChanged = true;
-    }
-    for (const [id, { server, usableAt }] of this.#returning) {
-      if (now < usableAt) continue;
-      this.#returning.delete(id);
-      this.#set(server);
-      hasChanged = true;
+    const due = this.#deferred.takeDue(now);
+    for (const { id, server } of due) {
+      if (server) this.#set(server);
+      else this.#remove(id);
     }
-    if (hasChanged) this.#rebuild();
+    if (due.length > 0) this.#rebuild();
   }
 
   /** Returns the servers of a service that may get new requests. */
@@ -258,14 +283,18 @@
     return this.#servers.get(id);
   }
 
-  /** Returns all registrations, for a peer that cannot read the store. */
+  /** Returns all registrations that are in effect. */
   list(): RegistrationList {
     return { revision: this.#revision, servers: [...this.#servers.values()] };
   }
 
+  /** Returns all registrations, for a peer that cannot read the store. */
+  listForPeer(now: number): RegistrationList {
+    return { ...this.list(), deferred: [...this.#deferred.list(now)] };
+  }
+
   #set(server: RegisteredServer): void {
-    this.#pendingRemovals.delete(server.id);
-    this.#returning.delete(server.id);
+    this.#deferred.cancel(server.id);
     this.#departed.delete(incarnationKeyOf(server));
     const previous = this.#servers.get(server.id);
     this.#servers.set(server.id, server);
@@ -274,8 +303,7 @@
   }
 
   #remove(id: BackendServerId): void {
-    this.#pendingRemovals.delete(id);
-    this.#returning.delete(id);
+    this.#deferred.cancel(id);
     const server = this.#servers.get(id);
     if (!server) return;
     this.#servers.delete(id);
@@ -290,21 +318,25 @@
       REREGISTRATION_GRACE_MILLISECONDS;
     for (const id of ids) {
       const server = this.#servers.get(id);
-      this.#returning.delete(id);
-      if (!server || this.#pendingRemovals.has(id)) continue;
+      if (!server) this.#deferred.cancel(id);
+      if (!server || this.#isLeaving(id)) continue;
       const mayReturn = now < outageGraceEnd || massRemoved.has(server.service);
       // A draining server left on purpose, so it gets no grace period.
       if (server.isDraining || !mayReturn) this.#remove(id);
       else {
         const massGraceEnd = now + MASS_REMOVAL_GRACE_MILLISECONDS;
-        this.#pendingRemovals.set(
-          id,
-          now < outageGraceEnd ? outageGraceEnd : massGraceEnd,
-        );
+        const dueAt = now < outageGraceEnd ? outageGraceEnd : massGraceEnd;
+        this.#deferred.defer({ id, server: undefined }, dueAt);
       }
     }
   }
 
+  /** Whether the removal of a server is deferred. */
+  #isLeaving(id: BackendServerId): boolean {
+    const change = this.#deferred.get(id);
+    return change !== undefined && change.server === undefined;
+  }
+
   /** Returns services that lose enough servers at once to suggest an outage. */
   #massRemovedServices(ids: readonly BackendServerId[]): Set<ServiceId> {
     const removed = new Map<ServiceId, number>();
@@ -326,15 +358,25 @@
   #rebuild(): void {
     this.#version++;
     const byService = new Map<ServiceId, RegisteredServer[]>();
-    this.#digest = 0;
     for (const server of this.#servers.values()) {
-      this.#digest ^= _hashServer(server);
       if (server.isDraining) continue;
       const servers = byService.get(server.service) ?? [];
       byService.set(server.service, servers);
       servers.push(server);
     }
     this.#byService = byService;
+    this.#digest = this.#computeDigest();
+  }
+
+  #computeDigest(): number {
+    const registered = new Map(this.#servers);
+    for (const { id, server } of this.#deferred.changes()) {
+      if (server) registered.set(id, server);
+      else registered.delete(id);
+    }
+    let digest = 0;
+    for (const server of registered.values()) digest ^= _hashServer(server);
+    return digest;
   }
 }
 
--- a/src/core/server_registry_test.ts
+++ b/src/core/server_registry_test.ts
@@ -6,6 +6,7 @@
   createServerRegistry,
   MASS_REMOVAL_GRACE_MILLISECONDS,
   type RegisteredServer,
+  type RegistryChanges,
   REREGISTRATION_GRACE_MILLISECONDS,
   type ServerRegistry,
 } from "./server_registry.ts";
@@ -101,20 +102,20 @@
   const watcher = registryWith("a", "b", "c");
   const peer = createServerRegistry();
   peer.replace(watcher.list(), 0);
-  watcher.takeChanges();
+  watcher.takeChanges(0);
   watcher.apply(11, [{ id: idOf("a"), server: undefined }], 1_000);
-  const first = watcher.takeChanges();
+  const first = watcher.takeChanges(1_000) as RegistryChanges;
   // A watch that ends without a change still raises the revision.
   watcher.apply(15, [], 2_000);
   watcher.apply(16, [{ id: idOf("b"), server: undefined }], 3_000);
-  const second = watcher.takeChanges();
+  const second = watcher.takeChanges(3_000) as RegistryChanges;
   t.true(second.afterRevision > peer.revision);
-  peer.applyPeerChanges(first);
+  peer.applyPeerChanges(first, 1_000);
   t.true(second.afterRevision <= peer.revision);
-  peer.applyPeerChanges(second);
+  peer.applyPeerChanges(second, 3_000);
   t.deepEqual(readyIds(peer), ["c"]);
   t.is(peer.digest, watcher.digest);
-  t.is(watcher.takeChanges().changes.length, 0);
+  t.is(watcher.takeChanges(4_000), undefined);
 });
 
 test("guards against peers fetching the state again when their registrations are equal", (t) => {
--- a/src/gateway_state_task.ts
+++ b/src/gateway_state_task.ts
@@ -190,7 +190,7 @@
   state(): GatewayState {
     return {
       configuration: this.#table?.configuration,
-      registrations: this.registry.list(),
+      registrations: this.registry.listForPeer(this.#now()),
     };
   }
 
--- a/src/registry_task.ts
+++ b/src/registry_task.ts
@@ -111,7 +111,7 @@
     if (changes.revision < known) return true;
     if (changes.afterRevision > known) return false;
     if (decideEra(known, eraOf(changes.revision)) !== "same") return false;
-    this.registry.applyPeerChanges(changes);
+    this.registry.applyPeerChanges(changes, this.#now());
     this.#publish(peer);
     return true;
   }
@@ -199,8 +199,8 @@
 
   /** Logs pending changes and notifies listeners; false if there are none. */
   #publish(source: string): boolean {
-    const changes = this.registry.takeChanges();
-    if (changes.changes.length === 0) return false;
+    const changes = this.registry.takeChanges(this.#now());
+    if (!changes) return false;
     this.#options.log.write("registry.changed", {
       revision: revisionInEra(changes.revision),
       era: eraOf(changes.revision),
@@ -209,6 +209,7 @@
         id,
         state: server ? (server.isDraining ? "draining" : "ready") : "gone",
       })),
+      deferred: changes.deferred?.length ?? 0,
       servers: this.registry.size,
     });
     for (const listener of this.#listeners) listener(changes);
--- a/src/store_restored_fleet_test.ts
+++ b/src/store_restored_fleet_test.ts
@@ -7,6 +7,8 @@
 import { testConfiguration, testRoute } from "../stand_ins/gateway_fleet.ts";
 import { testServer } from "../stand_ins/registered_servers.ts";
 import { type BackendServerId, brandId } from "./core/ids.ts";
+import { createSeededRandom, type RandomSource } from "./core/random.ts";
+import { REREGISTRATION_GRACE_MILLISECONDS } from "./core/server_registry.ts";
 import { eraOf } from "./core/store_revision.ts";
 
 const START_MILLISECONDS = 7_000;
@@ -14,6 +16,14 @@
 /** Time within which every router must know what is written after the return. */
 const RETURN_MILLISECONDS = 5_000;
 
+/** The `drainMs` of the rules: from the acknowledgement to the last new request. */
+const DRAIN_MILLISECONDS = 2_000;
+/** An entry that is missing two seconds after the store's return is gone. */
+const REMOVAL_MILLISECONDS = REREGISTRATION_GRACE_MILLISECONDS +
+  DRAIN_MILLISECONDS;
+const STEP_MILLISECONDS = 25;
+const HISTORIES = 40;
+
 async function startFleet(
   t: ExecutionContext,
   routers: number,
@@ -110,3 +120,48 @@
   await fleet.advance(RETURN_MILLISECONDS);
   t.is(fleet.memory.routers.size, 13);
 });
+
+function chooseTime(random: RandomSource, maximumMilliseconds: number): number {
+  const steps = maximumMilliseconds / STEP_MILLISECONDS;
+  return STEP_MILLISECONDS * Math.floor(random.next() * steps);
+}
+
+/** The server is removed while the routers reach the store one after the other. */
+async function runRemoval(t: ExecutionContext, seed: number): Promise<void> {
+  const random = createSeededRandom(seed);
+  const fleet = await startFleet(t, 3);
+  const { memory, routers } = fleet;
+  const removedAt = chooseTime(random, 1_000);
+  const reachedAt = routers.map(() => chooseTime(random, 500));
+  const copy = memory.takeCopy();
+  setStoreFailing(fleet, true);
+  await fleet.advance(AWAY_MILLISECONDS);
+  memory.restore(copy);
+  for (let slots = 5; slots < 20; slots++) {
+    memory.setServer(testServer("staying", { slots }));
+  }
+  memory.setServer(testServer("gap"));
+  for (let time = 0; time < 1_000; time += STEP_MILLISECONDS) {
+    for (const [index, { store }] of routers.entries()) {
+      if (reachedAt[index] === time) store.setFailing(false);
+    }
+    if (removedAt === time) {
+      memory.removeServer(brandId<BackendServerId>("removed"));
+    }
+    await fleet.advance(STEP_MILLISECONDS);
+  }
+  await fleet.advance(600);
+  // Raises the revision without a change of a server.
+  memory.setConfiguration(testConfiguration(2, [testRoute("a")]));
+  await fleet.advance(REMOVAL_MILLISECONDS + removedAt - 1_600);
+  t.deepEqual(
+    [...new Set(routers.map(serversOf))],
+    ["gap leaving staying"],
+    `seed ${seed}: removed at ${removedAt}, reached at ${reachedAt.join(" ")}`,
+  );
+  await fleet.stop();
+}
+
+test.serial("guards against a removal after the return that routers undo by taking each other's list for newer", async (t) => {
+  for (let seed = 0; seed < HISTORIES; seed++) await runRemoval(t, seed);
+});
--- a/stand_ins/gateway_peer_fleet.ts
+++ b/stand_ins/gateway_peer_fleet.ts
@@ -122,8 +122,12 @@
     to: SocketAddress,
     kind: PeerMessageKind,
     body: unknown,
+    timeoutMilliseconds: number,
   ): Promise<Result<unknown, ApplicationError>> {
     return await new Promise((resolve) => {
+      this.#fleet.timers.after(timeoutMilliseconds, "request timeout", () => {
+        resolve(err(createError("peer_unreachable", to)));
+      });
       const isSent = this.#fleet.deliver(this.#router(), to, () => {
         const handler = this.#fleet.networkOf(to)?.handlers.get(kind);
         const reply = handler?.(body, this.#router().identity);
@@ -142,6 +146,8 @@
   readonly routers: SimulatedGateway[] = [];
   /** Number of messages and replies that carried a full configuration. */
   configurationCopies = 0;
+  /** Returns the delays of a message's copies; none if the message is lost. */
+  chooseDelays: () => readonly number[] = () => [MESSAGE_DELAY_MILLISECONDS];
   readonly #networks = new Map<SocketAddress, _Network>();
   readonly #byAddress = new Map<SocketAddress, SimulatedGateway>();
 
@@ -217,11 +223,13 @@
     const target = this.#byAddress.get(to);
     if (!from.isAlive || !target) return false;
     from.counters.messagesSent++;
-    this.timers.after(MESSAGE_DELAY_MILLISECONDS, "message", () => {
-      const isPartitioned = from.blocked.has(to) ||
-        target.blocked.has(from.identity.address);
-      if (target.isAlive && !isPartitioned) onArrival();
-    });
+    for (const delay of this.chooseDelays()) {
+      this.timers.after(delay, "message", () => {
+        const isPartitioned = from.blocked.has(to) ||
+          target.blocked.has(from.identity.address);
+        if (target.isAlive && !isPartitioned) onArrival();
+      });
+    }
     return true;
   }
 
