Take a relayed difference only from a state that this router had

Cause: changes relayed after a router's first list (from nothing), or across a return of the store from a copy, were taken as all changes since the receiver's revision. They name no server that both the sender's old and new list lack, so the receiver kept it, at a revision at which the store tells of no removal. Change: receive leaves a first list to the reports, which show by their digest whether anything is lacking, and has changes across eras fetched as a whole. Conclusion: afterRevision continues a state of the same era or none.

--- a/src/registry_task.ts
+++ b/src/registry_task.ts
@@ -5,7 +5,7 @@
  */
 import type { ApplicationError } from "./core/errors.ts";
 import type { RandomSource } from "./core/random.ts";
-import { decideEra, eraOf, revisionInEra } from "./core/store_revision.ts";
+import { eraOf, revisionInEra } from "./core/store_revision.ts";
 import {
   createServerRegistry,
   type RegistrationList,
@@ -42,6 +42,14 @@
   readonly log: DecisionLog;
 }
 
+/**
+ * Whether revisions are of one era. Changes from an older era to this one lack what
+ * both the sender's old state and its new one lack.
+ */
+function _haveOneEra(first: number, ...others: readonly number[]): boolean {
+  return others.every((other) => eraOf(other) === eraOf(first));
+}
+
 /** Keeps the registered servers of one gateway up to date. */
 export class RegistryTask extends Task {
   override readonly name = "registry";
@@ -109,8 +117,12 @@
   receive(changes: RegistryChanges, peer: string): boolean {
     const known = this.registry.revision;
     if (changes.revision < known) return true;
-    if (changes.afterRevision > known) return false;
-    if (decideEra(known, eraOf(changes.revision)) !== "same") return false;
+    const { afterRevision } = changes;
+    // A first list names no server that had left, so it continues no other state. The
+    // sender's reports show whether this router lacks anything.
+    if (afterRevision === 0 && known > 0) return true;
+    if (afterRevision > known) return false;
+    if (!_haveOneEra(known, afterRevision, changes.revision)) return false;
     this.registry.applyPeerChanges(changes, this.#now());
     this.#publish(peer);
     return true;
--- a/src/registry_task_test.ts
+++ b/src/registry_task_test.ts
@@ -8,6 +8,7 @@
 import { createMemoryOutput } from "../stand_ins/memory_output.ts";
 import { testServer } from "../stand_ins/registered_servers.ts";
 import { createSeededRandom } from "./core/random.ts";
+import type { RegistryChanges } from "./core/server_registry.ts";
 import { createDecisionLog } from "./decision_log.ts";
 import { createRegistryTask } from "./registry_task.ts";
 import { createManualTimerService } from "./timer_service.ts";
@@ -55,7 +56,7 @@
   }
 
   await advance(200);
-  return { fleet, store, lines, advance, timeUntilRemoved };
+  return { fleet, store, task, lines, advance, timeUntilRemoved };
 }
 
 test("guards against a grace period for servers that left while a connection to the store was silent", async (t) => {
@@ -90,3 +91,35 @@
   const elapsed = await timeUntilRemoved();
   t.true(elapsed >= 2_000, `${elapsed} ms`);
 });
+
+/** Changes of a peer that lists only `s2`, because the other server has left. */
+function changesOfPeer(
+  fleet: MemoryFleet,
+  afterRevision: number,
+): RegistryChanges {
+  const server = testServer("s2");
+  const changes = [{ id: server.id, server }];
+  return { afterRevision, revision: fleet.revision, changes };
+}
+
+test("guards against taking the first list of a router that has just started for all changes since this router's revision", async (t) => {
+  const { fleet, task, advance, timeUntilRemoved } = await startTask();
+  await advance(1_000);
+  fleet.removeServer(SERVER.id);
+  task.receive(changesOfPeer(fleet, 0), "entry-1");
+  const elapsed = await timeUntilRemoved();
+  t.true(elapsed <= 1_000, `${elapsed} ms`);
+});
+
+test("guards against taking what a peer's servers of the older era lack for all changes since this router's revision of the new era", async (t) => {
+  const { fleet, task, advance, timeUntilRemoved } = await startTask();
+  await advance(1_000);
+  const oldRevision = fleet.revision;
+  fleet.restore(fleet.takeCopy());
+  await advance(3_000);
+  fleet.removeServer(SERVER.id);
+  const changes = changesOfPeer(fleet, oldRevision);
+  t.false(task.receive(changes, "entry-1"));
+  const elapsed = await timeUntilRemoved();
+  t.true(elapsed <= 1_000, `${elapsed} ms`);
+});
