Tell peers that a deferred change is given up

Cause: a server that registered again while its removal was deferred, or that was removed while it was held back, was no change for peers. One that had been told of the deferral let it take effect at a newer revision. Change: giving up a deferred change counts as a change of its server. Conclusion: a revision that is given out covers what was given up as well.

--- a/src/core/deferred_changes.ts
+++ b/src/core/deferred_changes.ts
@@ -40,13 +40,6 @@
     this.#new.delete(id);
   }
 
-  /** Gives up the deferred additions of servers that are no longer listed. */
-  cancelAdditions(listed: ReadonlySet<BackendServerId>): void {
-    for (const { change: { id, server } } of this.#deferrals.values()) {
-      if (server && !listed.has(id)) this.cancel(id);
-    }
-  }
-
   get(id: BackendServerId): RegistrationChange | undefined {
     return this.#deferrals.get(id)?.change;
   }
--- a/src/core/server_registry.ts
+++ b/src/core/server_registry.ts
@@ -180,7 +180,9 @@
     const missing = [...this.#servers.keys()].filter((id) => !listed.has(id));
     this.#removeOrDefer(missing, now);
     for (const server of servers) this.#setOrHoldBack(server, isRestored, now);
-    this.#deferred.cancelAdditions(listed);
+    for (const { id, server } of this.#deferred.changes()) {
+      if (server && !listed.has(id)) this.#remove(id);
+    }
     this.#defer(deferred, now);
     this.#rebuild();
   }
@@ -243,7 +245,8 @@
           incarnationKeyOf(own) === incarnationKeyOf(server)
         : own === undefined;
       // What was deferred here before is older.
-      if (isDone) this.#deferred.cancel(id);
+      if (isDone && own) this.#set(own);
+      else if (isDone) this.#remove(id);
       else this.#deferred.defer({ id, server }, now + remainingMilliseconds);
     }
   }
@@ -294,20 +297,25 @@
   }
 
   #set(server: RegisteredServer): void {
+    const wasDeferred = this.#deferred.get(server.id) !== undefined;
     this.#deferred.cancel(server.id);
     this.#departed.delete(incarnationKeyOf(server));
     const previous = this.#servers.get(server.id);
     this.#servers.set(server.id, server);
-    if (previous && _hashServer(previous) === _hashServer(server)) return;
+    // Peers that defer a change of this server give it up as well.
+    if (
+      !wasDeferred && previous && _hashServer(previous) === _hashServer(server)
+    ) return;
     this.#changes.set(server.id, { id: server.id, server });
   }
 
   #remove(id: BackendServerId): void {
+    const wasDeferred = this.#deferred.get(id) !== undefined;
     this.#deferred.cancel(id);
     const server = this.#servers.get(id);
+    if (server || wasDeferred) this.#changes.set(id, { id });
     if (!server) return;
     this.#servers.delete(id);
-    this.#changes.set(id, { id });
     this.#departed.set(incarnationKeyOf(server), true);
     evictOldest(this.#departed, MAXIMUM_DEPARTED_SERVERS);
   }
@@ -318,7 +326,7 @@
       REREGISTRATION_GRACE_MILLISECONDS;
     for (const id of ids) {
       const server = this.#servers.get(id);
-      if (!server) this.#deferred.cancel(id);
+      if (!server) this.#remove(id);
       if (!server || this.#isLeaving(id)) continue;
       const mayReturn = now < outageGraceEnd || massRemoved.has(server.service);
       // A draining server left on purpose, so it gets no grace period.
--- a/src/core/server_registry_test.ts
+++ b/src/core/server_registry_test.ts
@@ -144,3 +144,36 @@
   registry.expire(7_000);
   t.is(registry.size, 2);
 });
+
+test("guards against a peer that removes a server which registered again while its removal was deferred", (t) => {
+  const watcher = registryWith("a", "b", "c");
+  const peer = createServerRegistry();
+  peer.replace(watcher.list(), 0);
+  watcher.takeChanges(0);
+  watcher.apply(11, [
+    { id: idOf("a"), server: undefined },
+    { id: idOf("b"), server: undefined },
+  ], 1_000);
+  peer.applyPeerChanges(watcher.takeChanges(1_000) as RegistryChanges, 1_000);
+  watcher.apply(12, [{ id: idOf("a"), server: testServer("a") }], 1_200);
+  peer.applyPeerChanges(watcher.takeChanges(1_200) as RegistryChanges, 1_200);
+  peer.expire(1_000 + MASS_REMOVAL_GRACE_MILLISECONDS);
+  t.deepEqual(readyIds(peer), ["a", "c"]);
+  t.is(peer.digest, watcher.digest);
+});
+
+test("guards against a peer that uses a server which was removed while it was held back", (t) => {
+  const watcher = registryWith("a", "left");
+  watcher.apply(11, [{ id: idOf("left"), server: undefined }], 1_000);
+  const peer = createServerRegistry();
+  const revision = toStoreRevision({ era: 1, revision: 9 });
+  const servers = ["a", "left"].map((id) => testServer(id));
+  watcher.replace({ revision, servers }, 2_000);
+  peer.replace(watcher.listForPeer(2_000), 2_000);
+  watcher.takeChanges(2_000);
+  watcher.apply(revision + 1, [{ id: idOf("left"), server: undefined }], 3_000);
+  peer.applyPeerChanges(watcher.takeChanges(3_000) as RegistryChanges, 3_000);
+  peer.expire(9_000);
+  t.deepEqual(readyIds(peer), ["a"]);
+  t.is(peer.digest, watcher.digest);
+});
