--- a/invariants/invariant.ts
+++ b/invariants/invariant.ts
@@ -5,6 +5,8 @@
   readonly seed: number;
   /** Rounds of random failures; undefined for the failure run's default. */
   readonly rounds: number | undefined;
+  /** Routers of the fleet, where a failure run lets them vary. */
+  readonly routers?: number | undefined;
 }
 
 /** The result of one failure run. */
--- a/invariants/main.ts
+++ b/invariants/main.ts
@@ -8,6 +8,7 @@
 import { GRACEFUL_STOP_INVARIANTS } from "./graceful_stop.ts";
 import { ISOLATION_INVARIANTS } from "./isolation.ts";
 import { LIMITS_INVARIANTS } from "./limits.ts";
+import { LONG_REQUESTS_INVARIANTS } from "./long_requests_at_stop.ts";
 import { MEMBERSHIP_INVARIANTS } from "./membership.ts";
 import type { Invariant, InvariantOutcome } from "./invariant.ts";
 import { WHOLE_ANSWERS_INVARIANTS } from "./whole_answers.ts";
@@ -15,6 +16,7 @@
 const INVARIANTS: readonly Invariant[] = [
   ...AT_MOST_ONCE_INVARIANTS,
   ...GRACEFUL_STOP_INVARIANTS,
+  ...LONG_REQUESTS_INVARIANTS,
   ...MEMBERSHIP_INVARIANTS,
   ...CONFIGURATION_INVARIANTS,
   ...WHOLE_ANSWERS_INVARIANTS,
@@ -38,6 +40,7 @@
 interface InvariantsCommandOptions {
   readonly seed?: number;
   readonly rounds?: number;
+  readonly routers?: number;
   readonly json?: boolean;
 }
 
@@ -50,6 +53,7 @@
   const { faults, figures } = await invariant.run({
     seed,
     rounds: options.rounds,
+    routers: options.routers,
   });
   const held = invariant.isNegativeControl
     ? faults.length > 0
@@ -107,6 +111,7 @@
 command.command("[name]", "Executes all failure runs, or the named one")
   .option("--seed <number>", "Seed of the random failures")
   .option("--rounds <number>", "Rounds of random failures in each run")
+  .option("--routers <number>", "Routers of long_requests_at_stop")
   .option("--json", "Print only the JSON line at the end")
   .action(runAll);
 command.help();
