--- a/invariants/stop_routers.ts
+++ b/invariants/stop_routers.ts
@@ -67,6 +67,11 @@
     return { router: this.name, signalledAt, endedAt, exitCode, lines };
   }
 
+  /** Lines that the current process has written so far. */
+  readLines(): readonly string[] {
+    return this.#program?.output().split("\n") ?? [];
+  }
+
   kill(): void {
     this.#program?.process.kill("SIGKILL");
   }
