Look for requests lost at planned stops in the soak

Ruled out: "ended later than 200 ms after its last byte" alone as the sign that a router had read a request. The check now also needs a connection that reached the router, or a run. Change: 20 callers send streams of 0.15 to 7 s with a heavy tail, a third of the bodies in parts over up to 4.5 s, some read slowly; half of them stay with a router until a request fails there. stop_guarantees.ts reports requests lost at planned stops after the rule's words, and a 503 for one that ran where it must run once. New planned work: two routers stopped in overlap, a router stopped twice in series, a stop amid reloads, second signals and configurations, reloads of all routers in series. A replaced server first ends the requests that it works on, so that its own breaks need no excuse. `was cut off` leaves out only what the rule leaves out: a server still at work in the last sixth of the grace time on a request that was whole within 3 s of the signal.

--- a/soak/fault_schedule.ts
+++ b/soak/fault_schedule.ts
@@ -30,15 +30,28 @@
   "router_stopped_twice",
 ] as const;
 
+/** Planned work in series and in overlap, drawn from one source of its own. */
+export const PLANNED_KINDS = [
+  "routers_stopped_together",
+  "router_stopped_in_series",
+  "router_stopped_amid_changes",
+  "router_reloaded_in_series",
+] as const;
+
 /** Name of a kind of fault that schedules contain. */
 export type FaultKind =
   | keyof typeof FAULT_WEIGHTS
   | (typeof NOTICE_KINDS)[number]
-  | (typeof SEPARATE_KINDS)[number];
+  | (typeof SEPARATE_KINDS)[number]
+  | (typeof PLANNED_KINDS)[number];
 
 /** Whether a text names a kind of fault. */
 export function isFaultKind(text: string): text is FaultKind {
-  const others: readonly string[] = [...NOTICE_KINDS, ...SEPARATE_KINDS];
+  const others: readonly string[] = [
+    ...NOTICE_KINDS,
+    ...SEPARATE_KINDS,
+    ...PLANNED_KINDS,
+  ];
   return text in FAULT_WEIGHTS || others.includes(text);
 }
 
@@ -64,12 +77,20 @@
 /** Each of the separate kinds is this much rarer than other faults. */
 const SEPARATE_INTERVAL_FACTOR = 6;
 
+/** Planned work in series is this much rarer than other faults. */
+const PLANNED_INTERVAL_FACTOR = 3;
+
 type _DrawKind = (random: RandomSource) => FaultKind;
 
 function _drawNoticeKind(random: RandomSource): FaultKind {
   return NOTICE_KINDS[random.integer(NOTICE_KINDS.length)] ?? "backend_leaves";
 }
 
+function _drawPlannedKind(random: RandomSource): FaultKind {
+  return PLANNED_KINDS[random.integer(PLANNED_KINDS.length)] ??
+    "routers_stopped_together";
+}
+
 function _drawFaultKind(random: RandomSource): FaultKind {
   const kinds = Object.entries(FAULT_WEIGHTS) as [FaultKind, number][];
   const total = kinds.reduce((sum, [, weight]) => sum + weight, 0);
@@ -105,7 +126,7 @@
 
 /**
  * Draws faults that may overlap, one per `meanIntervalMilliseconds` on average,
- * and notices of servers between them.
+ * and notices of servers and planned work between them.
  */
 export function scheduleFaults(
   seed: number,
@@ -132,7 +153,15 @@
       SEPARATE_INTERVAL_FACTOR * meanIntervalMilliseconds,
     )
   );
-  return [...faults, ...notices, ...separate].sort((left, right) =>
+  const planned = _draw(
+    createSeededRandom(
+      seed + (SEPARATE_KINDS.length + 2) * NOTICE_SEED_OFFSET,
+    ),
+    _drawPlannedKind,
+    durationMilliseconds,
+    PLANNED_INTERVAL_FACTOR * meanIntervalMilliseconds,
+  );
+  return [...faults, ...notices, ...separate, ...planned].sort((left, right) =>
     left.atMilliseconds - right.atMilliseconds
   );
 }
--- a/soak/guarantees.ts
+++ b/soak/guarantees.ts
@@ -7,12 +7,10 @@
   type Run,
   STREAM_EVENTS,
 } from "./soak_backends.ts";
-import {
-  type Attempt,
-  DEADLINE_MILLISECONDS,
-  guaranteesNotRun,
-} from "./soak_callers.ts";
-import type { SoakRecord } from "./soak_record.ts";
+import { type Attempt, guaranteesNotRun } from "./soak_callers.ts";
+import { groupRunsById, type SoakRecord } from "./soak_record.ts";
+import { deadlineOf, mustRunOnce } from "./soak_routes.ts";
+import { findStopViolations, isExcusedByStop } from "./stop_guarantees.ts";
 
 /** Time for which a disturbance still excuses failures after it has ended. */
 const RECOVERY_MILLISECONDS = 3_000;
@@ -23,8 +21,6 @@
 /** Ratio of requests that may fail while no disturbance is recorded. */
 const TOLERATED_FAILURE_RATIO = 0.01;
 
-type _RunsById = ReadonlyMap<string, readonly Run[]>;
-
 function _isSuccess({ status, isComplete }: Attempt): boolean {
   return status !== undefined && status < 300 && isComplete;
 }
@@ -54,7 +50,7 @@
   attempt: Attempt,
   runs: readonly Run[],
 ): string | undefined {
-  if (attempt.route.kind === "non_idempotent" && runs.length > 1) {
+  if (mustRunOnce(attempt.route) && runs.length > 1) {
     return `ran ${runs.length} times, but must run at most once`;
   }
   if (runs.length > attempt.route.maximumBackendServers) {
@@ -77,14 +73,15 @@
 function _checkContinuity(
   attempt: Attempt,
   runs: readonly Run[],
-  { disturbances }: SoakRecord,
+  { disturbances, stops }: SoakRecord,
 ): string | undefined {
   const from = attempt.sentAt - RECOVERY_MILLISECONDS;
   const scopes = [attempt.router, "backends", "store"];
   if (!disturbances.isStable(scopes, from, attempt.endedAt)) return undefined;
-  const isCut = !attempt.isComplete && runs.length > 0;
+  const isCut = !attempt.isComplete && runs.length > 0 &&
+    !isExcusedByStop(attempt, runs, stops);
   if (isCut) return "was cut off without an unplanned disturbance";
-  const lateness = attempt.endedAt - attempt.sentAt - DEADLINE_MILLISECONDS;
+  const lateness = attempt.endedAt - attempt.sentAt - deadlineOf(attempt.route);
   return lateness > MAXIMUM_LATENESS_MILLISECONDS
     ? "got no response in time"
     : undefined;
@@ -132,19 +129,9 @@
   ];
 }
 
-function _groupRunsById(runs: readonly Run[]): _RunsById {
-  const byId = new Map<string, Run[]>();
-  for (const run of runs) {
-    const list = byId.get(run.requestId) ?? [];
-    byId.set(run.requestId, list);
-    list.push(run);
-  }
-  return byId;
-}
-
 /** Returns a line for each violation of a guarantee. */
 export function findGuaranteeViolations(record: SoakRecord): string[] {
-  const byId = _groupRunsById(record.runs);
+  const byId = groupRunsById(record.runs);
   const sentIds = new Set(record.attempts.map(({ requestId }) => requestId));
   const violations = [...record.unexpectedExits];
   for (const id of byId.keys()) {
@@ -170,6 +157,7 @@
     ...violations,
     ...findNoticeViolations(record),
     ...findRateLimitViolations(record),
+    ...findStopViolations(record),
     ..._checkUndisturbedTime(record),
   ];
 }
--- a/soak/guarantees_test.ts
+++ b/soak/guarantees_test.ts
@@ -42,7 +42,9 @@
     key: "key-0",
     router: "entry-0",
     sentAt: 20_000,
+    bodySentAt: 20_001,
     endedAt: 20_050,
+    hasReachedRouter: true,
     status: 200,
     isSigned: true,
     responseId: "id",
@@ -63,6 +65,8 @@
     body: attempt.body,
     workspace: "temple",
     hasKey: false,
+    endedAt: attempt.sentAt + 40,
+    wasBrokenOff: false,
     ...options,
   };
 }
@@ -91,6 +95,7 @@
     disturbances: new Disturbances(),
     revokedKeys: new Map(),
     drainedServers: new Map(),
+    stops: [],
     unexpectedExits: [],
     ...options,
   });
@@ -231,6 +236,7 @@
     disturbances: new Disturbances(),
     revokedKeys: new Map(),
     drainedServers: new Map(),
+    stops: [],
     unexpectedExits: [],
   });
   t.regex(found.join(), /2 of 50 requests failed/);
--- a/soak/loopback_proxy.ts
+++ b/soak/loopback_proxy.ts
@@ -61,6 +61,8 @@
   readonly #target: () => string;
   readonly #server: Server;
   readonly #links = new Set<_Link>();
+  /** Ports of clients whose newest connection reached the target. */
+  readonly #reachedPorts = new Set<number>();
   #fault: LinkFault = "none";
 
   constructor(target: () => string) {
@@ -83,6 +85,11 @@
     for (const link of this.#links) this.#reset(link);
   }
 
+  /** Whether the newest connection from a client's port reached the target. */
+  hasReachedTarget(clientPort: number): boolean {
+    return this.#reachedPorts.has(clientPort);
+  }
+
   setFault(fault: LinkFault): void {
     this.#fault = fault;
     for (const link of [...this.#links]) {
@@ -99,9 +106,12 @@
   }
 
   #accept(client: Socket): void {
+    const clientPort = client.remotePort ?? 0;
+    this.#reachedPorts.delete(clientPort);
     if (this.#fault === "reset") return _reset(client);
     const [host = "", port = ""] = this.#target().split(":");
     const target = connect({ host, port: Number(port), allowHalfOpen: true });
+    target.once("connect", () => this.#reachedPorts.add(clientPort));
     const link: _Link = { client, target, fault: this.#fault };
     this.#links.add(link);
     this.#pipe(link, client, target, false);
--- a/soak/loopback_proxy_test.ts
+++ b/soak/loopback_proxy_test.ts
@@ -57,3 +57,20 @@
   await new Promise((resolve) => target.once("close", resolve));
   t.true(target.destroyed);
 });
+
+test("guards against a proxy that claims to have reached a target that refused the connection", async (t) => {
+  const { proxy, client, target } = await open(t);
+  target.write("x");
+  await once(client, "data");
+  t.true(proxy.hasReachedTarget(client.localPort ?? 0));
+  const refusing = new LoopbackProxy(() => "127.0.0.1:1");
+  const [host = "", port = ""] = (await refusing.start()).split(":");
+  const refused = connect(Number(port), host);
+  t.teardown(() => refusing.stop());
+  let localPort = 0;
+  refused.on("error", () => undefined);
+  refused.on("connect", () => (localPort = refused.localPort ?? 0));
+  // `once` would reject, since the proxy resets the connection.
+  await new Promise((resolve) => refused.on("close", resolve));
+  t.false(refusing.hasReachedTarget(localPort));
+});
--- a/soak/soak_backends.ts
+++ b/soak/soak_backends.ts
@@ -12,6 +12,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { GatewayHeaderNames } from "../src/gateway_protocol.ts";
 import type { RandomSource } from "../src/core/random.ts";
+import { readStreamPace } from "./long_requests.ts";
 import { LoopbackProxy } from "./loopback_proxy.ts";
 
 /** Number of events in each streamed response. */
@@ -36,6 +37,10 @@
   readonly body: string;
   readonly workspace: string | undefined;
   readonly hasKey: boolean;
+  /** When the server ended its work, or its connection was closed. */
+  endedAt: number;
+  /** Whether the server broke off its response. */
+  wasBrokenOff: boolean;
 }
 
 /** What a server said about itself in the response to a request. */
@@ -67,7 +72,13 @@
 
 /** Returns the text of an event, which is the same on every server. */
 export function eventText(path: string, number: number): string {
-  return `id: ${number}\ndata: ${path} ${number}\n\n`;
+  const padding = ".".repeat(readStreamPace(path)?.eventBytes ?? 0);
+  return `id: ${number}\ndata: ${path} ${number}${padding}\n\n`;
+}
+
+/** Whether a path belongs to a route of streams. */
+export function isStreamPath(path: string): boolean {
+  return path.startsWith("/stream/") || path.startsWith("/long");
 }
 
 /** Returns the complete body of a response. */
@@ -86,6 +97,8 @@
   #name: string;
   #incarnation = 0;
   #inFlight = 0;
+  /** Requests of the current incarnation whose responses have not ended. */
+  #responding = new Set<ServerResponse>();
   address = "";
   fault: BackendFault = "none";
   isDraining = false;
@@ -112,6 +125,7 @@
   async start(): Promise<void> {
     if (this.address === "") this.address = await this.proxy.start();
     this.#incarnation++;
+    this.#responding = new Set();
     this.isDraining = false;
     this.isLeaving = false;
     this.requestsPerSecond = undefined;
@@ -129,8 +143,15 @@
     this.#serverAddress = `127.0.0.1:${(server.address() as AddressInfo).port}`;
   }
 
+  /** Whether the server still works on a request. */
+  get isBusy(): boolean {
+    return this.#responding.size > 0;
+  }
+
   /** Closes the server and all its connections at once. */
   crash(): void {
+    for (const response of this.#responding) response.destroy();
+    this.#responding.clear();
     this.#server?.close();
     this.#server?.closeAllConnections();
     this.#server = undefined;
@@ -171,7 +192,7 @@
     }
     const path = request.url ?? "";
     const workspace = request.headers[headerNames.workspace];
-    runs.push({
+    const run: Run = {
       requestId,
       server: id,
       at: now(),
@@ -180,7 +201,11 @@
       body,
       workspace: typeof workspace === "string" ? workspace : undefined,
       hasKey: request.headers.authorization !== undefined,
-    });
+      endedAt: Infinity,
+      wasBrokenOff: false,
+    };
+    runs.push(run);
+    this.#follow(response, run);
     const fault = random.next() < FAULT_RATIO ? this.fault : "none";
     this.#inFlight++;
     await sleep(random.next() * LONGEST_WORK_MILLISECONDS);
@@ -188,6 +213,23 @@
     await this.#respond(request, response, { requestId, path, body, fault });
   }
 
+  /** Records when a run ends, and whether the server itself broke it off. */
+  #follow(response: ServerResponse, run: Run): void {
+    const responding = this.#responding;
+    responding.add(response);
+    const end = () => {
+      run.endedAt = Math.min(run.endedAt, this.#context.now());
+      responding.delete(response);
+    };
+    response.on("finish", end);
+    response.on("close", () => {
+      // A response that its server destroys is removed or marked before.
+      run.wasBrokenOff ||= !response.writableFinished &&
+        !responding.has(response);
+      end();
+    });
+  }
+
   #recordNotice(requestId: string, pausedUntil: number | undefined): void {
     const { notices, now } = this.#context;
     notices.push({ requestId, server: this.id, at: now(), pausedUntil });
@@ -216,7 +258,10 @@
     const { headerNames } = this.#context;
     const { requestId, path, body, fault } = run;
     if (fault === "mute") return;
-    if (fault === "loses_answers") return void response.destroy();
+    if (fault === "loses_answers") {
+      this.#responding.delete(response);
+      return void response.destroy();
+    }
     if (this.isLeaving) this.#recordNotice(requestId, undefined);
     const headers = {
       [headerNames.requestId]: requestId,
@@ -226,16 +271,20 @@
     };
     if (fault === "errors") {
       response.writeHead(500, headers).end("error");
-    } else if (path.startsWith("/stream/")) {
+    } else if (isStreamPath(path)) {
       response.writeHead(200, {
         ...headers,
         "content-type": "text/event-stream",
       });
+      const pace = readStreamPace(path);
+      const pause = pace
+        ? pace.milliseconds / STREAM_EVENTS
+        : EVENT_PAUSE_MILLISECONDS;
       const first = Number(request.headers["last-event-id"] ?? 0) + 1;
       for (let number = first; number <= STREAM_EVENTS; number++) {
         if (response.destroyed) return;
         response.write(eventText(path, number));
-        await sleep(EVENT_PAUSE_MILLISECONDS);
+        await sleep(pause);
       }
       response.end();
     } else {
--- a/soak/soak_callers.ts
+++ b/soak/soak_callers.ts
@@ -8,16 +8,19 @@
 } from "../platform/soak_fleet.ts";
 import type { RandomSource } from "../src/core/random.ts";
 import type { GatewayHeaderNames } from "../src/gateway_protocol.ts";
+import { drawLongRequest, type RequestPace } from "./long_requests.ts";
+import { sendBody } from "./sent_body.ts";
 import type { SoakRouter } from "./soak_routers.ts";
+import { deadlineOf } from "./soak_routes.ts";
 
 /** Host name that callers send requests to. */
 export const HOST_NAME = "shop.example";
-/** Deadline of an attempt, after which the caller closes its connection. */
-export const DEADLINE_MILLISECONDS = 3_000;
 const MAXIMUM_PAUSE_MILLISECONDS = 60;
 const ADDRESS_CACHE_MILLISECONDS = 2_000;
 const ENTRY_TIMEOUT_MILLISECONDS = 1_000;
 const MAXIMUM_BODY_BYTES = 200;
+/** Pause of a slow reader after each part of a response. */
+const READ_PAUSE_MILLISECONDS = 20;
 
 /** An attempt and its outcome as the caller saw it. */
 export interface Attempt {
@@ -30,7 +33,11 @@
   /** Host of the router that received the attempt. */
   readonly router: string;
   readonly sentAt: number;
+  /** When the last byte of the body was sent; infinite if it never was. */
+  bodySentAt: number;
   endedAt: number;
+  /** Whether the attempt's connection reached the router behind its proxy. */
+  hasReachedRouter: boolean;
   /** Undefined if no response head arrived. */
   status: number | undefined;
   isSigned: boolean;
@@ -51,6 +58,8 @@
   readonly routes: readonly SoakRoute[];
   readonly keys: () => readonly string[];
   readonly attempts: Attempt[];
+  /** Whether callers stay with a router until a request fails there. */
+  readonly keepsConnections: boolean;
 }
 
 const NOT_RUN_STATUSES = [408, 421, 429, 503];
@@ -60,6 +69,14 @@
   return status !== undefined && NOT_RUN_STATUSES.includes(status);
 }
 
+/** Pauses a response after each part that arrives. */
+function _readSlowly(response: IncomingMessage): void {
+  response.on("data", () => {
+    response.pause();
+    setTimeout(() => response.resume(), READ_PAUSE_MILLISECONDS);
+  });
+}
+
 /** A caller that sends one request at a time until it is stopped. */
 export class SoakCaller {
   readonly #context: CallerContext;
@@ -70,6 +87,8 @@
   #addresses: readonly string[] = [];
   #addressesAt = -Infinity;
   #isStopped = false;
+  /** Router whose open connection the caller keeps using. */
+  #kept: SoakRouter | undefined;
 
   constructor(context: CallerContext, number: number, dataCentre: string) {
     this.#context = context;
@@ -93,9 +112,11 @@
   }
 
   async #sendWithRetry(route: SoakRoute): Promise<void> {
-    const router = await this.#chooseRouter();
+    const router = this.#kept ?? await this.#chooseRouter();
     if (!router) return void await sleep(MAXIMUM_PAUSE_MILLISECONDS);
     const attempt = await this.#sendAttempt(route, router);
+    const { keepsConnections } = this.#context;
+    this.#kept = keepsConnections && attempt.isComplete ? router : undefined;
     const isIdempotent = route.kind === "idempotent";
     const hasFailed = !attempt.isComplete || attempt.status === 502;
     const mayRetry = guaranteesNotRun(attempt.status) ||
@@ -136,16 +157,20 @@
     const { headerNames, random, now, keys, attempts } = this.#context;
     const number = this.#sent++;
     const usableKeys = keys();
+    const pace = this.#drawPace(route);
     const attempt: Attempt = {
       requestId: `soak-${this.#number}-${number}`,
       route,
       method: "POST",
-      path: `/${route.name}/${this.#number}/${number}?x=%20${number}`,
-      body: "b".repeat(random.integer(MAXIMUM_BODY_BYTES)),
+      path:
+        `/${route.name}/${this.#number}/${number}?x=%20${number}${pace.query}`,
+      body: pace.body,
       key: usableKeys[random.integer(usableKeys.length)] ?? "",
       router: router.settings.host,
       sentAt: now(),
+      bodySentAt: Infinity,
       endedAt: Infinity,
+      hasReachedRouter: false,
       status: undefined,
       isSigned: false,
       responseId: undefined,
@@ -156,8 +181,10 @@
     attempts.push(attempt);
     const [host = "", port = ""] = router.proxyAddress.split(":");
     return new Promise((resolve) => {
+      let localPort = 0;
       function end(): void {
         clearTimeout(timer);
+        attempt.hasReachedRouter = router.proxy.hasReachedTarget(localPort);
         attempt.endedAt = Math.min(attempt.endedAt, now());
         resolve(attempt);
       }
@@ -171,22 +198,50 @@
           host: HOST_NAME,
           authorization: `Bearer ${attempt.key}`,
           [headerNames.requestId]: attempt.requestId,
-          [headerNames.deadline]: String(DEADLINE_MILLISECONDS),
-          "content-length": Buffer.byteLength(attempt.body),
+          [headerNames.deadline]: String(deadlineOf(route)),
+          // A body without a length is sent chunked.
+          ...(pace.bodyParts > 1
+            ? {}
+            : { "content-length": Buffer.byteLength(attempt.body) }),
         },
-      }, (response) => this.#read(response, attempt, end));
-      const timer = setTimeout(
-        () => outgoing.destroy(),
-        DEADLINE_MILLISECONDS,
-      );
+      }, (response) => {
+        if (pace.isReadSlowly) _readSlowly(response);
+        this.#read(response, attempt, end);
+      });
+      const timer = setTimeout(() => outgoing.destroy(), deadlineOf(route));
+      outgoing.on("socket", (socket) => {
+        function readPort(): void {
+          localPort = socket.localPort ?? 0;
+        }
+        if (socket.connecting) socket.once("connect", readPort);
+        else readPort();
+      });
       outgoing.on("error", (error: NodeJS.ErrnoException) => {
         attempt.wasRefused = error.code === "ECONNREFUSED";
         end();
       });
-      outgoing.end(attempt.body);
+      void sendBody(outgoing, {
+        body: pace.body,
+        parts: pace.bodyParts,
+        milliseconds: pace.bodyMilliseconds,
+      }).then((isSent) => {
+        if (isSent) attempt.bodySentAt = now();
+      });
     });
   }
 
+  #drawPace({ timeoutMilliseconds }: SoakRoute): RequestPace {
+    const { random } = this.#context;
+    if (timeoutMilliseconds !== undefined) return drawLongRequest(random);
+    return {
+      query: "",
+      body: "b".repeat(random.integer(MAXIMUM_BODY_BYTES)),
+      bodyParts: 1,
+      bodyMilliseconds: 0,
+      isReadSlowly: false,
+    };
+  }
+
   #read(response: IncomingMessage, attempt: Attempt, end: () => void): void {
     const { headerNames } = this.#context;
     attempt.status = response.statusCode;
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -30,6 +30,9 @@
 const REGISTRY_LAG_MILLISECONDS = 4_000;
 /** Time for which a draining server keeps serving before it is replaced. */
 const DRAIN_MILLISECONDS = 3_500;
+/** Longest time for which a draining server finishes its requests. */
+const LONGEST_DRAIN_MILLISECONDS = 12_000;
+const IDLE_POLL_MILLISECONDS = 50;
 /** Age of the copy from which the store returns, at least. */
 const SHORTEST_COPY_AGE_MILLISECONDS = 1_500;
 /** Time after the return until servers and operators have written again. */
@@ -41,6 +44,8 @@
 /** Time after a disturbance from which on the bounds hold again. */
 const CONTACT_MILLISECONDS = 3_000;
 const RESTART_TIMEOUT_MILLISECONDS = 15_000;
+const STOPS_IN_SERIES = 2;
+const RELOADS_IN_SERIES = 4;
 const RETRY_ALLOWANCES_REQUESTS = [20, 100, 200];
 
 /** Processes that faults affect, and operations that faults use. */
@@ -99,6 +104,17 @@
   end();
 }
 
+/** Waits until an incarnation of a server has finished its requests. */
+async function _waitUntilIdle(
+  backend: SoakBackend,
+  id: string,
+): Promise<void> {
+  const deadline = performance.now() + LONGEST_DRAIN_MILLISECONDS;
+  while (
+    backend.id === id && backend.isBusy && performance.now() < deadline
+  ) await sleep(IDLE_POLL_MILLISECONDS);
+}
+
 async function _replaceBackend(
   backend: SoakBackend,
   targets: FaultTargets,
@@ -110,6 +126,7 @@
   targets.register(backend);
   targets.recordDrain(id);
   await sleep(DRAIN_MILLISECONDS);
+  await _waitUntilIdle(backend, id);
   // After a crash in the meantime, a new incarnation is already running.
   if (backend.id === id) {
     targets.deregister(id);
@@ -120,15 +137,32 @@
   end();
 }
 
+/** Restarts a router as planned work does, and records it. */
+async function _stopRouter(
+  router: SoakRouter,
+  targets: FaultTargets,
+): Promise<void> {
+  const end = targets.begin(router.settings.host, true);
+  await router.restart("terminate", RESTART_TIMEOUT_MILLISECONDS);
+  end();
+}
+
+async function _reloadRouter(
+  router: SoakRouter,
+  retryAllowance: number,
+  targets: FaultTargets,
+): Promise<void> {
+  const end = targets.begin(router.settings.host, true);
+  await router.rewriteSettings(retryAllowance);
+  router.signal("SIGHUP");
+  end();
+}
+
 const _FAULT_ACTIONS: Readonly<Record<FaultKind, _FaultAction>> = {
   router_killed: ({ target }, targets) =>
     _killRouter(_pick(targets.routers, target), targets),
-  async router_stopped({ target }, targets) {
-    const router = _pick(targets.routers, target);
-    const end = targets.begin(router.settings.host, true);
-    await router.restart("terminate", RESTART_TIMEOUT_MILLISECONDS);
-    end();
-  },
+  router_stopped: ({ target }, targets) =>
+    _stopRouter(_pick(targets.routers, target), targets),
   async router_paused({ target, forMilliseconds }, targets) {
     const router = _pick(targets.routers, target);
     const end = targets.begin(router.settings.host, false);
@@ -251,6 +285,48 @@
     await restarted;
     end();
   },
+  /** Stops a second router while the first one is stopping. */
+  async routers_stopped_together({ target, forMilliseconds }, targets) {
+    const first = _stopRouter(_pick(targets.routers, target), targets);
+    await sleep(forMilliseconds);
+    await _stopRouter(_pick(targets.routers, target + 1), targets);
+    await first;
+  },
+  /** Stops a router again as soon as its successor is ready. */
+  async router_stopped_in_series({ target }, targets) {
+    const router = _pick(targets.routers, target);
+    for (let stop = 0; stop < STOPS_IN_SERIES; stop++) {
+      await _stopRouter(router, targets);
+    }
+  },
+  /** Reloads a stopping router, signals it again and changes the configuration. */
+  async router_stopped_amid_changes(fault, targets) {
+    const { target, variant, forMilliseconds } = fault;
+    const router = _pick(targets.routers, target);
+    const stopped = _stopRouter(router, targets);
+    for (const signal of ["SIGHUP", "SIGTERM", "SIGHUP"] as const) {
+      const end = targets.begin("fleet", true);
+      targets.changeConfiguration();
+      await router.rewriteSettings(_pick(RETRY_ALLOWANCES_REQUESTS, variant));
+      if (router.isStopping) router.signal(signal);
+      end();
+      await sleep(forMilliseconds);
+    }
+    await stopped;
+  },
+  /** Reloads all routers several times while the configuration changes. */
+  async router_reloaded_in_series({ variant, forMilliseconds }, targets) {
+    for (let reload = 0; reload < RELOADS_IN_SERIES; reload++) {
+      const end = targets.begin("fleet", true);
+      targets.changeConfiguration();
+      for (const router of targets.routers) {
+        const allowance = _pick(RETRY_ALLOWANCES_REQUESTS, variant + reload);
+        if (router.isReady) await _reloadRouter(router, allowance, targets);
+      }
+      end();
+      await sleep(forMilliseconds / RELOADS_IN_SERIES);
+    }
+  },
   async store_forgets(_fault, targets) {
     const end = targets.begin("store", false);
     targets.store.discardHistory();
--- a/soak/soak_record.ts
+++ b/soak/soak_record.ts
@@ -2,6 +2,10 @@
 import type { Disturbances } from "./disturbances.ts";
 import type { NamedRateLimit, Notice, Run } from "./soak_backends.ts";
 import type { Attempt } from "./soak_callers.ts";
+import type { StopSignal } from "./stop_guarantees.ts";
+
+/** The runs of each request, by its id. */
+export type RunsById = ReadonlyMap<string, readonly Run[]>;
 
 /** Observations of one soak run. */
 export interface SoakRecord {
@@ -14,5 +18,18 @@
   readonly revokedKeys: ReadonlyMap<string, number>;
   /** Time at which each incarnation of a server began to drain, by its id. */
   readonly drainedServers: ReadonlyMap<string, number>;
+  /** First stop signals of planned stops. */
+  readonly stops: readonly StopSignal[];
   readonly unexpectedExits: readonly string[];
 }
+
+/** Groups runs by the request that they belong to. */
+export function groupRunsById(runs: readonly Run[]): RunsById {
+  const byId = new Map<string, Run[]>();
+  for (const run of runs) {
+    const list = byId.get(run.requestId) ?? [];
+    byId.set(run.requestId, list);
+    list.push(run);
+  }
+  return byId;
+}
--- a/soak/soak_routers.ts
+++ b/soak/soak_routers.ts
@@ -31,9 +31,12 @@
   #log: WriteStream | undefined;
   #child: ChildProcess | undefined;
   #isExitExpected = false;
+  #isReady = false;
   #lastRestart: Promise<void> = Promise.resolve();
   /** Called when the process exits although nobody stopped it. */
   onUnexpectedExit: (code: number | null) => void = () => undefined;
+  /** Called when a running process gets its first stop signal. */
+  onStopSignal: () => void = () => undefined;
 
   constructor(settings: SoakRouterSettings) {
     this.settings = settings;
@@ -58,6 +61,7 @@
 
   start(): void {
     this.#isExitExpected = false;
+    this.#isReady = false;
     const child = spawn(process.execPath, [PROGRAM_PATH], {
       env: { ...process.env, [SETTINGS_VARIABLE]: this.#settingsPath },
       stdio: ["ignore", "pipe", "pipe"],
@@ -77,7 +81,10 @@
     while (Date.now() < deadline) {
       const status = await fetch(`http://${this.settings.status}/ready`)
         .then(({ status }) => status, () => 0);
-      if (status === 200) return true;
+      if (status === 200) {
+        this.#isReady = true;
+        return true;
+      }
       await sleep(READY_POLL_MILLISECONDS);
     }
     return false;
@@ -89,6 +96,11 @@
       this.#child.signalCode === null;
   }
 
+  /** Whether the current process has become ready and was not told to end. */
+  get isReady(): boolean {
+    return this.#isReady && !this.#isExitExpected;
+  }
+
   signal(signal: "SIGSTOP" | "SIGCONT" | "SIGHUP" | "SIGTERM"): void {
     this.#child?.kill(signal);
   }
@@ -119,6 +131,7 @@
   /** Sends SIGTERM; kills the process if it has not exited after the timeout. */
   async terminate(): Promise<void> {
     this.#isExitExpected = true;
+    this.onStopSignal();
     this.#child?.kill("SIGTERM");
     if (!await this.#waitForExit(STOP_TIMEOUT_MILLISECONDS)) await this.kill();
   }
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -7,7 +7,6 @@
   removeServer,
   serverNames,
   SOAK_HEADER_NAMES,
-  type SoakRoute,
   type SoakServer,
   StoreStandIn,
 } from "../platform/soak_fleet.ts";
@@ -27,23 +26,27 @@
 import { type Attempt, HOST_NAME, SoakCaller } from "./soak_callers.ts";
 import { applyFault, type FaultTargets } from "./soak_faults.ts";
 import { SoakRouter } from "./soak_routers.ts";
+import {
+  LONG_ROUTES,
+  ROUTE_TIMEOUT_MILLISECONDS,
+  SHORT_ROUTES,
+} from "./soak_routes.ts";
+import type { StopSignal } from "./stop_guarantees.ts";
 
 const DATA_CENTRES = ["north", "south"];
 const BACKEND_COUNT = 5;
 const CALLER_COUNT = 12;
-const ROUTE_TIMEOUT_MILLISECONDS = 2_500;
+const LONG_CALLER_COUNT = 20;
 const START_TIMEOUT_MILLISECONDS = 30_000;
 /** Fault-free time at the end, in which requests must succeed again. */
 const RECOVERY_MILLISECONDS = 8_000;
+/** Long requests begin no later, so that the last ones end soon after that time. */
+const LONG_RECOVERY_MILLISECONDS = 4_000;
 const MEAN_FAULT_INTERVAL_MILLISECONDS = 700;
 const FIRST_CONFIGURATION_VERSION = 10;
 const RETRY_ALLOWANCE_REQUESTS = 100;
-
-const ROUTES: readonly SoakRoute[] = [
-  { name: "safe", kind: "idempotent", maximumBackendServers: 2 },
-  { name: "once", kind: "non_idempotent", maximumBackendServers: 1 },
-  { name: "stream", kind: "streaming", maximumBackendServers: 2 },
-];
+/** Keeps the requests of short callers as they are when long callers are added. */
+const LONG_CALLER_SEED_OFFSET = 1_000_003;
 
 /** Seed, size and faults of a soak run. */
 export interface SoakOptions {
@@ -101,6 +104,7 @@
   readonly #runs: Run[] = [];
   readonly #notices: Notice[] = [];
   readonly #rateLimits: NamedRateLimit[] = [];
+  readonly #stops: StopSignal[] = [];
   readonly #unexpectedExits: string[] = [];
   readonly #revokedKeys = new Map<string, number>();
   readonly #drainedServers = new Map<string, number>();
@@ -164,6 +168,8 @@
             Math.round(this.#now())
           } ms`,
         );
+      router.onStopSignal = () =>
+        this.#stops.push({ router: router.settings.host, at: this.#now() });
       await router.prepare(logFolder);
       router.start();
     }
@@ -177,23 +183,7 @@
 
   async #runScenario(): Promise<void> {
     const { seed, faultMilliseconds, kinds } = this.#options;
-    const callers = Array.from(
-      { length: CALLER_COUNT },
-      (_, index) =>
-        new SoakCaller(
-          {
-            headerNames: SOAK_HEADER_NAMES,
-            random: createSeededRandom(seed * CALLER_COUNT + index),
-            now: () => this.#now(),
-            routers: this.#routers,
-            routes: ROUTES,
-            keys: () => this.#keys,
-            attempts: this.#attempts,
-          },
-          index,
-          DATA_CENTRES[index % DATA_CENTRES.length] ?? "",
-        ),
-    );
+    const callers = this.#createCallers();
     const running = callers.map((caller) => caller.run());
     const faultsStartedAt = this.#now();
     const pending: Promise<void>[] = [];
@@ -214,11 +204,36 @@
       pending.push(applyFault(fault, this.#targets()));
     }
     await Promise.all(pending);
-    await sleep(RECOVERY_MILLISECONDS);
+    await sleep(LONG_RECOVERY_MILLISECONDS);
+    for (const caller of callers.slice(CALLER_COUNT)) caller.stop();
+    await sleep(RECOVERY_MILLISECONDS - LONG_RECOVERY_MILLISECONDS);
     for (const caller of callers) caller.stop();
     await Promise.all(running);
   }
 
+  #createCallers(): SoakCaller[] {
+    const { seed } = this.#options;
+    const count = CALLER_COUNT + LONG_CALLER_COUNT;
+    return Array.from({ length: count }, (_, index) => {
+      const isLong = index >= CALLER_COUNT;
+      const seedOffset = isLong ? LONG_CALLER_SEED_OFFSET : 0;
+      return new SoakCaller(
+        {
+          headerNames: SOAK_HEADER_NAMES,
+          random: createSeededRandom(seed * CALLER_COUNT + index + seedOffset),
+          now: () => this.#now(),
+          routers: this.#routers,
+          routes: isLong ? LONG_ROUTES : SHORT_ROUTES,
+          keys: () => this.#keys,
+          attempts: this.#attempts,
+          keepsConnections: isLong && index % 2 === 0,
+        },
+        index,
+        DATA_CENTRES[index % DATA_CENTRES.length] ?? "",
+      );
+    });
+  }
+
   #targets(): FaultTargets {
     return {
       routers: this.#routers,
@@ -266,7 +281,7 @@
   #storeConfiguration(): void {
     putConfiguration(this.#store, this.#version, {
       hostName: HOST_NAME,
-      routes: ROUTES,
+      routes: [...SHORT_ROUTES, ...LONG_ROUTES],
       keys: this.#storedKeys,
       timeoutMilliseconds: ROUTE_TIMEOUT_MILLISECONDS,
     });
@@ -312,6 +327,7 @@
       disturbances: this.#disturbances,
       revokedKeys: this.#revokedKeys,
       drainedServers: this.#drainedServers,
+      stops: this.#stops,
       unexpectedExits: this.#unexpectedExits,
     });
     const served = this.#attempts.filter(({ status, isComplete }) =>
