Print every violation of a soak run and the longest stall of its process

Cause: only the first 10 lines were printed, so losses at planned stops could be hidden behind others; and nothing showed whether callers and servers, which share the soak's process, stood still when a caller's deadline passed. Change: up to 200 violations are printed; a run names the longest stall.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -13,7 +13,7 @@
 
 const MILLISECONDS_IN_SECOND = 1_000;
 /** Maximum number of guarantee violations printed for a run. */
-const PRINTED_LINES = 10;
+const PRINTED_LINES = 200;
 
 interface _Arguments {
   readonly seed: string;
@@ -26,8 +26,9 @@
 
 function _print(result: SoakResult, logFolder: string): void {
   const { seed, requests, served, faults, broken } = result;
+  const stall = Math.round(result.longestStallMilliseconds);
   console.log(
-    `seed ${seed}: ${requests} requests, ${served} served, ${faults.length} faults, ${broken.length} guarantee violations`,
+    `seed ${seed}: ${requests} requests, ${served} served, ${faults.length} faults, longest stall of the soak ${stall} ms, ${broken.length} guarantee violations`,
   );
   if (broken.length === 0) return;
   for (const line of broken.slice(0, PRINTED_LINES)) console.log(`  ${line}`);
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -1,5 +1,6 @@
 /** One soak run: starts the fleet, injects faults and checks the guarantees. */
 import { mkdir } from "node:fs/promises";
+import { monitorEventLoopDelay } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
   putConfiguration,
@@ -42,6 +43,7 @@
 const RECOVERY_MILLISECONDS = 8_000;
 /** Long requests begin no later, so that the last ones end soon after that time. */
 const LONG_RECOVERY_MILLISECONDS = 4_000;
+const NANOSECONDS_IN_MILLISECOND = 1_000_000;
 const MEAN_FAULT_INTERVAL_MILLISECONDS = 700;
 const FIRST_CONFIGURATION_VERSION = 10;
 const RETRY_ALLOWANCE_REQUESTS = 100;
@@ -65,6 +67,8 @@
   readonly seed: number;
   readonly requests: number;
   readonly served: number;
+  /** Longest time for which callers and servers, all in this process, stood still. */
+  readonly longestStallMilliseconds: number;
   readonly faults: readonly string[];
   readonly broken: readonly string[];
 }
@@ -98,6 +102,7 @@
 class _SoakRun {
   readonly #options: SoakOptions;
   readonly #startedAt = performance.now();
+  readonly #stalls = monitorEventLoopDelay();
   readonly #store = new StoreStandIn();
   readonly #disturbances = new Disturbances();
   readonly #attempts: Attempt[] = [];
@@ -125,10 +130,12 @@
 
   async run(): Promise<SoakResult> {
     await mkdir(this.#options.logFolder, { recursive: true });
+    this.#stalls.enable();
     try {
       await this.#start();
       await this.#runScenario();
     } finally {
+      this.#stalls.disable();
       await this.#stop();
     }
     return this.#createResult();
@@ -337,6 +344,7 @@
       seed: this.#options.seed,
       requests: this.#attempts.length,
       served: served.length,
+      longestStallMilliseconds: this.#stalls.max / NANOSECONDS_IN_MILLISECOND,
       faults: this.#faults,
       broken,
     };
