Accept all connections that wait before a stopping router closes its port

What callers saw: connections reset without a response when a busy router stopped to accept connections; the request had been sent a second or more before. Cause: the event loop accepts one connection in a turn, and the port was closed two turns after the time was over. After a pause, or beside a flood of connections, those that still waited were reset, whole requests with them. Change: the port closes once a check finds that no connection was accepted. Conclusion: what has connected gets an answer.

--- a/src/caller_shutdown.ts
+++ b/src/caller_shutdown.ts
@@ -27,7 +27,7 @@
 async function _finishRequests(
   { callerServer, plannedStop, timers }: CallerShutdownOptions,
 ): Promise<void> {
-  callerServer.stopListening();
+  await callerServer.stopListening();
   while (callerServer.isBusy() && plannedStop.remainingMilliseconds() > 0) {
     await timers.sleep(POLL_MILLISECONDS, "stop");
     callerServer.closeIdle();
--- a/src/gateway_server.ts
+++ b/src/gateway_server.ts
@@ -20,6 +20,9 @@
 const DEFAULT_HEADER_TIMEOUT_MILLISECONDS = 5_000;
 const DEFAULT_IDLE_TIMEOUT_MILLISECONDS = 15_000;
 
+/** Connections that the operating system completes before they are accepted. */
+const MAXIMUM_WAITING_CONNECTIONS = 511;
+
 /** Handles a caller's request. */
 export type RequestHandler = (
   request: IncomingMessage,
@@ -120,6 +123,7 @@
 export class CallerServer {
   readonly #server: Server;
   readonly #connections = new Set<CallerConnection>();
+  #acceptedConnections = 0;
 
   constructor(handler: RequestHandler, listener: RefusalListener) {
     this.#server = createServer({
@@ -160,9 +164,17 @@
     return [...this.#connections].some((connection) => connection.isBusy());
   }
 
-  /** Stops to listen, once connections that have arrived are accepted. */
-  stopListening(): void {
-    afterPendingInput(() => this.#server.close());
+  /**
+   * Stops to listen, once connections that have arrived are accepted. The event loop
+   * accepts one in a turn, and those that wait when the socket closes are reset.
+   */
+  async stopListening(): Promise<void> {
+    for (let checks = 0; checks < MAXIMUM_WAITING_CONNECTIONS; checks++) {
+      const accepted = this.#acceptedConnections;
+      await new Promise<void>((resolve) => afterPendingInput(resolve));
+      if (this.#acceptedConnections === accepted) break;
+    }
+    this.#server.close();
   }
 
   /** Closes idle connections, unless a request has arrived on them unread. */
@@ -199,6 +211,7 @@
   #add(socket: Socket): void {
     const connection = callerConnectionOf(socket);
     this.#connections.add(connection);
+    this.#acceptedConnections++;
     socket.once("close", () => this.#connections.delete(connection));
   }
 }
--- a/src/planned_stop_paths_test.ts
+++ b/src/planned_stop_paths_test.ts
@@ -17,6 +17,7 @@
   startGateways,
   testConfiguration,
 } from "../stand_ins/gateway_fleet.ts";
+import { stall, startLeavingCallers } from "../stand_ins/leaving_callers.ts";
 import { MemoryFleet } from "../stand_ins/memory_fleet_store.ts";
 import { responseHeaders, startRawBackend } from "../stand_ins/raw_backend.ts";
 import { DEFAULT_HEADER_NAMES as NAMES } from "./gateway_protocol.ts";
@@ -285,3 +286,23 @@
   t.is(lost.length, 0);
   t.true(answered > 0 && answered < callers.length, `${answered} answered`);
 });
+
+test.serial("guards against resetting callers that connected while the process stood still, when it stops to accept connections", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  const callers = await startLeavingCallers({
+    callers: bench.gateways[0]!.callers,
+    path: "/once/x",
+    count: 20,
+    connection: "new",
+    end: "stay",
+  });
+  const stopped = bench.gateways[0]!.gateway.stop();
+  await sleep(2_500);
+  callers.send();
+  // Until after the time for which a stopping router accepts connections.
+  stall(800);
+  await stopped;
+  const statuses = (await callers.responses()).map((text) => text.slice(9, 12));
+  t.deepEqual(statuses.filter((status) => status === ""), []);
+  await callers.stop();
+});
