Share the callers and event streams of the tests of planned stops

Cause: planned_stop_test and planned_stop_paths_test wrote the same caller and the same stream of events (found in a last read of the change). Change: both use stand_ins/stopping_callers.ts; assertions are unchanged. Conclusion: one piece of code serves both files.

--- a/src/planned_stop_paths_test.ts
+++ b/src/planned_stop_paths_test.ts
@@ -1,5 +1,4 @@
 /** Further paths from a whole request to its answer while its router stops. */
-import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import test from "ava";
 import {
@@ -20,13 +19,17 @@
 import { stall, startLeavingCallers } from "../stand_ins/leaving_callers.ts";
 import { MemoryFleet } from "../stand_ins/memory_fleet_store.ts";
 import { responseHeaders, startRawBackend } from "../stand_ins/raw_backend.ts";
+import {
+  openCaller,
+  respondWithEvents,
+  type SocketCaller,
+} from "../stand_ins/stopping_callers.ts";
 import { DEFAULT_HEADER_NAMES as NAMES } from "./gateway_protocol.ts";
 
 /** Longer than the time after which a server of the bench's routes is suspect. */
 const SILENT_WORK_MILLISECONDS = 1_400;
 /** More than is buffered, so that the body is sent on while it arrives. */
 const STREAMED_BODY_BYTES = 300 * 1024;
-const EVENT_PERIOD_MILLISECONDS = 50;
 /** When a bench's gateway has been killed, and some more. */
 const ENDED_MILLISECONDS = 4_200;
 /** Shorter than the time for which a stopping router accepts connections. */
@@ -34,23 +37,6 @@
 
 test.after.always(stopBenches);
 
-/** A caller on a connection of its own. */
-interface _Caller {
-  readonly socket: Socket;
-  readonly closed: Promise<unknown>;
-  text: string;
-}
-
-function openCaller(bench: Bench, allowHalfOpen = false): _Caller {
-  const [host, port] = bench.gateways[0]!.callers.split(":");
-  const socket = connect({ port: Number(port), host: host!, allowHalfOpen });
-  socket.on("error", () => undefined);
-  const closed = new Promise((resolve) => socket.once("close", resolve));
-  const caller = { socket, closed, text: "" };
-  socket.on("data", (bytes) => (caller.text += bytes.toString("latin1")));
-  return caller;
-}
-
 function postHead(path: string, id: string, framing: string): string {
   const headers = { ...callerHeaders(id), [NAMES.deadline]: "15000" };
   const lines = Object.entries(headers).map(([name, value]) =>
@@ -59,7 +45,7 @@
   return `POST ${path} HTTP/1.1\r\n${lines.join("")}${framing}\r\n\r\n`;
 }
 
-function statusOf({ text }: _Caller): string {
+function statusOf({ text }: SocketCaller): string {
   return text.slice(9, 12);
 }
 
@@ -72,18 +58,7 @@
   for (const backend of bench.backends) {
     backend.script(({ id, path }, response) => {
       const milliseconds = Number(path.split("/").at(-1));
-      response.writeHead(200, {
-        ...responseHeaders(id),
-        "content-type": "text/event-stream",
-      });
-      let number = 0;
-      const events = setInterval(() => {
-        response.write(`id: ${++number}\ndata: x\n\n`);
-        if (number * EVENT_PERIOD_MILLISECONDS < milliseconds) return;
-        clearInterval(events);
-        response.end();
-      }, EVENT_PERIOD_MILLISECONDS);
-      response.on("close", () => clearInterval(events));
+      respondWithEvents(response, id, milliseconds);
     });
   }
 }
@@ -199,7 +174,7 @@
 
 test.serial("guards against a connection that stays open after its last response because the caller does not close it", async (t) => {
   const bench = await startBench({ backends: 1 });
-  const caller = openCaller(bench, true);
+  const caller = openCaller(bench, { allowHalfOpen: true });
   const startedAt = performance.now();
   caller.socket.write(requestText("/once/x", "last", "Connection: close\r\n"));
   await waitUntil(() => caller.text.includes("/once/x"), "the response came");
--- a/src/planned_stop_test.ts
+++ b/src/planned_stop_test.ts
@@ -1,5 +1,4 @@
 /** Requests that meet a planned stop of their router, against real gateways. */
-import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import test from "ava";
 import {
@@ -9,11 +8,12 @@
   startBench,
   stopBenches,
 } from "../stand_ins/gateway_test_bench.ts";
+import { type RawBackend, refuse } from "../stand_ins/raw_backend.ts";
 import {
-  type RawBackend,
-  refuse,
-  responseHeaders,
-} from "../stand_ins/raw_backend.ts";
+  openCaller,
+  respondWithEvents,
+  type SocketCaller,
+} from "../stand_ins/stopping_callers.ts";
 import { DEFAULT_HEADER_NAMES as NAMES } from "./gateway_protocol.ts";
 
 /** A slow stream lasts longer than the grace time of the gateways. */
@@ -24,29 +24,11 @@
 };
 /** When a server refuses a request that it was sent. */
 const REFUSAL_MILLISECONDS = 900;
-const EVENT_PERIOD_MILLISECONDS = 50;
 /** Grace time of the gateways that a bench starts, and some for their end. */
 const ENDED_MILLISECONDS = 4_200;
 
 test.after.always(stopBenches);
 
-/** A caller of one request on a connection of its own. */
-interface _Caller {
-  readonly socket: Socket;
-  readonly closed: Promise<unknown>;
-  text: string;
-}
-
-function openCaller(bench: Bench, gateway = 0): _Caller {
-  const [host, port] = bench.gateways[gateway]!.callers.split(":");
-  const socket = connect(Number(port), host);
-  socket.on("error", () => undefined);
-  const closed = new Promise((resolve) => socket.once("close", resolve));
-  const caller = { socket, closed, text: "" };
-  socket.on("data", (bytes) => (caller.text += bytes.toString("latin1")));
-  return caller;
-}
-
 /** The head of a request whose body comes in chunks. */
 function chunkedHead(path: string, id: string): string {
   const headers = Object.entries({
@@ -65,18 +47,7 @@
   backend.script(({ id, path }, response) => {
     const [, , speed = "quick"] = path.split("/");
     const milliseconds = DURATIONS_MILLISECONDS[speed] ?? 0;
-    response.writeHead(200, {
-      ...responseHeaders(id),
-      "content-type": "text/event-stream",
-    });
-    let number = 0;
-    const events = setInterval(() => {
-      response.write(`id: ${++number}\ndata: x\n\n`);
-      if (number * EVENT_PERIOD_MILLISECONDS < milliseconds) return;
-      clearInterval(events);
-      response.end();
-    }, EVENT_PERIOD_MILLISECONDS);
-    response.on("close", () => clearInterval(events));
+    respondWithEvents(response, id, milliseconds);
   });
 }
 
@@ -100,7 +71,7 @@
   return length !== undefined && body.length === Number(length);
 }
 
-function outcomeOf(caller: _Caller, bench: Bench, id: string) {
+function outcomeOf(caller: SocketCaller, bench: Bench, id: string) {
   return {
     status: caller.text.slice(9, 12),
     isWhole: isWhole(caller.text),
