Make the cancellations of the timer test due in the turn of their timers

Cause: the test created a timer of 20 ms, then a cancellation 20 ms later. Where a millisecond boundary passes between the two, the cancellation is due in a later turn of the event loop than the timer, and the listener is rightly called before. Change: the test stalls for 40 ms once all four timers are set, so that they are due in the same turn whatever the machine does. The product is unchanged.

--- a/src/timer_service_test.ts
+++ b/src/timer_service_test.ts
@@ -30,6 +30,8 @@
   setTimeout(() => subscription.cancel(), 20);
   timers.after(20, "stopped", () => calls++);
   setTimeout(() => timers.stop(), 20);
+  // All four are due in the same turn of the event loop; a cancellation that is due in a later turn may come after the call.
+  stall(40);
   await new Promise((resolve) => setTimeout(resolve, 100));
   t.is(calls, 0);
 });
