--- a/src/core/placement_test.ts
+++ b/src/core/placement_test.ts
@@ -1,7 +1,11 @@
 import test from "ava";
 import { testServer, testServers } from "../../stand_ins/registered_servers.ts";
 import { type BackendServerId, brandId, type DataCentreId } from "./ids.ts";
-import { choosePlacement, type PlacementInput } from "./placement.ts";
+import {
+  choosePlacement,
+  type LoadBound,
+  type PlacementInput,
+} from "./placement.ts";
 import type { PromptPart } from "./prompt.ts";
 import { createPromptDirectory, partKeyOf } from "./prompt_directory.ts";
 import { createSeededRandom } from "./random.ts";
@@ -25,6 +29,8 @@
   ];
 }
 
+const LOAD_BOUND: LoadBound = { factor: 1.5, slack: 2 };
+
 function inputOf(
   servers: readonly RegisteredServer[],
   options: Partial<PlacementInput> = {},
@@ -39,7 +45,7 @@
     promptParts: [],
     holders: () => new Set(),
     dataCentre: NORTH,
-    bound: { factor: 1.5, slack: 2 },
+    bound: LOAD_BOUND,
     random: createSeededRandom(1),
     ...options,
   };
@@ -47,8 +53,8 @@
 
 /**
  * Simulates one request every 10 ms, each of 400 to 1,200 ms, on six servers.
- * Returns the largest excess over twice the mean load plus three, and the
- * servers of each subject, that is of each shared prompt part.
+ * Returns the largest excess over the load bound, and the servers of each subject,
+ * that is of each shared prompt part.
  */
 function simulate(subjectOf: (index: number) => string, count: number) {
   const servers = serversOf(6);
@@ -77,7 +83,7 @@
     const mean = [...loads.values()].reduce((sum, load) => sum + load, 0) / 6;
     worstExcess = Math.max(
       worstExcess,
-      (loads.get(id) ?? 0) + 1 - (2 * mean + 3),
+      (loads.get(id) ?? 0) + 1 - (LOAD_BOUND.factor * mean + LOAD_BOUND.slack),
     );
     loads.set(id, (loads.get(id) ?? 0) + 1);
     pendingEnds.push({ at: now + 400 + random.integer(800), server: id });
