Test that a read rejects a malformed configuration chunk

Change: three malformed chunks (no JSON, another shape, a malformed value) are part of the configuration that is read and must fail with their own error; the missing chunk has a test of its own. No check is dropped.

--- a/src/chunk_parsing_test.ts
+++ b/src/chunk_parsing_test.ts
@@ -2,6 +2,7 @@
 import { setImmediate } from "node:timers/promises";
 import { parseChunksInSlices } from "./chunk_parsing.ts";
 import { ChunkReader, splitFleet } from "./core/configuration_chunks.ts";
+import { sha256 } from "./core/configuration_head.ts";
 import { safeParseFleet } from "./core/fleet_file.ts";
 
 function createFleet(workspaces: number) {
@@ -33,10 +34,32 @@
   t.deepEqual(reader.read(digests, new Map())._unsafeUnwrap(), fleet);
 });
 
-test("guards against a malformed chunk failing the parsing in slices, and a read that accepts a missing chunk", async (t) => {
+const MALFORMED_CHUNKS = {
+  "bytes that are no JSON": "not JSON",
+  "another shape": JSON.stringify({ "workspace w-0": 1 }),
+  "a section with a malformed value": JSON.stringify({
+    "workspace w-0": { key_hash: "0" },
+  }),
+};
+
+for (const [title, malformed] of Object.entries(MALFORMED_CHUNKS)) {
+  test(`guards against a malformed chunk failing the parsing in slices, or accepted by a read that needs it: ${title}`, async (t) => {
+    const { digests, texts } = splitFleet(createFleet(1));
+    const reader = new ChunkReader();
+    await parseChunksInSlices(reader, [malformed, ...texts.values()]);
+    const digest = sha256(malformed);
+    const withMalformed = new Map([...texts, [digest, malformed]]);
+    const read = reader.read([...digests, digest], withMalformed);
+    t.is(read._unsafeUnwrapErr().kind, "invalid_fleet_file");
+    t.true(reader.read(digests, texts).isOk());
+  });
+}
+
+test("guards against a read that accepts a missing chunk", async (t) => {
   const { digests, texts } = splitFleet(createFleet(1));
   const reader = new ChunkReader();
-  await parseChunksInSlices(reader, ["not JSON", ...texts.values()]);
-  t.true(reader.read([...digests, "0"], texts).isErr());
+  await parseChunksInSlices(reader, [...texts.values()]);
+  const read = reader.read([...digests, "0"], texts);
+  t.is(read._unsafeUnwrapErr().kind, "not_found");
   t.true(reader.read(digests, texts).isOk());
 });
