Report a malformed error event of a chat as what it is

Symptom: a caller whose router ended a chat with an unreadable error event was told "the router returned status 502", a status that no router had sent. An error body whose code is a name that every object has ("constructor") passed as one of our error kinds, and a detail that is no text was handed on. Cause: the event was read as if it were the body of a response with status 502, and codes were looked up with `in`, which finds inherited names.

--- a/src/caller_chat.ts
+++ b/src/caller_chat.ts
@@ -11,6 +11,7 @@
 import type { AddressPool } from "./address_pool.ts";
 import {
   type CallerHttp,
+  parseErrorBody,
   parseRouterError,
   readResponse,
 } from "./caller_http.ts";
@@ -141,9 +142,7 @@
 }
 
 function _parseErrorEvent(data: string): ApplicationError {
-  const body = Buffer.from(data);
-  // With any error status, `parseRouterError` reads the body.
-  return parseRouterError({ status: 502, headers: {}, body }) ??
+  return parseErrorBody(data) ??
     createError("answer_truncated", "the router sent an invalid error event");
 }
 
--- a/src/caller_http.ts
+++ b/src/caller_http.ts
@@ -1,5 +1,6 @@
 /** HTTP client of the caller library: complete responses, JSON and streams. */
 import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
 import { readResponse as readBackendResponse } from "./backend_response.ts";
 import type { BackendTransport, UnreadResponse } from "./backend_transport.ts";
 import {
@@ -67,6 +68,34 @@
   return ok({ status: unread.status, headers, body: response.value.body });
 }
 
+const _errorBodySchema = z.object({
+  error: z.object({
+    code: z.string().refine(_isErrorKind),
+    detail: z.string().default(""),
+    path: z.array(z.string()).default([]),
+  }),
+});
+
+function _isErrorKind(code: string): code is ErrorKind {
+  return Object.hasOwn(ERROR_RESPONSES, code);
+}
+
+function _parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+/** Returns the error that a router describes in a body; undefined if it is none. */
+export function parseErrorBody(text: string): ApplicationError | undefined {
+  const parsed = _errorBodySchema.safeParse(_parseJson(text));
+  if (!parsed.success) return undefined;
+  const { code, detail, path } = parsed.data.error;
+  return createError(code, detail, path);
+}
+
 /**
  * Returns the router's own error, or undefined for a success or a backend
  * server's response, which names the server in a header and whose body is not
@@ -80,22 +109,8 @@
   ) {
     return undefined;
   }
-  try {
-    const body = JSON.parse(response.body.toString("utf8")) as {
-      error?: { code?: string; detail?: string; path?: string[] };
-    };
-    const code = body.error?.code ?? "";
-    if (code in ERROR_RESPONSES) {
-      return createError(
-        code as ErrorKind,
-        body.error?.detail ?? "",
-        body.error?.path ?? [],
-      );
-    }
-  } catch {
-    // An unreadable error body doesn't tell whether the request ran.
-  }
-  return createError(
+  // An unreadable error body doesn't tell whether the request ran.
+  return parseErrorBody(response.body.toString("utf8")) ?? createError(
     "outcome_unknown",
     `the router returned status ${response.status}`,
   );
