Count the grace of a planned stop only from the pause in which its signal came

Cause: how late a signal is handled was estimated from the last call but one of a periodic timer. Of two pauses in a row, the first counted too, also when the signal came in the second: 2.1 s too much there. Change: once the event loop has polled behind a call, a signal that came before that call would have been handled. The estimate therefore counts from the last call behind which it has polled; it is an upper bound and leaves out earlier pauses. The module moves out of core, as it uses the timer service. Test: stall_detector_test; with a pause of 2 s, a turn of the loop and a signal 1 ms later the old detector says 1,751 ms, the new one 1 ms.

--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -19,7 +19,6 @@
 } from "./core/ids.ts";
 import type { LoadBound } from "./core/placement.ts";
 import { createSeededRandom } from "./core/random.ts";
-import { createStallDetector } from "./core/stall_detector.ts";
 import {
   createDecisionLog,
   createStandardOutput,
@@ -50,6 +49,7 @@
 import { createPlannedStop } from "./planned_stop.ts";
 import { createRetryBudgets, type RetryAllowance } from "./retry_budgets.ts";
 import { createServerKnowledge } from "./server_knowledge.ts";
+import { createStallDetector } from "./stall_detector.ts";
 import { observeStore } from "./store_observation.ts";
 import { createTcpPeerNetwork } from "./tcp_peer_network.ts";
 import {
@@ -173,7 +173,7 @@
   let utilization = performance.eventLoopUtilization();
   let busyShare = 0;
   const subscriptions: Subscription[] = [];
-  const stalls = createStallDetector(LOG_FLUSH_MILLISECONDS);
+  const stalls = createStallDetector(LOG_FLUSH_MILLISECONDS, timers);
 
   const peers = createGatewayPeerTask({
     network,
@@ -280,7 +280,7 @@
   }
 
   function flushLog(): void {
-    const stall = stalls.observe(clock.monotonicMilliseconds());
+    const stall = stalls.observe();
     if (stall !== undefined) {
       metrics.stallSeconds.inc(stall / 1_000);
       log.write("process.stalled", {
@@ -323,7 +323,7 @@
       (error) => reportListenError("callers", error),
     );
     isListening = true;
-    stalls.observe(clock.monotonicMilliseconds());
+    stalls.observe();
     subscriptions.push(
       timers.every(
         HOUSEKEEPING_PERIOD_MILLISECONDS,
@@ -345,7 +345,7 @@
   async function stopOnce(): Promise<void> {
     const stoppedAt = clock.monotonicMilliseconds();
     const { graceMilliseconds } = tuning;
-    const lateness = Math.round(stalls.recentStillness(stoppedAt));
+    const lateness = Math.round(stalls.recentStillness());
     plannedStop.begin(graceMilliseconds, lateness);
     log.write("process.stopping", { inFlight, graceMilliseconds, lateness });
     peers.announce();
