Serve the delay of the event loop and log each long turn

Ruled out: one monitor of perf_hooks, reset after each reading. Change: event_loop_delay.ts reads two monitors in turn and serves event_loop_delay_seconds; process.stalled is written from a delay of 100 ms on, once for each turn, with the processor time of the interval that contains it. stall_seconds_total still counts from 500 ms. Conclusion: such a turn has a line, a count and a way to find it.

--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -26,6 +26,7 @@
   type LogOutput,
 } from "./decision_log.ts";
 import { DefaultEntryFormat, type EntryFormat } from "./entry_format.ts";
+import { createEventLoopDelay } from "./event_loop_delay.ts";
 import { createFaultHandler, type FaultHandler } from "./fault_handler.ts";
 import type { FleetStore } from "./fleet_store.ts";
 import {
@@ -174,6 +175,7 @@
   let busyShare = 0;
   const subscriptions: Subscription[] = [];
   const stalls = createStallDetector(LOG_FLUSH_MILLISECONDS);
+  const loopDelay = createEventLoopDelay({ clock, log, metrics });
 
   const peers = createGatewayPeerTask({
     network,
@@ -281,13 +283,8 @@
 
   function flushLog(): void {
     const stall = stalls.observe(clock.monotonicMilliseconds());
-    if (stall !== undefined) {
-      metrics.stallSeconds.inc(stall / 1_000);
-      log.write("process.stalled", {
-        milliseconds: Math.round(stall),
-        inFlight,
-      });
-    }
+    if (stall !== undefined) metrics.stallSeconds.inc(stall / 1_000);
+    loopDelay.observe(inFlight);
     log.flush();
   }
 
@@ -324,6 +321,7 @@
     );
     isListening = true;
     stalls.observe(clock.monotonicMilliseconds());
+    loopDelay.start();
     subscriptions.push(
       timers.every(
         HOUSEKEEPING_PERIOD_MILLISECONDS,
@@ -368,6 +366,7 @@
     entryServer.close();
     statusServer.close();
     for (const subscription of subscriptions) subscription.cancel();
+    loopDelay.stop();
     await peers.stop();
     await state.stop();
     await network.stop();
--- a/src/gateway_metrics.ts
+++ b/src/gateway_metrics.ts
@@ -16,6 +16,8 @@
   15,
 ];
 
+const LOOP_DELAY_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
+
 /** The metrics of a gateway and their registry. */
 export type GatewayMetrics = ReturnType<typeof createGatewayMetrics>;
 
@@ -174,6 +176,12 @@
       help: "Time in which the process stood still for half a second or more",
       registers,
     }),
+    eventLoopDelaySeconds: new Histogram({
+      name: `${prefix}event_loop_delay_seconds`,
+      help: "By how much the event loop ran a periodic call too late",
+      buckets: LOOP_DELAY_BUCKETS_SECONDS,
+      registers,
+    }),
     faults: new Counter({
       name: `${prefix}faults_total`,
       help: "Errors that no code handled, by origin",
--- a/src/operations_page_test.ts
+++ b/src/operations_page_test.ts
@@ -36,6 +36,7 @@
       "store_calls_total",
       "retries_left",
       "stall_seconds_total",
+      "event_loop_delay_seconds",
       "stop_requests_total",
       "server_crashes_total",
       "unavailable_servers",
