Replace the settings of the soak's routers at once

Cause: the soak wrote the settings file in place, which empties it first. Change: replaceFile writes a new file and renames it.

--- a/soak/soak_routers.ts
+++ b/soak/soak_routers.ts
@@ -1,6 +1,6 @@
 /** Router processes of the soak, each behind a fault-injecting proxy. */
 import { type ChildProcess, spawn } from "node:child_process";
-import { mkdtemp, writeFile } from "node:fs/promises";
+import { mkdtemp } from "node:fs/promises";
 import { createWriteStream, type WriteStream } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -13,6 +13,7 @@
   writeSettings,
 } from "../platform/soak_fleet.ts";
 import { LoopbackProxy } from "./loopback_proxy.ts";
+import { replaceFile } from "./replaced_file.ts";
 
 const READY_POLL_MILLISECONDS = 50;
 /** Grace period of the router settings plus a margin for a busy machine. */
@@ -53,7 +54,7 @@
 
   /** Rewrites the settings file, which the process watches; SIGHUP also reloads it. */
   async rewriteSettings(retryAllowance: number): Promise<void> {
-    await writeFile(
+    await replaceFile(
       this.#settingsPath,
       writeSettings({ ...this.settings, retryAllowance }),
     );
