Judge cut requests by the time in which the soak itself ran

Cause: callers, servers, store and proxies share the soak's process. While it stood still, requests reached their router late and the timers of their callers ran on; callers gave up at their deadline before the router had had the timeout of the route, and the soak blamed the router. Change: the soak records its stalls. A cut request is a violation unless its caller gave up at its deadline with less than the route's timeout left to the router after the stalls. Lateness is counted without stalls. Violations name both times. Without a stall the checks are as before.

--- a/soak/guarantees.ts
+++ b/soak/guarantees.ts
@@ -9,7 +9,8 @@
 } from "./soak_backends.ts";
 import { type Attempt, guaranteesNotRun } from "./soak_callers.ts";
 import { groupRunsById, type SoakRecord } from "./soak_record.ts";
-import { deadlineOf, mustRunOnce } from "./soak_routes.ts";
+import { deadlineOf, mustRunOnce, timeoutOf } from "./soak_routes.ts";
+import { type Stall, stillnessWithin } from "./stalls.ts";
 import { findStopViolations, isExcusedByStop } from "./stop_guarantees.ts";
 
 /** Time for which a disturbance still excuses failures after it has ended. */
@@ -70,20 +71,40 @@
   return undefined;
 }
 
+/**
+ * Whether the caller gave up at its deadline before its router had had the time of the
+ * route, since caller, servers and proxies stood still meanwhile.
+ */
+function _isGivenUpEarly(
+  { route, sentAt, endedAt }: Attempt,
+  stalls: readonly Stall[],
+): boolean {
+  const milliseconds = endedAt - sentAt;
+  const usable = milliseconds - stillnessWithin(stalls, sentAt, endedAt);
+  return milliseconds >= deadlineOf(route) && usable < timeoutOf(route);
+}
+
 function _checkContinuity(
   attempt: Attempt,
   runs: readonly Run[],
-  { disturbances, stops }: SoakRecord,
+  { disturbances, stalls, stops }: SoakRecord,
 ): string | undefined {
   const from = attempt.sentAt - RECOVERY_MILLISECONDS;
   const scopes = [attempt.router, "backends", "store"];
   if (!disturbances.isStable(scopes, from, attempt.endedAt)) return undefined;
+  const { route, sentAt, endedAt } = attempt;
+  const milliseconds = endedAt - sentAt;
+  const stillness = stillnessWithin(stalls, sentAt, endedAt);
   const isCut = !attempt.isComplete && runs.length > 0 &&
-    !isExcusedByStop(attempt, runs, stops);
-  if (isCut) return "was cut off without an unplanned disturbance";
-  const lateness = attempt.endedAt - attempt.sentAt - deadlineOf(attempt.route);
+    !isExcusedByStop(attempt, runs, stops) &&
+    !_isGivenUpEarly(attempt, stalls);
+  const times = `after ${Math.round(milliseconds)} ms, in ${
+    Math.round(stillness)
+  } ms of which the soak stood still`;
+  if (isCut) return `was cut off without an unplanned disturbance ${times}`;
+  const lateness = milliseconds - stillness - deadlineOf(route);
   return lateness > MAXIMUM_LATENESS_MILLISECONDS
-    ? "got no response in time"
+    ? `got no response in time, ${times}`
     : undefined;
 }
 
--- a/soak/guarantees_test.ts
+++ b/soak/guarantees_test.ts
@@ -97,6 +97,7 @@
     drainedServers: new Map(),
     stops: [],
     unexpectedExits: [],
+    stalls: [],
     ...options,
   });
 }
@@ -218,6 +219,24 @@
   t.deepEqual(check(attempt, [createRun(attempt)], { disturbances }), []);
 });
 
+/** A request that its caller gave up; the soak stood still at its begin. */
+function checkGivenUp(endedAt: number, stillness: number): string[] {
+  const attempt = createAttempt("safe", { isComplete: false, endedAt });
+  const stall = { from: 20_000, until: 20_000 + stillness };
+  return check(attempt, [createRun(attempt)], { stalls: [stall] });
+}
+
+test("guards against the soak blaming a router that its own stall kept from responding in time", (t) => {
+  t.deepEqual(checkGivenUp(23_700, 1_600), []);
+  t.deepEqual(checkGivenUp(23_000, 501), []);
+});
+
+test("guards against the soak excusing what its own stall does not explain", (t) => {
+  t.regex(checkGivenUp(23_000, 499).join(), /was cut/);
+  t.regex(checkGivenUp(24_200, 1_600).join(), /was cut/);
+  t.regex(checkGivenUp(22_900, 1_600).join(), /was cut/);
+});
+
 test("guards against the soak overlooking failures while nothing is disturbed", (t) => {
   const attempts = Array.from(
     { length: 50 },
@@ -238,6 +257,7 @@
     drainedServers: new Map(),
     stops: [],
     unexpectedExits: [],
+    stalls: [],
   });
   t.regex(found.join(), /2 of 50 requests failed/);
 });
--- a/soak/soak_record.ts
+++ b/soak/soak_record.ts
@@ -2,6 +2,7 @@
 import type { Disturbances } from "./disturbances.ts";
 import type { NamedRateLimit, Notice, Run } from "./soak_backends.ts";
 import type { Attempt } from "./soak_callers.ts";
+import type { Stall } from "./stalls.ts";
 import type { StopSignal } from "./stop_guarantees.ts";
 
 /** The runs of each request, by its id. */
@@ -21,6 +22,8 @@
   /** First stop signals of planned stops. */
   readonly stops: readonly StopSignal[];
   readonly unexpectedExits: readonly string[];
+  /** Times in which the soak itself stood still. */
+  readonly stalls: readonly Stall[];
 }
 
 /** Groups runs by the request that they belong to. */
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -32,6 +32,7 @@
   ROUTE_TIMEOUT_MILLISECONDS,
   SHORT_ROUTES,
 } from "./soak_routes.ts";
+import { recordStalls, type Stall } from "./stalls.ts";
 import type { StopSignal } from "./stop_guarantees.ts";
 
 const DATA_CENTRES = ["north", "south"];
@@ -102,7 +103,8 @@
 class _SoakRun {
   readonly #options: SoakOptions;
   readonly #startedAt = performance.now();
-  readonly #stalls = monitorEventLoopDelay();
+  readonly #delays = monitorEventLoopDelay();
+  readonly #stalls: Stall[] = [];
   readonly #store = new StoreStandIn();
   readonly #disturbances = new Disturbances();
   readonly #attempts: Attempt[] = [];
@@ -130,12 +132,14 @@
 
   async run(): Promise<SoakResult> {
     await mkdir(this.#options.logFolder, { recursive: true });
-    this.#stalls.enable();
+    this.#delays.enable();
+    const stopRecording = recordStalls(() => this.#now(), this.#stalls);
     try {
       await this.#start();
       await this.#runScenario();
     } finally {
-      this.#stalls.disable();
+      this.#delays.disable();
+      stopRecording();
       await this.#stop();
     }
     return this.#createResult();
@@ -336,6 +340,7 @@
       drainedServers: this.#drainedServers,
       stops: this.#stops,
       unexpectedExits: this.#unexpectedExits,
+      stalls: this.#stalls,
     });
     const served = this.#attempts.filter(({ status, isComplete }) =>
       status === 200 && isComplete
@@ -344,7 +349,7 @@
       seed: this.#options.seed,
       requests: this.#attempts.length,
       served: served.length,
-      longestStallMilliseconds: this.#stalls.max / NANOSECONDS_IN_MILLISECOND,
+      longestStallMilliseconds: this.#delays.max / NANOSECONDS_IN_MILLISECOND,
       faults: this.#faults,
       broken,
     };
--- a/soak/stop_guarantees_test.ts
+++ b/soak/stop_guarantees_test.ts
@@ -196,6 +196,7 @@
     revokedKeys: new Map<string, number>(),
     drainedServers: new Map<string, number>(),
     unexpectedExits: [],
+    stalls: [],
   };
   const planned = new Disturbances();
   planned.begin("entry-0", true, SIGNAL_AT)(SIGNAL_AT + 5_000);
