Log the processor time that a stalled process used

Cause: process.stalled did not tell whether the process computed for long, which is a fault of the program, or got no processor time. Change: the line names processorMilliseconds, which the process used since the periodic call before.

--- a/src/gateway.ts
+++ b/src/gateway.ts
@@ -50,6 +50,7 @@
 import { createPlannedStop } from "./planned_stop.ts";
 import { createRetryBudgets, type RetryAllowance } from "./retry_budgets.ts";
 import { createServerKnowledge } from "./server_knowledge.ts";
+import { createStallReport } from "./stall_report.ts";
 import { observeStore } from "./store_observation.ts";
 import { createTcpPeerNetwork } from "./tcp_peer_network.ts";
 import {
@@ -174,6 +175,7 @@
   let busyShare = 0;
   const subscriptions: Subscription[] = [];
   const stalls = createStallDetector(LOG_FLUSH_MILLISECONDS);
+  const reportStall = createStallReport({ stalls, log, metrics });
 
   const peers = createGatewayPeerTask({
     network,
@@ -280,14 +282,7 @@
   }
 
   function flushLog(): void {
-    const stall = stalls.observe(clock.monotonicMilliseconds());
-    if (stall !== undefined) {
-      metrics.stallSeconds.inc(stall / 1_000);
-      log.write("process.stalled", {
-        milliseconds: Math.round(stall),
-        inFlight,
-      });
-    }
+    reportStall(clock.monotonicMilliseconds(), inFlight);
     log.flush();
   }
 
@@ -323,7 +318,7 @@
       (error) => reportListenError("callers", error),
     );
     isListening = true;
-    stalls.observe(clock.monotonicMilliseconds());
+    reportStall(clock.monotonicMilliseconds(), inFlight);
     subscriptions.push(
       timers.every(
         HOUSEKEEPING_PERIOD_MILLISECONDS,
