Record long stalls of the soak as silences of its servers and store

Cause: servers, store and proxies share the soak's process. When it stood still for seconds they were silent to the routers, as under the faults backend_link and store_fails, but the soak called this time undisturbed. Change: a stall of at least 500 ms, as in the routers' process.stalled, is an unplanned disturbance of servers and store. The soak prints how many stalls count, and how many requests were undisturbed, so that a run which checks little shows it. Checks without a time bound are as before, and so are all checks of a run without such a stall. Stalls of routers excuse nothing.

--- a/soak/guarantees.ts
+++ b/soak/guarantees.ts
@@ -131,16 +131,21 @@
   return undefined;
 }
 
-function _checkUndisturbedTime(
-  { attempts, disturbances }: SoakRecord,
-): string[] {
-  const undisturbed = attempts.filter(({ router, sentAt, endedAt }) =>
+/** Returns the attempts during which, and shortly before, nothing was disturbed. */
+export function listUndisturbed(
+  { attempts, disturbances }: Pick<SoakRecord, "attempts" | "disturbances">,
+): readonly Attempt[] {
+  return attempts.filter(({ router, sentAt, endedAt }) =>
     disturbances.isUndisturbed(
       [router, "backends", "store", "fleet"],
       sentAt - RECOVERY_MILLISECONDS,
       endedAt,
     )
   );
+}
+
+function _checkUndisturbedTime(record: SoakRecord): string[] {
+  const undisturbed = listUndisturbed(record);
   const failed = undisturbed.filter((attempt) => !_isSuccess(attempt));
   if (failed.length <= undisturbed.length * TOLERATED_FAILURE_RATIO) return [];
   return [
--- a/soak/guarantees_test.ts
+++ b/soak/guarantees_test.ts
@@ -11,6 +11,7 @@
 } from "./soak_backends.ts";
 import type { Attempt } from "./soak_callers.ts";
 import type { SoakRecord } from "./soak_record.ts";
+import { recordSilences } from "./stalls.ts";
 
 const KINDS = {
   safe: "idempotent",
@@ -237,6 +238,18 @@
   t.regex(checkGivenUp(22_900, 1_600).join(), /was cut/);
 });
 
+test("guards against the soak calling a time undisturbed in which all its servers were silent", (t) => {
+  function checkCut(stillness: number): string {
+    const attempt = createAttempt("safe", { isComplete: false });
+    const disturbances = new Disturbances();
+    const stall = { from: 18_000, until: 18_000 + stillness };
+    recordSilences([stall], disturbances);
+    return check(attempt, [createRun(attempt)], { disturbances }).join();
+  }
+  t.is(checkCut(500), "");
+  t.regex(checkCut(499), /was cut/);
+});
+
 test("guards against the soak overlooking failures while nothing is disturbed", (t) => {
   const attempts = Array.from(
     { length: 50 },
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -25,14 +25,22 @@
 }
 
 function _print(result: SoakResult, logFolder: string): void {
-  const { seed, requests, served, faults, broken } = result;
+  const { seed, requests, served, undisturbed, faults, broken, stalls } =
+    result;
   const stall = Math.round(result.longestStallMilliseconds);
   console.log(
-    `seed ${seed}: ${requests} requests, ${served} served, ${faults.length} faults, longest stall of the soak ${stall} ms, ${broken.length} guarantee violations`,
+    `seed ${seed}: ${requests} requests, ${served} served, ${undisturbed} undisturbed, ${faults.length} faults, longest stall of the soak ${stall} ms (${stalls.length} count as disturbances), ${broken.length} guarantee violations`,
   );
   if (broken.length === 0) return;
   for (const line of broken.slice(0, PRINTED_LINES)) console.log(`  ${line}`);
   for (const line of faults) console.log(`    fault ${line}`);
+  for (const { from, until } of stalls) {
+    console.log(
+      `    stall of the soak from ${Math.round(from)} to ${
+        Math.round(until)
+      } ms`,
+    );
+  }
   console.log(`    logs in ${logFolder}`);
 }
 
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -16,7 +16,7 @@
 import { Disturbances } from "./disturbances.ts";
 import { type FaultKind, scheduleFaults } from "./fault_schedule.ts";
 import { LoopbackProxy } from "./loopback_proxy.ts";
-import { findGuaranteeViolations } from "./guarantees.ts";
+import { findGuaranteeViolations, listUndisturbed } from "./guarantees.ts";
 import {
   type BackendContext,
   type NamedRateLimit,
@@ -32,7 +32,12 @@
   ROUTE_TIMEOUT_MILLISECONDS,
   SHORT_ROUTES,
 } from "./soak_routes.ts";
-import { recordStalls, type Stall } from "./stalls.ts";
+import {
+  listSilences,
+  recordSilences,
+  recordStalls,
+  type Stall,
+} from "./stalls.ts";
 import type { StopSignal } from "./stop_guarantees.ts";
 
 const DATA_CENTRES = ["north", "south"];
@@ -68,6 +73,10 @@
   readonly seed: number;
   readonly requests: number;
   readonly served: number;
+  /** Requests during which, and shortly before, nothing was disturbed. */
+  readonly undisturbed: number;
+  /** Long stalls of the soak, which count as disturbances. */
+  readonly stalls: readonly Stall[];
   /** Longest time for which callers and servers, all in this process, stood still. */
   readonly longestStallMilliseconds: number;
   readonly faults: readonly string[];
@@ -330,7 +339,8 @@
   }
 
   #createResult(): SoakResult {
-    const broken = findGuaranteeViolations({
+    recordSilences(this.#stalls, this.#disturbances);
+    const record = {
       attempts: this.#attempts,
       runs: this.#runs,
       notices: this.#notices,
@@ -341,7 +351,8 @@
       stops: this.#stops,
       unexpectedExits: this.#unexpectedExits,
       stalls: this.#stalls,
-    });
+    };
+    const broken = findGuaranteeViolations(record);
     const served = this.#attempts.filter(({ status, isComplete }) =>
       status === 200 && isComplete
     );
@@ -349,6 +360,8 @@
       seed: this.#options.seed,
       requests: this.#attempts.length,
       served: served.length,
+      undisturbed: listUndisturbed(record).length,
+      stalls: listSilences(this.#stalls),
       longestStallMilliseconds: this.#delays.max / NANOSECONDS_IN_MILLISECOND,
       faults: this.#faults,
       broken,
--- a/soak/stalls.ts
+++ b/soak/stalls.ts
@@ -2,10 +2,13 @@
  * Measures when the soak's own process stood still. Callers, servers, the store and the
  * proxies all run in it: while it stands still, no router gets or returns anything.
  */
+import type { Disturbances } from "./disturbances.ts";
 
 const PERIOD_MILLISECONDS = 20;
 /** Timers that are late by less are no stall. */
 const SHORTEST_STALL_MILLISECONDS = 20;
+/** A stall of this length is a silence of all servers and of the store. */
+const SILENCE_MILLISECONDS = 500;
 
 /** A time in which the soak's process did nothing, in milliseconds. */
 export interface Stall {
@@ -37,3 +40,22 @@
     return sum + Math.max(0, overlap);
   }, 0);
 }
+
+/** Returns the stalls in which servers and store were silent for long. */
+export function listSilences(stalls: readonly Stall[]): readonly Stall[] {
+  return stalls.filter(({ from, until }) =>
+    until - from >= SILENCE_MILLISECONDS
+  );
+}
+
+/** Records long stalls as what they are to the routers: unplanned silences. */
+export function recordSilences(
+  stalls: readonly Stall[],
+  disturbances: Disturbances,
+): void {
+  for (const { from, until } of listSilences(stalls)) {
+    for (const scope of ["backends", "store"]) {
+      disturbances.begin(scope, false, from)(until);
+    }
+  }
+}
