Wait for a killed router of the soak until it has ended

Cause: after SIGKILL the soak waited for at most 6 s and then started the successor in any case. A process ends only when it gets processor time; at a load of 31 to 43 routers got none for up to 5.7 s. A predecessor that still runs holds its ports, and the successor exits with EADDRINUSE. Change: killAndWait waits without a limit; SIGKILL cannot be refused.

--- a/soak/soak_routers.ts
+++ b/soak/soak_routers.ts
@@ -13,6 +13,7 @@
   writeSettings,
 } from "../platform/soak_fleet.ts";
 import { LoopbackProxy } from "./loopback_proxy.ts";
+import { killAndWait, waitForEnd } from "./process_end.ts";
 import { replaceFile } from "./replaced_file.ts";
 
 const READY_POLL_MILLISECONDS = 50;
@@ -124,34 +125,21 @@
 
   async kill(): Promise<void> {
     this.#isExitExpected = true;
-    this.#child?.kill("SIGCONT");
-    this.#child?.kill("SIGKILL");
-    await this.#waitForExit(STOP_TIMEOUT_MILLISECONDS);
+    if (this.#child) await killAndWait(this.#child);
   }
 
   /** Sends SIGTERM; kills the process if it has not exited after the timeout. */
   async terminate(): Promise<void> {
     this.#isExitExpected = true;
     this.onStopSignal();
-    this.#child?.kill("SIGTERM");
-    if (!await this.#waitForExit(STOP_TIMEOUT_MILLISECONDS)) await this.kill();
+    const child = this.#child;
+    if (!child) return;
+    child.kill("SIGTERM");
+    if (!await waitForEnd(child, STOP_TIMEOUT_MILLISECONDS)) await this.kill();
   }
 
   stop(): void {
     this.proxy.stop();
     this.#log?.end();
   }
-
-  async #waitForExit(timeoutMilliseconds: number): Promise<boolean> {
-    const child = this.#child;
-    const hasEnded = child?.exitCode !== null || child.signalCode !== null;
-    if (!child || hasEnded) return true;
-    return await new Promise((resolve) => {
-      const timer = setTimeout(() => resolve(false), timeoutMilliseconds);
-      child.once("exit", () => {
-        clearTimeout(timer);
-        resolve(true);
-      });
-    });
-  }
 }
