--- a/soak/soak_routers.ts
+++ b/soak/soak_routers.ts
@@ -35,8 +35,8 @@
   #isExitExpected = false;
   #isReady = false;
   #lastRestart: Promise<void> = Promise.resolve();
-  /** Called when the process exits although nobody stopped it. */
-  onUnexpectedExit: (code: number | null) => void = () => undefined;
+  /** Called with the exit code or signal of a process that nobody stopped. */
+  onUnexpectedExit: (cause: string) => void = () => undefined;
   /** Called when a running process gets its first stop signal. */
   onStopSignal: () => void = () => undefined;
 
@@ -72,8 +72,9 @@
     for (const stream of [child.stdout, child.stderr]) {
       if (this.#log) stream?.pipe(this.#log, { end: false });
     }
-    child.once("exit", (code) => {
-      if (!this.#isExitExpected) this.onUnexpectedExit(code);
+    child.once("exit", (code, signal) => {
+      if (this.#isExitExpected) return;
+      this.onUnexpectedExit(signal ?? `code ${code ?? "unknown"}`);
     });
   }
 
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -183,9 +183,9 @@
     this.#putConfiguration();
     this.#routers = await _createRouters(routers, storeProxyAddress);
     for (const router of this.#routers) {
-      router.onUnexpectedExit = (code) =>
+      router.onUnexpectedExit = (cause) =>
         this.#unexpectedExits.push(
-          `${router.settings.host} exited unexpectedly with code ${code} at ${
+          `${router.settings.host} exited unexpectedly with ${cause} at ${
             Math.round(this.#now())
           } ms`,
         );
