Handle SIGHUP before the modules of the program are read

Cause: platform/main.ts imported early_signals.ts first, but Node.js reads all modules that a module imports before it runs the first. Until then SIGHUP ended the process. The bundle is built from program.ts, as it was from main.ts; in one script the order held already.

--- a/deploy/build.js
+++ b/deploy/build.js
@@ -57,7 +57,7 @@
   : process.argv[outIndex + 1];
 
 const result = await build({
-  entryPoints: ["platform/main.ts"],
+  entryPoints: ["platform/program.ts"],
   outfile,
   bundle: true,
   platform: "node",
