--- a/soak/guarantees_test.ts
+++ b/soak/guarantees_test.ts
@@ -11,6 +11,7 @@
 } from "./soak_backends.ts";
 import type { Attempt } from "./soak_callers.ts";
 import type { SoakRecord } from "./soak_record.ts";
+import { recordSilences } from "./stalls.ts";
 
 const KINDS = {
   safe: "idempotent",
@@ -97,6 +98,7 @@
     drainedServers: new Map(),
     stops: [],
     unexpectedExits: [],
+    stalls: [],
     ...options,
   });
 }
@@ -218,6 +220,36 @@
   t.deepEqual(check(attempt, [createRun(attempt)], { disturbances }), []);
 });
 
+/** A request that its caller gave up; the soak stood still at its begin. */
+function checkGivenUp(endedAt: number, stillness: number): string[] {
+  const attempt = createAttempt("safe", { isComplete: false, endedAt });
+  const stall = { from: 20_000, until: 20_000 + stillness };
+  return check(attempt, [createRun(attempt)], { stalls: [stall] });
+}
+
+test("guards against the soak blaming a router that its own stall kept from responding in time", (t) => {
+  t.deepEqual(checkGivenUp(23_700, 1_600), []);
+  t.deepEqual(checkGivenUp(23_000, 501), []);
+});
+
+test("guards against the soak excusing what its own stall does not explain", (t) => {
+  t.regex(checkGivenUp(23_000, 499).join(), /was cut/);
+  t.regex(checkGivenUp(24_200, 1_600).join(), /was cut/);
+  t.regex(checkGivenUp(22_900, 1_600).join(), /was cut/);
+});
+
+test("guards against the soak calling a time undisturbed in which all its servers were silent", (t) => {
+  function checkCut(stillness: number): string {
+    const attempt = createAttempt("safe", { isComplete: false });
+    const disturbances = new Disturbances();
+    const stall = { from: 18_000, until: 18_000 + stillness };
+    recordSilences([stall], disturbances);
+    return check(attempt, [createRun(attempt)], { disturbances }).join();
+  }
+  t.is(checkCut(500), "");
+  t.regex(checkCut(499), /was cut/);
+});
+
 test("guards against the soak overlooking failures while nothing is disturbed", (t) => {
   const attempts = Array.from(
     { length: 50 },
@@ -238,6 +270,7 @@
     drainedServers: new Map(),
     stops: [],
     unexpectedExits: [],
+    stalls: [],
   });
   t.regex(found.join(), /2 of 50 requests failed/);
 });
--- a/soak/soak_routers.ts
+++ b/soak/soak_routers.ts
@@ -1,6 +1,6 @@
 /** Router processes of the soak, each behind a fault-injecting proxy. */
 import { type ChildProcess, spawn } from "node:child_process";
-import { mkdtemp, writeFile } from "node:fs/promises";
+import { mkdtemp } from "node:fs/promises";
 import { createWriteStream, type WriteStream } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -13,6 +13,8 @@
   writeSettings,
 } from "../platform/soak_fleet.ts";
 import { LoopbackProxy } from "./loopback_proxy.ts";
+import { killAndWait, waitForEnd } from "./process_end.ts";
+import { replaceFile } from "./replaced_file.ts";
 
 const READY_POLL_MILLISECONDS = 50;
 /** Grace period of the router settings plus a margin for a busy machine. */
@@ -33,8 +35,8 @@
   #isExitExpected = false;
   #isReady = false;
   #lastRestart: Promise<void> = Promise.resolve();
-  /** Called when the process exits although nobody stopped it. */
-  onUnexpectedExit: (code: number | null) => void = () => undefined;
+  /** Called with the exit code or signal of a process that nobody stopped. */
+  onUnexpectedExit: (cause: string) => void = () => undefined;
   /** Called when a running process gets its first stop signal. */
   onStopSignal: () => void = () => undefined;
 
@@ -53,7 +55,7 @@
 
   /** Rewrites the settings file, which the process watches; SIGHUP also reloads it. */
   async rewriteSettings(retryAllowance: number): Promise<void> {
-    await writeFile(
+    await replaceFile(
       this.#settingsPath,
       writeSettings({ ...this.settings, retryAllowance }),
     );
@@ -70,8 +72,9 @@
     for (const stream of [child.stdout, child.stderr]) {
       if (this.#log) stream?.pipe(this.#log, { end: false });
     }
-    child.once("exit", (code) => {
-      if (!this.#isExitExpected) this.onUnexpectedExit(code);
+    child.once("exit", (code, signal) => {
+      if (this.#isExitExpected) return;
+      this.onUnexpectedExit(signal ?? `code ${code ?? "unknown"}`);
     });
   }
 
@@ -123,34 +126,21 @@
 
   async kill(): Promise<void> {
     this.#isExitExpected = true;
-    this.#child?.kill("SIGCONT");
-    this.#child?.kill("SIGKILL");
-    await this.#waitForExit(STOP_TIMEOUT_MILLISECONDS);
+    if (this.#child) await killAndWait(this.#child);
   }
 
   /** Sends SIGTERM; kills the process if it has not exited after the timeout. */
   async terminate(): Promise<void> {
     this.#isExitExpected = true;
     this.onStopSignal();
-    this.#child?.kill("SIGTERM");
-    if (!await this.#waitForExit(STOP_TIMEOUT_MILLISECONDS)) await this.kill();
+    const child = this.#child;
+    if (!child) return;
+    child.kill("SIGTERM");
+    if (!await waitForEnd(child, STOP_TIMEOUT_MILLISECONDS)) await this.kill();
   }
 
   stop(): void {
     this.proxy.stop();
     this.#log?.end();
   }
-
-  async #waitForExit(timeoutMilliseconds: number): Promise<boolean> {
-    const child = this.#child;
-    const hasEnded = child?.exitCode !== null || child.signalCode !== null;
-    if (!child || hasEnded) return true;
-    return await new Promise((resolve) => {
-      const timer = setTimeout(() => resolve(false), timeoutMilliseconds);
-      child.once("exit", () => {
-        clearTimeout(timer);
-        resolve(true);
-      });
-    });
-  }
 }
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -16,7 +16,7 @@
 import { Disturbances } from "./disturbances.ts";
 import { type FaultKind, scheduleFaults } from "./fault_schedule.ts";
 import { LoopbackProxy } from "./loopback_proxy.ts";
-import { findGuaranteeViolations } from "./guarantees.ts";
+import { findGuaranteeViolations, listUndisturbed } from "./guarantees.ts";
 import {
   type BackendContext,
   type NamedRateLimit,
@@ -32,13 +32,20 @@
   ROUTE_TIMEOUT_MILLISECONDS,
   SHORT_ROUTES,
 } from "./soak_routes.ts";
+import {
+  listSilences,
+  recordSilences,
+  recordStalls,
+  type Stall,
+} from "./stalls.ts";
 import type { StopSignal } from "./stop_guarantees.ts";
 
 const DATA_CENTRES = ["north", "south"];
 const BACKEND_COUNT = 5;
 const CALLER_COUNT = 12;
 const LONG_CALLER_COUNT = 20;
-const START_TIMEOUT_MILLISECONDS = 30_000;
+/** Many routers that start together on a busy machine need a minute and more. */
+const START_TIMEOUT_MILLISECONDS = 150_000;
 /** Fault-free time at the end, in which requests must succeed again. */
 const RECOVERY_MILLISECONDS = 8_000;
 /** Long requests begin no later, so that the last ones end soon after that time. */
@@ -67,6 +74,10 @@
   readonly seed: number;
   readonly requests: number;
   readonly served: number;
+  /** Requests during which, and shortly before, nothing was disturbed. */
+  readonly undisturbed: number;
+  /** Long stalls of the soak, which count as disturbances. */
+  readonly stalls: readonly Stall[];
   /** Longest time for which callers and servers, all in this process, stood still. */
   readonly longestStallMilliseconds: number;
   readonly faults: readonly string[];
@@ -102,7 +113,8 @@
 class _SoakRun {
   readonly #options: SoakOptions;
   readonly #startedAt = performance.now();
-  readonly #stalls = monitorEventLoopDelay();
+  readonly #delays = monitorEventLoopDelay();
+  readonly #stalls: Stall[] = [];
   readonly #store = new StoreStandIn();
   readonly #disturbances = new Disturbances();
   readonly #attempts: Attempt[] = [];
@@ -130,12 +142,14 @@
 
   async run(): Promise<SoakResult> {
     await mkdir(this.#options.logFolder, { recursive: true });
-    this.#stalls.enable();
+    this.#delays.enable();
+    const stopRecording = recordStalls(() => this.#now(), this.#stalls);
     try {
       await this.#start();
       await this.#runScenario();
     } finally {
-      this.#stalls.disable();
+      this.#delays.disable();
+      stopRecording();
       await this.#stop();
     }
     return this.#createResult();
@@ -169,9 +183,9 @@
     this.#putConfiguration();
     this.#routers = await _createRouters(routers, storeProxyAddress);
     for (const router of this.#routers) {
-      router.onUnexpectedExit = (code) =>
+      router.onUnexpectedExit = (cause) =>
         this.#unexpectedExits.push(
-          `${router.settings.host} exited unexpectedly with code ${code} at ${
+          `${router.settings.host} exited unexpectedly with ${cause} at ${
             Math.round(this.#now())
           } ms`,
         );
@@ -185,7 +199,9 @@
         router.waitUntilReady(START_TIMEOUT_MILLISECONDS)
       ),
     );
-    if (ready.includes(false)) throw new Error("a router did not become ready");
+    const unready = this.#routers.filter((_router, index) => !ready[index])
+      .map(({ settings }) => settings.host);
+    if (unready.length > 0) throw new Error(`not ready: ${unready.join(", ")}`);
   }
 
   async #runScenario(): Promise<void> {
@@ -326,7 +342,8 @@
   }
 
   #createResult(): SoakResult {
-    const broken = findGuaranteeViolations({
+    recordSilences(this.#stalls, this.#disturbances);
+    const record = {
       attempts: this.#attempts,
       runs: this.#runs,
       notices: this.#notices,
@@ -336,7 +353,9 @@
       drainedServers: this.#drainedServers,
       stops: this.#stops,
       unexpectedExits: this.#unexpectedExits,
-    });
+      stalls: this.#stalls,
+    };
+    const broken = findGuaranteeViolations(record);
     const served = this.#attempts.filter(({ status, isComplete }) =>
       status === 200 && isComplete
     );
@@ -344,7 +363,9 @@
       seed: this.#options.seed,
       requests: this.#attempts.length,
       served: served.length,
-      longestStallMilliseconds: this.#stalls.max / NANOSECONDS_IN_MILLISECOND,
+      undisturbed: listUndisturbed(record).length,
+      stalls: listSilences(this.#stalls),
+      longestStallMilliseconds: this.#delays.max / NANOSECONDS_IN_MILLISECOND,
       faults: this.#faults,
       broken,
     };
