Check planned stops of routers that stand still while they close their port

Change: the failure run suspension_at_stop suspends the stopping router from 2.5 to 3.5 s after the signal, across the moment at which it closes its port.

--- a/invariants/long_requests_at_stop.ts
+++ b/invariants/long_requests_at_stop.ts
@@ -29,6 +29,7 @@
   createStopRouters,
   type RouterStop,
   type StopRouter,
+  type Suspension,
 } from "./stop_routers.ts";
 import { type RecordedRun, StopServer } from "./stop_servers.ts";
 
@@ -52,6 +53,11 @@
 /** Every so many rounds, two routers stop in overlap. */
 const OVERLAP_PERIOD = 3;
 const LONGEST_OVERLAP_DELAY_MILLISECONDS = 3_000;
+/** A stopping router closes its port 3 s after the signal. */
+const SUSPENSION: Suspension = {
+  afterMilliseconds: 2_500,
+  milliseconds: 1_000,
+};
 /** Time in which the servers see that the connections of a process have ended. */
 const SETTLE_MILLISECONDS = 300;
 const LOADS: readonly StopLoad[] = [
@@ -157,16 +163,22 @@
   };
 }
 
+/** What acts on a router beside its stop. */
+interface _Disturbance {
+  readonly load: StopLoad;
+  readonly suspension?: Suspension;
+}
+
 /** Stops one router under a load and starts it again. */
 async function _stopAndStart(
   router: StopRouter,
   { callers }: _System,
-  load: StopLoad,
+  { load, suspension }: _Disturbance,
 ): Promise<RouterStop> {
   const endFlood = load === "request_flood"
     ? await sendRequestFlood(router.settings.callers)
     : undefined;
-  const stop = await router.stop(GRACE_MILLISECONDS);
+  const stop = await router.stop(GRACE_MILLISECONDS, suspension);
   endFlood?.();
   await sleep(SETTLE_MILLISECONDS);
   await router.start();
@@ -194,13 +206,16 @@
   readonly stops: readonly RouterStop[];
 }
 
+interface _RoundOptions {
+  readonly random: RandomSource;
+  readonly previousStops: readonly RouterStop[];
+  readonly suspension?: Suspension;
+}
+
 async function _executeRound(
   system: _System,
   round: number,
-  { random, previousStops }: {
-    readonly random: RandomSource;
-    readonly previousStops: readonly RouterStop[];
-  },
+  { random, previousStops, suspension }: _RoundOptions,
 ): Promise<_Round> {
   const { attempts, runs, routers } = system;
   await sleep(
@@ -211,7 +226,10 @@
   const chosen = _chooseRouters(system, round, random);
   const stops = await Promise.all(chosen.map(async (router, index) => {
     await sleep(index * random.next() * LONGEST_OVERLAP_DELAY_MILLISECONDS);
-    return _stopAndStart(router, system, load);
+    return _stopAndStart(router, system, {
+      load,
+      ...(suspension ? { suspension } : {}),
+    });
   }));
   endBusy?.();
   const ended = attempts.filter(({ endedAt }) => endedAt < Infinity);
@@ -237,6 +255,7 @@
 
 async function _run(
   { seed, rounds = DEFAULT_ROUNDS, routers }: InvariantOptions,
+  suspension?: Suspension,
 ): Promise<InvariantOutcome> {
   const random = createSeededRandom(seed);
   const system = await _startSystem(routers ?? DEFAULT_ROUTERS, random);
@@ -244,7 +263,11 @@
     const reports: StopReport[] = [];
     let previousStops: readonly RouterStop[] = [];
     for (let round = 0; round < rounds; round++) {
-      const options = { random, previousStops };
+      const options = {
+        random,
+        previousStops,
+        ...(suspension ? { suspension } : {}),
+      };
       const { report, stops } = await _executeRound(system, round, options);
       reports.push(report);
       previousStops = stops;
@@ -266,6 +289,13 @@
     guarantee:
       "a planned stop loses no request that its router has read and could finish or reject",
     isNegativeControl: false,
-    run: _run,
+    run: (options) => _run(options),
+  },
+  {
+    name: "suspension_at_stop",
+    guarantee:
+      "a router that stands still while it is about to close its port loses no request of the callers that wait to be accepted",
+    isNegativeControl: false,
+    run: (options) => _run(options, SUSPENSION),
   },
 ];
--- a/invariants/stop_routers.ts
+++ b/invariants/stop_routers.ts
@@ -28,6 +28,13 @@
   readonly lines: readonly string[];
 }
 
+/** A time in which a stopping process gets no processor time. */
+export interface Suspension {
+  /** Time from the signal to its start. */
+  readonly afterMilliseconds: number;
+  readonly milliseconds: number;
+}
+
 /** A router process that can be stopped and started again. */
 export class StopRouter {
   readonly settings: SoakRouterSettings;
@@ -64,7 +71,10 @@
   }
 
   /** Sends SIGTERM, and SIGKILL if the process still runs after the grace. */
-  async stop(graceMilliseconds: number): Promise<RouterStop> {
+  async stop(
+    graceMilliseconds: number,
+    suspension?: Suspension,
+  ): Promise<RouterStop> {
     const program = this.#program as BundledProgram;
     const drained = once(program.process, "close");
     const signalledAt = Date.now();
@@ -73,6 +83,7 @@
       () => program.process.kill("SIGKILL"),
       graceMilliseconds,
     );
+    if (suspension) void this.#suspend(program, suspension);
     const exitCode = await program.exited;
     const endedAt = Date.now();
     clearTimeout(timer);
@@ -81,6 +92,16 @@
     return { router: this.name, signalledAt, endedAt, exitCode, lines };
   }
 
+  async #suspend(
+    { process: child }: BundledProgram,
+    { afterMilliseconds, milliseconds }: Suspension,
+  ): Promise<void> {
+    await sleep(afterMilliseconds);
+    child.kill("SIGSTOP");
+    await sleep(milliseconds);
+    child.kill("SIGCONT");
+  }
+
   /** Lines that the current process has written so far. */
   readLines(): readonly string[] {
     return this.#program?.output().split("\n") ?? [];
