--- a/stand_ins/fleet_processes.ts
+++ b/stand_ins/fleet_processes.ts
@@ -54,6 +54,7 @@
   readonly routers: ManagedProcess[];
   readonly fleetFile: string;
   readonly routerAddresses: readonly string[];
+  readonly peerAddresses: readonly string[];
   /** Runs a command of the operator's command line. */
   command(...parameters: string[]): Promise<CommandResult>;
   /** Starts a router again with the same name and addresses. */
@@ -199,6 +200,7 @@
       routers,
       fleetFile,
       routerAddresses: callerAddresses,
+      peerAddresses,
       command,
       async restartRouter(index) {
         const router = await startRouter(index, platform.address);
