Run the program as it is deployed in the soak

Cause: the soak started the routers from their modules. A fault that depends on the bundle, such as the seconds that one malformed response cost (docs/incidents/stall-by-malformed-response.md), cannot show there.

Change: the soak builds the bundle once and starts each router with its launcher and with the flags of the deploy file.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -7,6 +7,7 @@
 import { join } from "node:path";
 import process from "node:process";
 import { cac } from "cac";
+import { buildRunCommand } from "../platform/bundled_program.ts";
 import { type FaultKind, isFaultKind } from "./fault_schedule.ts";
 import { FAILED_SEEDS } from "./failed_seeds.ts";
 import { runSoak, type SoakResult } from "./soak_run.ts";
@@ -53,6 +54,7 @@
     : Array.from({ length: Number(options.runs) }, (_, index) =>
       firstSeed + index);
   const kinds = _parseFaultKinds(options.only);
+  const command = await buildRunCommand();
   let failedRuns = 0;
   for (const seed of seeds) {
     const logFolder = await mkdtemp(join(tmpdir(), `soak-${seed}-`));
@@ -60,6 +62,7 @@
       seed,
       routers: Number(options.routers),
       faultMilliseconds: Number(options.seconds) * MILLISECONDS_IN_SECOND,
+      command,
       logFolder,
       ...(kinds ? { kinds } : {}),
     });
--- a/soak/soak_routers.ts
+++ b/soak/soak_routers.ts
@@ -5,9 +5,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
-import { fileURLToPath } from "node:url";
 import {
-  PLATFORM_PROGRAM,
   SETTINGS_VARIABLE,
   type SoakRouterSettings,
   writeSettings,
@@ -17,9 +15,6 @@
 const READY_POLL_MILLISECONDS = 50;
 /** Grace period of the router settings plus a margin for a busy machine. */
 const STOP_TIMEOUT_MILLISECONDS = 6_000;
-const PROGRAM_PATH = fileURLToPath(
-  new URL(`../${PLATFORM_PROGRAM}`, import.meta.url),
-);
 
 /** A router process that can be restarted. */
 export class SoakRouter {
@@ -27,6 +22,8 @@
   readonly proxy: LoopbackProxy;
   /** Address that callers connect to: the proxy in front of the router. */
   proxyAddress = "";
+  /** Words that start the program, after the one for Node.js. */
+  readonly #command: readonly string[];
   #settingsPath = "";
   #log: WriteStream | undefined;
   #child: ChildProcess | undefined;
@@ -38,7 +35,8 @@
   /** Called when a running process gets its first stop signal. */
   onStopSignal: () => void = () => undefined;
 
-  constructor(settings: SoakRouterSettings) {
+  constructor(settings: SoakRouterSettings, command: readonly string[]) {
+    this.#command = command;
     this.settings = settings;
     this.proxy = new LoopbackProxy(() => settings.callers);
   }
@@ -62,7 +60,7 @@
   start(): void {
     this.#isExitExpected = false;
     this.#isReady = false;
-    const child = spawn(process.execPath, [PROGRAM_PATH], {
+    const child = spawn(process.execPath, this.#command, {
       env: { ...process.env, [SETTINGS_VARIABLE]: this.#settingsPath },
       stdio: ["ignore", "pipe", "pipe"],
     });
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -56,6 +56,8 @@
   readonly routers: number;
   /** Time during which faults are injected. */
   readonly faultMilliseconds: number;
+  /** Words that start a router's program, after the one for Node.js. */
+  readonly command: readonly string[];
   /** Folder for the logs of the routers. */
   readonly logFolder: string;
   /** Kinds of faults to inject; all by default. */
@@ -76,6 +78,7 @@
 async function _createRouters(
   count: number,
   store: string,
+  command: readonly string[],
 ): Promise<SoakRouter[]> {
   const addresses = await findFreeAddresses(count * 4);
   return Array.from({ length: count }, (_, index) => {
@@ -95,7 +98,7 @@
       seeds: [addresses[3] ?? "", addresses[7] ?? ""],
       store,
       retryAllowance: RETRY_ALLOWANCE_REQUESTS,
-    });
+    }, command);
   });
 }
 
@@ -146,7 +149,7 @@
   }
 
   async #start(): Promise<void> {
-    const { seed, routers, logFolder } = this.#options;
+    const { seed, routers, logFolder, command } = this.#options;
     this.#storeAddress = await this.#store.start();
     this.#storeProxy = new LoopbackProxy(() => this.#storeAddress);
     const storeProxyAddress = await this.#storeProxy.start();
@@ -167,7 +170,7 @@
       this.#register(backend);
     }
     this.#putConfiguration();
-    this.#routers = await _createRouters(routers, storeProxyAddress);
+    this.#routers = await _createRouters(routers, storeProxyAddress, command);
     for (const router of this.#routers) {
       router.onUnexpectedExit = (code) =>
         this.#unexpectedExits.push(
