Answer with heads that no HTTP client accepts in the soak

No server of the soak sent what the router's HTTP client rejects, so that it could not find that one such response stopped a router for seconds.

It counts as a planned change: it excuses failed answers of that server, but no late ones. Each separate kind now names its random source.

--- a/soak/disturbances.ts
+++ b/soak/disturbances.ts
@@ -1,6 +1,6 @@
 /** Records disturbances, which suspend the guarantees that have a time bound. */
 
-/** Router host, or `store`, `backends` or `fleet`, that a disturbance affects. */
+/** Router host, or `store`, `backends`, `fleet` or `soak`, that a disturbance affects. */
 export type DisturbanceScope = string;
 
 interface _Disturbance {
--- a/soak/fault_schedule.ts
+++ b/soak/fault_schedule.ts
@@ -22,13 +22,14 @@
 /** Notices that servers give in their responses, drawn from a source of their own. */
 export const NOTICE_KINDS = ["backend_leaves", "backend_pauses"] as const;
 
-/** Kinds of fault that were added later, each drawn from a source of its own. */
-export const SEPARATE_KINDS = [
-  "backend_limits",
-  "store_restored",
-  "store_silenced",
-  "router_stopped_twice",
-] as const;
+/** Kinds of fault that were added later, each with the number of its own random source. */
+export const SEPARATE_KINDS = {
+  backend_limits: 2,
+  store_restored: 3,
+  store_silenced: 4,
+  router_stopped_twice: 5,
+  backend_malformed: 7,
+} as const;
 
 /** Planned work in series and in overlap, drawn from one source of its own. */
 export const PLANNED_KINDS = [
@@ -42,14 +43,14 @@
 export type FaultKind =
   | keyof typeof FAULT_WEIGHTS
   | (typeof NOTICE_KINDS)[number]
-  | (typeof SEPARATE_KINDS)[number]
+  | keyof typeof SEPARATE_KINDS
   | (typeof PLANNED_KINDS)[number];
 
 /** Whether a text names a kind of fault. */
 export function isFaultKind(text: string): text is FaultKind {
   const others: readonly string[] = [
     ...NOTICE_KINDS,
-    ...SEPARATE_KINDS,
+    ...Object.keys(SEPARATE_KINDS),
     ...PLANNED_KINDS,
   ];
   return text in FAULT_WEIGHTS || others.includes(text);
@@ -77,6 +78,8 @@
 /** Each of the separate kinds is this much rarer than other faults. */
 const SEPARATE_INTERVAL_FACTOR = 6;
 
+/** Number of the random source of planned work in series. */
+const PLANNED_SOURCE = 6;
 /** Planned work in series is this much rarer than other faults. */
 const PLANNED_INTERVAL_FACTOR = 3;
 
@@ -145,18 +148,17 @@
     durationMilliseconds,
     NOTICE_INTERVAL_FACTOR * meanIntervalMilliseconds,
   );
-  const separate = SEPARATE_KINDS.flatMap((kind, index) =>
+  const kinds = Object.entries(SEPARATE_KINDS) as [FaultKind, number][];
+  const separate = kinds.flatMap(([kind, source]) =>
     _draw(
-      createSeededRandom(seed + (index + 2) * NOTICE_SEED_OFFSET),
+      createSeededRandom(seed + source * NOTICE_SEED_OFFSET),
       () => kind,
       durationMilliseconds,
       SEPARATE_INTERVAL_FACTOR * meanIntervalMilliseconds,
     )
   );
   const planned = _draw(
-    createSeededRandom(
-      seed + (SEPARATE_KINDS.length + 2) * NOTICE_SEED_OFFSET,
-    ),
+    createSeededRandom(seed + PLANNED_SOURCE * NOTICE_SEED_OFFSET),
     _drawPlannedKind,
     durationMilliseconds,
     PLANNED_INTERVAL_FACTOR * meanIntervalMilliseconds,
--- a/soak/guarantees.ts
+++ b/soak/guarantees.ts
@@ -9,7 +9,7 @@
 } from "./soak_backends.ts";
 import { type Attempt, guaranteesNotRun } from "./soak_callers.ts";
 import { groupRunsById, type SoakRecord } from "./soak_record.ts";
-import { deadlineOf, mustRunOnce } from "./soak_routes.ts";
+import { deadlineOf, mustRunOnce, timeoutOf } from "./soak_routes.ts";
 import { findStopViolations, isExcusedByStop } from "./stop_guarantees.ts";
 
 /** Time for which a disturbance still excuses failures after it has ended. */
@@ -21,6 +21,11 @@
 /** Ratio of requests that may fail while no disturbance is recorded. */
 const TOLERATED_FAILURE_RATIO = 0.01;
 
+/** Requests without an answer that may occur in a run. */
+const TOLERATED_REQUESTS = 5;
+/** Ratio of the requests not answered by their timeout that may stay so. */
+const TOLERATED_SILENCE_RATIO = 1 / 2;
+
 function _isSuccess({ status, isComplete }: Attempt): boolean {
   return status !== undefined && status < 300 && isComplete;
 }
@@ -129,6 +134,41 @@
   ];
 }
 
+/** Lists the attempts at routers and times without unplanned disturbances. */
+function _listStable(
+  { attempts, disturbances }: SoakRecord,
+  scopes: readonly string[],
+): Attempt[] {
+  return attempts.filter(({ router, sentAt, endedAt }) =>
+    disturbances.isStable(
+      [router, ...scopes],
+      sentAt - RECOVERY_MILLISECONDS,
+      endedAt,
+    )
+  );
+}
+
+/** Checks that requests whose time has run out are answered all the same. */
+function _checkTimeouts(record: SoakRecord): string[] {
+  const late = _listStable(record, ["backends", "store", "soak"]).filter((
+    { route, sentAt, bodySentAt, endedAt, hasReachedRouter },
+  ) =>
+    hasReachedRouter && bodySentAt < endedAt &&
+    endedAt - sentAt >= timeoutOf(route)
+  );
+  const silent = late.filter(({ status }) => status === undefined);
+  const tolerated = Math.max(
+    TOLERATED_REQUESTS,
+    late.length * TOLERATED_SILENCE_RATIO,
+  );
+  if (silent.length <= tolerated) return [];
+  return [
+    `${silent.length} of ${late.length} requests whose time had run out got no answer; the first is ${
+      silent[0]?.requestId ?? ""
+    }`,
+  ];
+}
+
 /** Returns a line for each violation of a guarantee. */
 export function findGuaranteeViolations(record: SoakRecord): string[] {
   const byId = groupRunsById(record.runs);
@@ -159,5 +199,6 @@
     ...findRateLimitViolations(record),
     ...findStopViolations(record),
     ..._checkUndisturbedTime(record),
+    ..._checkTimeouts(record),
   ];
 }
--- a/soak/guarantees_test.ts
+++ b/soak/guarantees_test.ts
@@ -335,3 +335,36 @@
     0,
   );
 });
+
+function createFailures(options: Partial<Attempt>): Attempt[] {
+  return Array.from({ length: 12 }, (_, index) =>
+    createAttempt("safe", {
+      requestId: `failed-${index}`,
+      isSigned: false,
+      text: "",
+      ...options,
+    }));
+}
+
+/** Returns violations while a planned change excuses that requests fail. */
+function checkAmidChange(
+  attempts: readonly Attempt[],
+  disturbances = new Disturbances(),
+): string[] {
+  disturbances.begin("fleet", true, 0);
+  return check(createAttempt("safe"), [], { attempts, disturbances });
+}
+
+test("guards against a soak that misses requests without an answer, or blames a router while the soak stands still", (t) => {
+  const silent = createFailures({
+    status: undefined,
+    isComplete: false,
+    endedAt: 23_000,
+  });
+  t.regex(checkAmidChange(silent).join(), /12 of 12 requests whose time had r/);
+  const late = createFailures({ status: 504, endedAt: 22_600 });
+  t.deepEqual(checkAmidChange([...silent, ...late]), []);
+  const disturbances = new Disturbances();
+  disturbances.begin("soak", false, 22_000)(23_500);
+  t.deepEqual(checkAmidChange(silent, disturbances), []);
+});
--- a/soak/soak_backends.ts
+++ b/soak/soak_backends.ts
@@ -11,15 +11,17 @@
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { GatewayHeaderNames } from "../src/gateway_protocol.ts";
-import type { RandomSource } from "../src/core/random.ts";
+import { createSeededRandom, type RandomSource } from "../src/core/random.ts";
 import { readStreamPace } from "./long_requests.ts";
 import { LoopbackProxy } from "./loopback_proxy.ts";
+import { MALFORMED_HEADS } from "./malformed_heads.ts";
 
 /** Number of events in each streamed response. */
 export const STREAM_EVENTS = 8;
 const EVENT_PAUSE_MILLISECONDS = 15;
 const LONGEST_WORK_MILLISECONDS = 60;
 const SLOTS_PER_SERVER = 16;
+const MALFORMED_SEED = 1;
 
 /** Fault that a backend server injects into its responses. */
 export type BackendFault = "none" | "errors" | "loses_answers" | "mute";
@@ -95,12 +97,16 @@
   #server: Server | undefined;
   #serverAddress = "127.0.0.1:1";
   #name: string;
+  /** A source of its own keeps the other faults of a seed as they are. */
+  readonly #malformed: RandomSource;
   #incarnation = 0;
   #inFlight = 0;
   /** Requests of the current incarnation whose responses have not ended. */
   #responding = new Set<ServerResponse>();
   address = "";
   fault: BackendFault = "none";
+  /** Whether some responses have heads that no HTTP client accepts. */
+  isMalformed = false;
   isDraining = false;
   /** Whether responses say that the server is leaving. */
   isLeaving = false;
@@ -113,6 +119,7 @@
   constructor(context: BackendContext, name: string, dataCentre: string) {
     this.#context = context;
     this.#name = name;
+    this.#malformed = createSeededRandom(MALFORMED_SEED);
     this.dataCentre = dataCentre;
     this.proxy = new LoopbackProxy(() => this.#serverAddress);
   }
@@ -132,6 +139,7 @@
     this.pausedUntil = 0;
     this.drainedAt = Infinity;
     this.fault = "none";
+    this.isMalformed = false;
     const server = createServer((request, response) => {
       // The handler rejects if the connection breaks while it reads the body.
       this.#handle(request, response, this.id).catch(() => response.destroy());
@@ -210,9 +218,25 @@
     this.#inFlight++;
     await sleep(random.next() * LONGEST_WORK_MILLISECONDS);
     this.#inFlight--;
+    if (this.isMalformed && this.#malformed.next() < FAULT_RATIO) {
+      this.#respondMalformed(response, requestId);
+      return;
+    }
     await this.#respond(request, response, { requestId, path, body, fault });
   }
 
+  #respondMalformed(response: ServerResponse, requestId: string): void {
+    const { headerNames } = this.#context;
+    this.#responding.delete(response);
+    const head = MALFORMED_HEADS[
+      this.#malformed.integer(MALFORMED_HEADS.length)
+    ];
+    response.socket?.end(
+      `${head}${headerNames.requestId}: ${requestId}\r\n` +
+        `${headerNames.signature}: signed-${requestId}\r\n\r\n`,
+    );
+  }
+
   /** Records when a run ends, and whether the server itself broke it off. */
   #follow(response: ServerResponse, run: Run): void {
     const responding = this.#responding;
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -276,6 +276,15 @@
     await targets.replaceKey();
     endChange();
   },
+  /** Only the answers to the server's own requests may suffer from it. */
+  async backend_malformed({ target, forMilliseconds }, targets) {
+    const backend = _pick(targets.backends, target);
+    const end = targets.begin("fleet", true);
+    backend.isMalformed = true;
+    await sleep(forMilliseconds);
+    backend.isMalformed = false;
+    end();
+  },
   async router_stopped_twice({ target, forMilliseconds }, targets) {
     const router = _pick(targets.routers, target);
     const end = targets.begin(router.settings.host, true);
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -44,6 +44,9 @@
 /** Long requests begin no later, so that the last ones end soon after that time. */
 const LONG_RECOVERY_MILLISECONDS = 4_000;
 const NANOSECONDS_IN_MILLISECOND = 1_000_000;
+const STALL_POLL_MILLISECONDS = 50;
+/** A longer turn of this process keeps callers from reading responses in time. */
+const LONGEST_TURN_MILLISECONDS = 400;
 const MEAN_FAULT_INTERVAL_MILLISECONDS = 700;
 const FIRST_CONFIGURATION_VERSION = 10;
 const RETRY_ALLOWANCE_REQUESTS = 100;
@@ -134,11 +137,13 @@
   async run(): Promise<SoakResult> {
     await mkdir(this.#options.logFolder, { recursive: true });
     this.#stalls.enable();
+    const stallTimer = this.#recordStalls();
     try {
       await this.#start();
       await this.#runScenario();
     } finally {
       this.#stalls.disable();
+      clearInterval(stallTimer);
       await this.#stop();
     }
     return this.#createResult();
@@ -148,6 +153,17 @@
     return performance.now() - this.#startedAt;
   }
 
+  /** Records when callers and servers, all in this process, stood still. */
+  #recordStalls(): NodeJS.Timeout {
+    let turnedAt = this.#now();
+    return setInterval(() => {
+      const from = turnedAt;
+      turnedAt = this.#now();
+      if (turnedAt - from < LONGEST_TURN_MILLISECONDS) return;
+      this.#disturbances.begin("soak", false, from)(turnedAt);
+    }, STALL_POLL_MILLISECONDS);
+  }
+
   async #start(): Promise<void> {
     const { seed, routers, logFolder, command } = this.#options;
     this.#storeAddress = await this.#store.start();
