Register servers under odd names in the soak

All entries of the soak had sound names, so that it could not find that routers placed requests on an entry whose name no header can carry, and answered them with 400.

Change: the kind registration_odd registers a server once more, under one of three such names. It counts as no disturbance: nothing may suffer from it.

--- a/soak/fault_schedule.ts
+++ b/soak/fault_schedule.ts
@@ -29,6 +29,7 @@
   store_silenced: 4,
   router_stopped_twice: 5,
   backend_malformed: 7,
+  registration_odd: 8,
 } as const;
 
 /** Planned work in series and in overlap, drawn from one source of its own. */
--- a/soak/guarantees.ts
+++ b/soak/guarantees.ts
@@ -21,8 +21,10 @@
 /** Ratio of requests that may fail while no disturbance is recorded. */
 const TOLERATED_FAILURE_RATIO = 0.01;
 
-/** Requests without an answer that may occur in a run. */
+/** Requests without an answer, or denied ones, that may occur in a run. */
 const TOLERATED_REQUESTS = 5;
+/** Ratio of requests that may be denied in addition. */
+const TOLERATED_DENIAL_RATIO = 1 / 500;
 /** Ratio of the requests not answered by their timeout that may stay so. */
 const TOLERATED_SILENCE_RATIO = 1 / 2;
 
@@ -148,6 +150,24 @@
   );
 }
 
+/** Checks that proper requests are not rejected as improper or not allowed. */
+function _checkDenials(record: SoakRecord): string[] {
+  const denied = _listStable(record, ["store"]).filter((attempt) =>
+    attempt.status !== undefined && attempt.status >= 300 &&
+    attempt.status < 500 && !attempt.isSigned &&
+    !guaranteesNotRun(attempt.status) &&
+    attempt.endedAt < (record.revokedKeys.get(attempt.key) ?? Infinity)
+  );
+  const tolerated = TOLERATED_REQUESTS +
+    record.attempts.length * TOLERATED_DENIAL_RATIO;
+  if (denied.length <= tolerated) return [];
+  return [
+    `${denied.length} of ${record.attempts.length} proper requests were denied; the first is ${
+      denied[0]?.requestId ?? ""
+    } with ${denied[0]?.status}`,
+  ];
+}
+
 /** Checks that requests whose time has run out are answered all the same. */
 function _checkTimeouts(record: SoakRecord): string[] {
   const late = _listStable(record, ["backends", "store", "soak"]).filter((
@@ -199,6 +219,7 @@
     ...findRateLimitViolations(record),
     ...findStopViolations(record),
     ..._checkUndisturbedTime(record),
+    ..._checkDenials(record),
     ..._checkTimeouts(record),
   ];
 }
--- a/soak/guarantees_test.ts
+++ b/soak/guarantees_test.ts
@@ -355,6 +355,16 @@
   return check(createAttempt("safe"), [], { attempts, disturbances });
 }
 
+test("guards against a soak that misses requests that are denied, or blames a router for what may be denied", (t) => {
+  const denied = createFailures({ status: 400 });
+  t.regex(checkAmidChange(denied).join(), /12 of 12 proper requests were den/);
+  t.deepEqual(checkAmidChange(denied.slice(0, 5)), []);
+  t.deepEqual(checkAmidChange(createFailures({ status: 429 })), []);
+  const disturbances = new Disturbances();
+  disturbances.begin("store", false, 18_000);
+  t.deepEqual(checkAmidChange(denied, disturbances), []);
+});
+
 test("guards against a soak that misses requests without an answer, or blames a router while the soak stands still", (t) => {
   const silent = createFailures({
     status: undefined,
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -47,6 +47,8 @@
 const STOPS_IN_SERIES = 2;
 const RELOADS_IN_SERIES = 4;
 const RETRY_ALLOWANCES_REQUESTS = [20, 100, 200];
+/** Names that no header can carry. */
+const ODD_NAMES = ["\u8a66\u9a13\u7528-1", "s\n1", "s\u0000"];
 
 /** Processes that faults affect, and operations that faults use. */
 export interface FaultTargets {
@@ -59,6 +61,8 @@
   /** Records a disturbance; the returned function records its end. */
   readonly begin: (scope: DisturbanceScope, isPlanned: boolean) => () => void;
   readonly register: (backend: SoakBackend) => void;
+  /** Registers a server once more, under a name of another writer. */
+  readonly registerAs: (name: string, backend: SoakBackend) => void;
   readonly deregister: (id: string) => void;
   /** Records that an incarnation of a server was told to drain. */
   readonly recordDrain: (id: string) => void;
@@ -285,6 +289,13 @@
     backend.isMalformed = false;
     end();
   },
+  /** Nothing may suffer from it, so that it counts as no disturbance. */
+  async registration_odd({ target, variant, forMilliseconds }, targets) {
+    const name = _pick(ODD_NAMES, variant);
+    targets.registerAs(name, _pick(targets.backends, target));
+    await sleep(forMilliseconds);
+    targets.deregister(name);
+  },
   async router_stopped_twice({ target, forMilliseconds }, targets) {
     const router = _pick(targets.routers, target);
     const end = targets.begin(router.settings.host, true);
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -272,6 +272,7 @@
         return () => end(this.#now());
       },
       register: (backend) => this.#register(backend),
+      registerAs: (name, backend) => this.#register(backend, name),
       deregister: (id) => this.#deregister(id),
       recordDrain: (id) => void this.#drainedServers.set(id, this.#now()),
       changeConfiguration: () => this.#putConfiguration(),
@@ -280,14 +281,14 @@
     };
   }
 
-  #register(backend: SoakBackend): void {
+  #register(backend: SoakBackend, id = backend.id): void {
     const server = {
-      id: backend.id,
+      id,
       address: backend.address,
       dataCentre: backend.dataCentre,
       slots: backend.slots,
       isDraining: backend.isDraining,
-      started: this.#registered.get(backend.id)?.started ?? Date.now(),
+      started: this.#registered.get(id)?.started ?? Date.now(),
     };
     this.#registered.set(server.id, server);
     putServer(this.#store, server);
