Suspend routers amid requests in the soak

The soak suspended routers for at most 2.5 s and its callers gave up after 3 s, while heads may take 3 s; it could not find that requests ran that had been answered with 408.

Change: the kind router_suspended stops a router's process for 3.4 to 5.7 s with twelve callers that have sent nothing, half of a head or all but half of a body, and that send the rest meanwhile and keep their ends open. Their requests are judged like all others.

--- a/soak/fault_schedule.ts
+++ b/soak/fault_schedule.ts
@@ -30,6 +30,7 @@
   router_stopped_twice: 5,
   backend_malformed: 7,
   registration_odd: 8,
+  router_suspended: 9,
 } as const;
 
 /** Planned work in series and in overlap, drawn from one source of its own. */
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -7,6 +7,10 @@
 import type { LinkFault, LoopbackProxy } from "./loopback_proxy.ts";
 import type { BackendFault, SoakBackend } from "./soak_backends.ts";
 import type { SoakRouter } from "./soak_routers.ts";
+import {
+  suspendAmidRequests,
+  type SuspendedCallersContext,
+} from "./suspended_callers.ts";
 
 const BACKEND_FAULTS: readonly BackendFault[] = [
   "errors",
@@ -47,6 +51,8 @@
 const STOPS_IN_SERIES = 2;
 const RELOADS_IN_SERIES = 4;
 const RETRY_ALLOWANCES_REQUESTS = [20, 100, 200];
+/** Longer than the time that callers have for a head. */
+const SHORTEST_SUSPENSION_MILLISECONDS = 3_200;
 /** Names that no header can carry. */
 const ODD_NAMES = ["\u8a66\u9a13\u7528-1", "s\n1", "s\u0000"];
 
@@ -70,6 +76,7 @@
   /** Writes again what servers and operators have written to the store. */
   readonly writeAgain: () => void;
   readonly replaceKey: () => Promise<void>;
+  readonly suspendedCallers: SuspendedCallersContext;
 }
 
 type _FaultAction = (
@@ -296,6 +303,16 @@
     await sleep(forMilliseconds);
     targets.deregister(name);
   },
+  async router_suspended({ target, forMilliseconds }, targets) {
+    const router = _pick(targets.routers, target);
+    const end = targets.begin(router.settings.host, false);
+    await suspendAmidRequests(
+      router,
+      SHORTEST_SUSPENSION_MILLISECONDS + forMilliseconds,
+      targets.suspendedCallers,
+    );
+    end();
+  },
   async router_stopped_twice({ target, forMilliseconds }, targets) {
     const router = _pick(targets.routers, target);
     const end = targets.begin(router.settings.host, true);
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -278,6 +278,12 @@
       changeConfiguration: () => this.#putConfiguration(),
       writeAgain: () => this.#writeAgain(),
       replaceKey: () => this.#replaceKey(),
+      suspendedCallers: {
+        headerNames: SOAK_HEADER_NAMES,
+        now: () => this.#now(),
+        keys: () => this.#keys,
+        attempts: this.#attempts,
+      },
     };
   }
 
