Keep keys in force that the soak's callers are about to use

Cause: the soak's operator adds a key, and callers use it 2.5 s later. A change of the configuration, or a second change of keys, in between wrote the keys without it, so that routers rightly answered 401 until the next version.

Change: the operator writes all keys that are valid at the time; only the end of a change of keys takes the old ones away.

--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -126,8 +126,10 @@
   #backends: SoakBackend[] = [];
   /** What the servers and the operator wrote last. */
   readonly #registered = new Map<string, SoakServer>();
-  #storedKeys: readonly string[] = [];
-  #keys: string[] = ["key-0"];
+  /** Keys that callers use. */
+  #keys: readonly string[] = ["key-0"];
+  /** Keys that are in force, also those that callers are about to use. */
+  readonly #validKeys = new Set(this.#keys);
   #version = FIRST_CONFIGURATION_VERSION;
 
   constructor(options: SoakOptions) {
@@ -305,9 +307,8 @@
     removeServer(this.#store, id);
   }
 
-  #putConfiguration(keys = this.#keys): void {
+  #putConfiguration(): void {
     this.#version += 2;
-    this.#storedKeys = keys;
     this.#storeConfiguration();
   }
 
@@ -315,7 +316,7 @@
     putConfiguration(this.#store, this.#version, {
       hostName: HOST_NAME,
       routes: [...SHORT_ROUTES, ...LONG_ROUTES],
-      keys: this.#storedKeys,
+      keys: [...this.#validKeys],
       timeoutMilliseconds: ROUTE_TIMEOUT_MILLISECONDS,
     });
   }
@@ -335,10 +336,12 @@
   async #replaceKey(): Promise<void> {
     const added = `key-${this.#version}`;
     const old = this.#keys;
-    this.#putConfiguration([...old, added]);
+    this.#validKeys.add(added);
+    this.#putConfiguration();
     await sleep(ROUTE_TIMEOUT_MILLISECONDS);
     this.#keys = [added];
     await sleep(ROUTE_TIMEOUT_MILLISECONDS);
+    for (const key of old) this.#validKeys.delete(key);
     this.#putConfiguration();
     for (const key of old) this.#revokedKeys.set(key, this.#now());
   }
