--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -7,6 +7,10 @@
 import type { LinkFault, LoopbackProxy } from "./loopback_proxy.ts";
 import type { BackendFault, SoakBackend } from "./soak_backends.ts";
 import type { SoakRouter } from "./soak_routers.ts";
+import {
+  suspendAmidRequests,
+  type SuspendedCallersContext,
+} from "./suspended_callers.ts";
 
 const BACKEND_FAULTS: readonly BackendFault[] = [
   "errors",
@@ -47,6 +51,10 @@
 const STOPS_IN_SERIES = 2;
 const RELOADS_IN_SERIES = 4;
 const RETRY_ALLOWANCES_REQUESTS = [20, 100, 200];
+/** Longer than the time that callers have for a head. */
+const SHORTEST_SUSPENSION_MILLISECONDS = 3_200;
+/** Names that no header can carry. */
+const ODD_NAMES = ["\u8a66\u9a13\u7528-1", "s\n1", "s\u0000"];
 
 /** Processes that faults affect, and operations that faults use. */
 export interface FaultTargets {
@@ -59,6 +67,8 @@
   /** Records a disturbance; the returned function records its end. */
   readonly begin: (scope: DisturbanceScope, isPlanned: boolean) => () => void;
   readonly register: (backend: SoakBackend) => void;
+  /** Registers a server once more, under a name of another writer. */
+  readonly registerAs: (name: string, backend: SoakBackend) => void;
   readonly deregister: (id: string) => void;
   /** Records that an incarnation of a server was told to drain. */
   readonly recordDrain: (id: string) => void;
@@ -66,6 +76,7 @@
   /** Writes again what servers and operators have written to the store. */
   readonly writeAgain: () => void;
   readonly replaceKey: () => Promise<void>;
+  readonly suspendedCallers: SuspendedCallersContext;
 }
 
 type _FaultAction = (
@@ -276,6 +287,32 @@
     await targets.replaceKey();
     endChange();
   },
+  /** Only the answers to the server's own requests may suffer from it. */
+  async backend_malformed({ target, forMilliseconds }, targets) {
+    const backend = _pick(targets.backends, target);
+    const end = targets.begin("fleet", true);
+    backend.isMalformed = true;
+    await sleep(forMilliseconds);
+    backend.isMalformed = false;
+    end();
+  },
+  /** Nothing may suffer from it, so that it counts as no disturbance. */
+  async registration_odd({ target, variant, forMilliseconds }, targets) {
+    const name = _pick(ODD_NAMES, variant);
+    targets.registerAs(name, _pick(targets.backends, target));
+    await sleep(forMilliseconds);
+    targets.deregister(name);
+  },
+  async router_suspended({ target, forMilliseconds }, targets) {
+    const router = _pick(targets.routers, target);
+    const end = targets.begin(router.settings.host, false);
+    await suspendAmidRequests(
+      router,
+      SHORTEST_SUSPENSION_MILLISECONDS + forMilliseconds,
+      targets.suspendedCallers,
+    );
+    end();
+  },
   async router_stopped_twice({ target, forMilliseconds }, targets) {
     const router = _pick(targets.routers, target);
     const end = targets.begin(router.settings.host, true);
--- a/soak/soak_routers_test.ts
+++ b/soak/soak_routers_test.ts
@@ -24,7 +24,7 @@
     seeds: [],
     store: "127.0.0.1:1",
     retryAllowance: 0,
-  });
+  }, ["-e", "setInterval(() => {}, 1_000);"]);
   await router.prepare(folder);
   t.teardown(() => router.stop());
   const exited = new Promise<string>((resolve) => {
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -63,6 +63,8 @@
   readonly routers: number;
   /** Time during which faults are injected. */
   readonly faultMilliseconds: number;
+  /** Words that start a router's program, after the one for Node.js. */
+  readonly command: readonly string[];
   /** Folder for the logs of the routers. */
   readonly logFolder: string;
   /** Kinds of faults to inject; all by default. */
@@ -87,6 +89,7 @@
 async function _createRouters(
   count: number,
   store: string,
+  command: readonly string[],
 ): Promise<SoakRouter[]> {
   const addresses = await findFreeAddresses(count * 4);
   return Array.from({ length: count }, (_, index) => {
@@ -106,7 +109,7 @@
       seeds: [addresses[3] ?? "", addresses[7] ?? ""],
       store,
       retryAllowance: RETRY_ALLOWANCE_REQUESTS,
-    });
+    }, command);
   });
 }
 
@@ -132,8 +135,10 @@
   #backends: SoakBackend[] = [];
   /** What the servers and the operator wrote last. */
   readonly #registered = new Map<string, SoakServer>();
-  #storedKeys: readonly string[] = [];
-  #keys: string[] = ["key-0"];
+  /** Keys that callers use. */
+  #keys: readonly string[] = ["key-0"];
+  /** Keys that are in force, also those that callers are about to use. */
+  readonly #validKeys = new Set(this.#keys);
   #version = FIRST_CONFIGURATION_VERSION;
 
   constructor(options: SoakOptions) {
@@ -160,7 +165,7 @@
   }
 
   async #start(): Promise<void> {
-    const { seed, routers, logFolder } = this.#options;
+    const { seed, routers, logFolder, command } = this.#options;
     this.#storeAddress = await this.#store.start();
     this.#storeProxy = new LoopbackProxy(() => this.#storeAddress);
     const storeProxyAddress = await this.#storeProxy.start();
@@ -181,7 +186,7 @@
       this.#register(backend);
     }
     this.#putConfiguration();
-    this.#routers = await _createRouters(routers, storeProxyAddress);
+    this.#routers = await _createRouters(routers, storeProxyAddress, command);
     for (const router of this.#routers) {
       router.onUnexpectedExit = (cause) =>
         this.#unexpectedExits.push(
@@ -269,22 +274,29 @@
         return () => end(this.#now());
       },
       register: (backend) => this.#register(backend),
+      registerAs: (name, backend) => this.#register(backend, name),
       deregister: (id) => this.#deregister(id),
       recordDrain: (id) => void this.#drainedServers.set(id, this.#now()),
       changeConfiguration: () => this.#putConfiguration(),
       writeAgain: () => this.#writeAgain(),
       replaceKey: () => this.#replaceKey(),
+      suspendedCallers: {
+        headerNames: SOAK_HEADER_NAMES,
+        now: () => this.#now(),
+        keys: () => this.#keys,
+        attempts: this.#attempts,
+      },
     };
   }
 
-  #register(backend: SoakBackend): void {
+  #register(backend: SoakBackend, id = backend.id): void {
     const server = {
-      id: backend.id,
+      id,
       address: backend.address,
       dataCentre: backend.dataCentre,
       slots: backend.slots,
       isDraining: backend.isDraining,
-      started: this.#registered.get(backend.id)?.started ?? Date.now(),
+      started: this.#registered.get(id)?.started ?? Date.now(),
     };
     this.#registered.set(server.id, server);
     putServer(this.#store, server);
@@ -295,9 +307,8 @@
     removeServer(this.#store, id);
   }
 
-  #putConfiguration(keys = this.#keys): void {
+  #putConfiguration(): void {
     this.#version += 2;
-    this.#storedKeys = keys;
     this.#storeConfiguration();
   }
 
@@ -305,7 +316,7 @@
     putConfiguration(this.#store, this.#version, {
       hostName: HOST_NAME,
       routes: [...SHORT_ROUTES, ...LONG_ROUTES],
-      keys: this.#storedKeys,
+      keys: [...this.#validKeys],
       timeoutMilliseconds: ROUTE_TIMEOUT_MILLISECONDS,
     });
   }
@@ -325,10 +336,12 @@
   async #replaceKey(): Promise<void> {
     const added = `key-${this.#version}`;
     const old = this.#keys;
-    this.#putConfiguration([...old, added]);
+    this.#validKeys.add(added);
+    this.#putConfiguration();
     await sleep(ROUTE_TIMEOUT_MILLISECONDS);
     this.#keys = [added];
     await sleep(ROUTE_TIMEOUT_MILLISECONDS);
+    for (const key of old) this.#validKeys.delete(key);
     this.#putConfiguration();
     for (const key of old) this.#revokedKeys.set(key, this.#now());
   }
