Bound the memory of bodies that arrive slowly

Change: a body has 16 KiB for itself; what it takes beyond that comes from a reserve of 32 MiB that all bodies of the process share. If the reserve is used up, the oldest body that has been arriving for over a second is given up with 503, since nothing of it ran, and the log says why. If there is none, the body is sent to its server as it arrives, as longer bodies are. What arrives of a body after its request has ended is discarded.

--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -140,8 +140,8 @@
     this.#body = body;
     this.#history.recordBody();
     if (body.kind === "aborted") return this.#onClose();
-    if (body.kind === "too_large") {
-      return this.#reject("body_too_large", "the body is too large", "full");
+    if (body.kind === "rejected") {
+      return this.#reject(body.error, body.detail, "full");
     }
     this.#retries().recordRequest(this.#now());
     this.#chooseAndSend();
--- a/src/request_body.ts
+++ b/src/request_body.ts
@@ -1,11 +1,14 @@
 /**
  * Reads the body of a caller's request. Bodies up to a limit are buffered, so
  * that the request can be retried at another backend server; longer
- * bodies are streamed and can be sent only once.
+ * bodies are streamed and can be sent only once. So are bodies for which the memory
+ * that all requests share has no room.
  */
 import type { IncomingMessage } from "node:http";
 import { PassThrough, type Readable } from "node:stream";
+import { type BodyReservation, createBodyReserve } from "./body_reserve.ts";
 import { createByteBuffer } from "./core/byte_buffer.ts";
+import type { ErrorKind } from "./core/errors.ts";
 
 /** Largest body that is buffered. */
 export const MAXIMUM_BUFFERED_BODY_BYTES = 256 * 1024;
@@ -14,9 +17,33 @@
 export type RequestBody =
   | { readonly kind: "whole"; readonly bytes: Buffer | undefined }
   | { readonly kind: "stream"; readonly stream: Readable }
-  | { readonly kind: "too_large" }
+  | {
+    readonly kind: "rejected";
+    readonly error: ErrorKind;
+    readonly detail: string;
+  }
   | { readonly kind: "aborted" };
 
+const TOO_LARGE: RequestBody = {
+  kind: "rejected",
+  error: "body_too_large",
+  detail: "the body is too large",
+};
+const TOO_SLOW: RequestBody = {
+  kind: "rejected",
+  error: "overloaded",
+  detail: "the body came too slowly, and the memory for bodies is full",
+};
+
+/** One for the process, as its memory is. */
+const _reserve = createBodyReserve();
+const _reservations = new WeakMap<IncomingMessage, BodyReservation>();
+
+/** Returns the memory of a request's body to the reserve, once the request has ended. */
+export function releaseRequestBody(request: IncomingMessage): void {
+  _reservations.get(request)?.release();
+}
+
 /** Returns the body to send to a backend server. */
 export function bodyToSend(
   body: RequestBody | undefined,
@@ -66,14 +93,17 @@
     return onBody({ kind: "whole", bytes: undefined });
   }
   if (Number(request.headers["content-length"] ?? 0) > maximumBytes) {
-    return onBody({ kind: "too_large" });
+    return onBody(TOO_LARGE);
   }
   const received = createByteBuffer();
+  const reservation = _reserve.open(() => settle(TOO_SLOW));
+  _reservations.set(request, reservation);
   let isSettled = false;
 
   function settle(body: RequestBody): void {
     if (isSettled) return;
     isSettled = true;
+    reservation.complete();
     request.off("data", onData);
     request.off("end", onEnd);
     request.off("close", onClose);
@@ -81,9 +111,13 @@
   }
 
   function onData(chunk: Buffer): void {
+    // A request that has ended discards the rest of its body.
+    if (reservation.isReleased) return;
     received.append(chunk);
-    if (received.length > maximumBytes) return settle({ kind: "too_large" });
-    if (received.length <= MAXIMUM_BUFFERED_BODY_BYTES) return;
+    if (received.length > maximumBytes) return settle(TOO_LARGE);
+    const canBuffer = received.length <= MAXIMUM_BUFFERED_BODY_BYTES &&
+      reservation.tryGrow(received.length);
+    if (canBuffer || reservation.isReleased) return;
     const stream = _toStream(request, received.bytes(), maximumBytes);
     settle({ kind: "stream", stream });
   }
--- a/src/request_ending.ts
+++ b/src/request_ending.ts
@@ -4,6 +4,7 @@
 import { createError, type ErrorKind } from "./core/errors.ts";
 import type { PassThroughContext } from "./pass_through_context.ts";
 import { type RejectionOptions, sendRejection } from "./rejection.ts";
+import { releaseRequestBody } from "./request_body.ts";
 import type { CheckedRequest } from "./request_check.ts";
 import type { RequestHistory } from "./request_history.ts";
 import type { RequestEnd, RequestFields, RequestLog } from "./request_log.ts";
@@ -56,8 +57,10 @@
 
   /** Logs the end. */
   finish(end: RequestEnd, outcome: string, fields: RequestFields): void {
-    const { context, checked, history, log, onFinished } = this.#options;
+    const { context, request, checked, history, log, onFinished } =
+      this.#options;
     this.#isFinished = true;
+    releaseRequestBody(request);
     const progress = history.progress();
     if (end === "request.ended") {
       const { name } = checked.route;
