Name the cause of requests that a slow caller leaves unfinished

Cause: a request whose caller did not send its body in time, and a stream whose caller hardly read, ended in the log with "the request timed out", like one whose server did not respond. Change: the time limit names the cause: "the body came too slowly", "the caller reads too slowly", else as before. A body that waits for its server counts as the server's. What is given up, and when, is unchanged.

--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -91,8 +91,9 @@
     this.#timeout = startRequestTimeout({
       timers: this.#context.timers,
       timeoutMilliseconds,
-      hasBegun: () => this.#response.headersSent,
-      onTimeout: () => this.#giveUp("the request timed out", "timeout"),
+      request: this.#request,
+      response: this.#response,
+      onTimeout: (cause) => this.#giveUp(cause, "timeout"),
     });
     readRequestBody(
       this.#request,
--- a/src/request_timeout.ts
+++ b/src/request_timeout.ts
@@ -1,7 +1,10 @@
 /**
  * The time limit of a request. A response that has begun when the limit is reached
  * may end a little later, since cutting it would waste what the caller has received.
+ * What is given up names its cause: a caller that sends or reads too slowly, or a
+ * server that has not responded in time.
  */
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Subscription, TimerService } from "./timer_service.ts";
 
 /** A response may arrive this much after the request's timeout. */
@@ -13,26 +16,43 @@
 export interface RequestTimeoutOptions {
   readonly timers: TimerService;
   readonly timeoutMilliseconds: number;
-  /** Whether a part of the response was sent to the caller. */
-  readonly hasBegun: () => boolean;
-  /** Called when the time for a response, or for the end of a begun one, is over. */
-  readonly onTimeout: () => void;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /**
+   * Called with the cause when the time for a response, or for the end of a begun
+   * one, is over.
+   */
+  readonly onTimeout: (cause: string) => void;
+}
+
+/** Returns why a request has not ended within its time limit. */
+function _describeTimeout(
+  request: IncomingMessage,
+  response: ServerResponse,
+): string {
+  // What is written waits here only while the caller does not read.
+  if (response.writableNeedDrain) return "the caller reads too slowly";
+  // A paused body waits for the server, not for its caller.
+  return request.complete || request.isPaused()
+    ? "the request timed out"
+    : "the body came too slowly";
 }
 
 /** Starts the time limit of a request; cancel it when the request ends. */
 export function startRequestTimeout(
-  { timers, timeoutMilliseconds, hasBegun, onTimeout }: RequestTimeoutOptions,
+  { timers, timeoutMilliseconds, request, response, onTimeout }:
+    RequestTimeoutOptions,
 ): Pick<Subscription, "cancel"> {
+  function end(): void {
+    onTimeout(_describeTimeout(request, response));
+  }
+
   let timer = timers.after(
     timeoutMilliseconds + TIMEOUT_GRACE_MILLISECONDS,
     "request limit",
     () => {
-      if (!hasBegun()) return onTimeout();
-      timer = timers.after(
-        STREAM_GRACE_MILLISECONDS,
-        "stream limit",
-        onTimeout,
-      );
+      if (!response.headersSent) return end();
+      timer = timers.after(STREAM_GRACE_MILLISECONDS, "stream limit", end);
     },
   );
   return { cancel: () => timer.cancel() };
