Limit how long a caller may leave the rest of a response unread

Cause: the time limit of a request ended with the response of its server. What the caller had not read by then stayed in the memory of the program for as long as the connection was open, and nothing said so. Change: the rest of a response has the time limit that the request had. Then the connection is closed (reset, if the body has no length), as one whose server still sends is, and the new event `response.unread` names the request, the bytes and the cause. A response that waits for an earlier one on its connection has no limit of its own.

--- a/src/decision_log.ts
+++ b/src/decision_log.ts
@@ -48,6 +48,7 @@
   "request.failed": "failure",
   "request.retried": "failure",
   "request.cancelled": "failure",
+  "response.unread": "failure",
   "request.placed": "routine",
   "request.ended": "routine",
 } as const satisfies Record<string, LogClass>;
--- a/src/request_ending.ts
+++ b/src/request_ending.ts
@@ -8,6 +8,7 @@
 import type { CheckedRequest } from "./request_check.ts";
 import type { RequestHistory } from "./request_history.ts";
 import type { RequestEnd, RequestFields, RequestLog } from "./request_log.ts";
+import { limitUnreadResponse } from "./request_timeout.ts";
 
 /** The request that ends, and what its end concerns. */
 export interface RequestEndingOptions {
@@ -67,6 +68,24 @@
       context.plannedStop.recordServed(name, progress.milliseconds);
     }
     log.ended(end, progress, outcome, fields);
+    if (end === "request.ended") this.#limitUnread();
     onFinished();
   }
+
+  /** Gives up a caller that does not read the rest of its response in time. */
+  #limitUnread(): void {
+    const { context, response, checked, history } = this.#options;
+    limitUnreadResponse({
+      timers: context.timers,
+      remainingMilliseconds: history.remainingMilliseconds(),
+      response,
+      onGivenUp: (unsentBytes) =>
+        context.log.write("response.unread", {
+          request: checked.requestId,
+          route: checked.route.name,
+          unsentBytes,
+          detail: "the caller reads too slowly",
+        }),
+    });
+  }
 }
--- a/src/request_timeout.ts
+++ b/src/request_timeout.ts
@@ -57,3 +57,37 @@
   );
   return { cancel: () => timer.cancel() };
 }
+
+/** Options of the time limit for the rest of a response. */
+export interface UnreadResponseOptions {
+  readonly timers: TimerService;
+  /** Time that the request has left; negative if its limit is over. */
+  readonly remainingMilliseconds: number;
+  readonly response: ServerResponse;
+  /** Called before the connection is closed, with the bytes that wait. */
+  readonly onGivenUp: (unsentBytes: number) => void;
+}
+
+/**
+ * Limits the time in which a caller reads the rest of a response that has ended, as
+ * if its server were still sending: the rest stays in memory until then.
+ */
+export function limitUnreadResponse(options: UnreadResponseOptions): void {
+  const { timers, remainingMilliseconds, response, onGivenUp } = options;
+  // Without a socket it waits for earlier responses on its connection.
+  if (response.writableFinished || !response.socket) return;
+  const timer = timers.after(
+    Math.max(0, remainingMilliseconds) + TIMEOUT_GRACE_MILLISECONDS +
+      STREAM_GRACE_MILLISECONDS,
+    "unread response",
+    () => {
+      const { socket } = response;
+      if (response.writableFinished || !socket) return;
+      onGivenUp(socket.writableLength);
+      // A normal close would mark a body without a length as complete.
+      if (response.useChunkedEncodingByDefault) socket.destroy();
+      else socket.resetAndDestroy();
+    },
+  );
+  response.once("close", () => timer.cancel());
+}
