--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -91,8 +91,9 @@
     this.#timeout = startRequestTimeout({
       timers: this.#context.timers,
       timeoutMilliseconds,
-      hasBegun: () => this.#response.headersSent,
-      onTimeout: () => this.#giveUp("the request timed out", "timeout"),
+      request: this.#request,
+      response: this.#response,
+      onTimeout: (cause) => this.#giveUp(cause, "timeout"),
     });
     readRequestBody(
       this.#request,
@@ -140,8 +141,8 @@
     this.#body = body;
     this.#history.recordBody();
     if (body.kind === "aborted") return this.#onClose();
-    if (body.kind === "too_large") {
-      return this.#reject("body_too_large", "the body is too large", "full");
+    if (body.kind === "rejected") {
+      return this.#reject(body.error, body.detail, "full");
     }
     this.#retries().recordRequest(this.#now());
     this.#chooseAndSend();
--- a/src/request_ending.ts
+++ b/src/request_ending.ts
@@ -4,9 +4,11 @@
 import { createError, type ErrorKind } from "./core/errors.ts";
 import type { PassThroughContext } from "./pass_through_context.ts";
 import { type RejectionOptions, sendRejection } from "./rejection.ts";
+import { releaseRequestBody } from "./request_body.ts";
 import type { CheckedRequest } from "./request_check.ts";
 import type { RequestHistory } from "./request_history.ts";
 import type { RequestEnd, RequestFields, RequestLog } from "./request_log.ts";
+import { limitUnreadResponse } from "./request_timeout.ts";
 
 /** The request that ends, and what its end concerns. */
 export interface RequestEndingOptions {
@@ -56,14 +58,34 @@
 
   /** Logs the end. */
   finish(end: RequestEnd, outcome: string, fields: RequestFields): void {
-    const { context, checked, history, log, onFinished } = this.#options;
+    const { context, request, checked, history, log, onFinished } =
+      this.#options;
     this.#isFinished = true;
+    releaseRequestBody(request);
     const progress = history.progress();
     if (end === "request.ended") {
       const { name } = checked.route;
       context.plannedStop.recordServed(name, progress.milliseconds);
     }
     log.ended(end, progress, outcome, fields);
+    if (end === "request.ended") this.#limitUnread();
     onFinished();
   }
+
+  /** Gives up a caller that does not read the rest of its response in time. */
+  #limitUnread(): void {
+    const { context, response, checked, history } = this.#options;
+    limitUnreadResponse({
+      timers: context.timers,
+      remainingMilliseconds: history.remainingMilliseconds(),
+      response,
+      onGivenUp: (unsentBytes) =>
+        context.log.write("response.unread", {
+          request: checked.requestId,
+          route: checked.route.name,
+          unsentBytes,
+          detail: "the caller reads too slowly",
+        }),
+    });
+  }
 }
