Parse JSON of the caller library and of chat streams in one place

Cause: the schema of error bodies came with a second function that turns invalid JSON into undefined; backend_response.ts has parseJson, and two more copies stood in chat_stream.ts and in getJson of caller_http.ts. Change: parseJson takes text as well as bytes, and the three places call it. Behaviour is unchanged.

--- a/src/backend_response.ts
+++ b/src/backend_response.ts
@@ -51,7 +51,7 @@
 }
 
 /** Parses JSON; returns undefined if it is invalid. */
-export function parseJson(body: Buffer): unknown {
+export function parseJson(body: Buffer | string): unknown {
   try {
     return JSON.parse(body.toString());
   } catch {
--- a/src/caller_http.ts
+++ b/src/caller_http.ts
@@ -1,7 +1,10 @@
 /** HTTP client of the caller library: complete responses, JSON and streams. */
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
-import { readResponse as readBackendResponse } from "./backend_response.ts";
+import {
+  parseJson,
+  readResponse as readBackendResponse,
+} from "./backend_response.ts";
 import type { BackendTransport, UnreadResponse } from "./backend_transport.ts";
 import {
   type ApplicationError,
@@ -80,17 +83,11 @@
   return Object.hasOwn(ERROR_RESPONSES, code);
 }
 
-function _parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
 /** Returns the error that a router describes in a body; undefined if it is none. */
-export function parseErrorBody(text: string): ApplicationError | undefined {
-  const parsed = _errorBodySchema.safeParse(_parseJson(text));
+export function parseErrorBody(
+  body: Buffer | string,
+): ApplicationError | undefined {
+  const parsed = _errorBodySchema.safeParse(parseJson(body));
   if (!parsed.success) return undefined;
   const { code, detail, path } = parsed.data.error;
   return createError(code, detail, path);
@@ -110,7 +107,7 @@
     return undefined;
   }
   // An unreadable error body doesn't tell whether the request ran.
-  return parseErrorBody(response.body.toString("utf8")) ?? createError(
+  return parseErrorBody(response.body) ?? createError(
     "outcome_unknown",
     `the router returned status ${response.status}`,
   );
@@ -158,11 +155,7 @@
         deadline,
       });
       if (response.isErr() || response.value.status !== 200) return undefined;
-      try {
-        return JSON.parse(response.value.body.toString("utf8")) as unknown;
-      } catch {
-        return undefined;
-      }
+      return parseJson(response.value.body);
     },
   };
 }
--- a/src/chat_stream.ts
+++ b/src/chat_stream.ts
@@ -5,6 +5,7 @@
  */
 import { createParser } from "eventsource-parser";
 import { err, ok, type Result } from "neverthrow";
+import { parseJson } from "./backend_response.ts";
 import type { UnreadResponse } from "./backend_transport.ts";
 import { type ApplicationError, createError } from "./core/errors.ts";
 import { chatChunkSchema, type ChatUsage } from "./engine_protocol.ts";
@@ -135,7 +136,7 @@
     const { offset, usage } = state;
     return { offset, text: "", done: true, ...(usage ? { usage } : {}) };
   }
-  const parsed = chatChunkSchema.safeParse(_parseJson(data));
+  const parsed = chatChunkSchema.safeParse(parseJson(data));
   if (!parsed.success || parsed.data.id !== streamId) {
     state.failure = "an event is malformed or belongs to another stream";
     return "broken";
@@ -153,11 +154,3 @@
   state.offset = chunk.offset;
   return { offset: chunk.offset, text, done: false };
 }
-
-function _parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
