Decide in one place whether a response closes its connection in a stop

Cause: "the router stops, and no later request waits on the connection" was written in the relay's headers and in rejections, and both looked up the last response of the connection for every request, also while no stop was under way. Change: RequestEnding.closesConnection serves both and looks at the connection only in a stop; caller_connection.ts finds its last response in one function. Behaviour is unchanged.

--- a/src/caller_connection.ts
+++ b/src/caller_connection.ts
@@ -115,14 +115,14 @@
   }
 
   isLastResponse(response: ServerResponse): boolean {
-    return [...this.#openResponses].at(-1) === response;
+    return this.#lastResponse() === response;
   }
 
   close(finalResponse: string | undefined): void {
     if (this.#isClosing) return;
     this.#isClosing = true;
     // The last open response announces the close, if its head is still to be sent.
-    const last = [...this.#openResponses].at(-1);
+    const last = this.#lastResponse();
     if (last) last.shouldKeepAlive = false;
     if (this.#hasWholeRequest()) return;
     this.#leave();
@@ -159,6 +159,10 @@
     return [...this.#openResponses].some(({ headersSent }) => headersSent);
   }
 
+  #lastResponse(): ServerResponse | undefined {
+    return [...this.#openResponses].at(-1);
+  }
+
   #endWhenAnswered(): void {
     if (!this.#hasWholeRequest()) this.#closeAfterOutput();
   }
--- a/src/pass_through.ts
+++ b/src/pass_through.ts
@@ -275,11 +275,8 @@
     return createResponseRelay({
       response: this.#response,
       mode: chooseRelayMode(this.#checked.route.kind, head.status),
-      extraHeaders: () => {
-        const isLast = this.#caller.isLastResponse(this.#response);
-        const isClosing = this.#context.plannedStop.isStopping && isLast;
-        return isClosing ? ["Connection", "close"] : [];
-      },
+      extraHeaders: () =>
+        this.#ending.closesConnection() ? ["Connection", "close"] : [],
       listener: {
         onFirstByte: () => this.#onFirstByte(),
         onEvents: () => this.#onEvents(),
--- a/src/request_ending.ts
+++ b/src/request_ending.ts
@@ -42,13 +42,11 @@
     retry: Pick<RejectionOptions, "cause" | "waitMilliseconds">,
   ): void {
     const { context, request, response, history } = this.#options;
-    const isLast = callerConnectionOf(request.socket).isLastResponse(response);
     const rejection = sendRejection(response, createError(kind, detail), {
       ...retry,
       remainingMilliseconds: history.remainingMilliseconds(),
       random: context.random,
-      isClosing: !request.complete ||
-        (context.plannedStop.isStopping && isLast),
+      isClosing: !request.complete || this.closesConnection(),
     });
     const event = rejection.runState === "not_run"
       ? "request.rejected"
@@ -56,6 +54,13 @@
     this.finish(event, kind, { detail, status: rejection.status });
   }
 
+  /** Whether the router stops and the connection ends with this response. */
+  closesConnection(): boolean {
+    const { context, request, response } = this.#options;
+    return context.plannedStop.isStopping &&
+      callerConnectionOf(request.socket).isLastResponse(response);
+  }
+
   /** Logs the end. */
   finish(end: RequestEnd, outcome: string, fields: RequestFields): void {
     const { context, request, checked, history, log, onFinished } =
