List the serving peers of a stopping router only for an estimate

Cause: every decision of a stopping router listed all serving peers, also where the request's own time limit decides, where the time is up, and for each waiting request ten times a second. Change: decideStopAdmission reads hasOtherRouters last, and the planned stop computes it when it is read. The decisions are unchanged.

--- a/src/core/stop_admission.ts
+++ b/src/core/stop_admission.ts
@@ -55,8 +55,9 @@
   // A caller may take any time for the rest of a body.
   const isKnown = longestRecentMilliseconds > 0 && !request.isStreamed &&
     stop.sinceSignalMilliseconds <= ESTIMATE_WINDOW_MILLISECONDS;
+  if (!isKnown) return "too_long";
   const factor = stop.hasOtherRouters ? ESTIMATE_MARGIN_FACTOR : 1;
-  return isKnown && longestRecentMilliseconds * factor <= remainingMilliseconds
+  return longestRecentMilliseconds * factor <= remainingMilliseconds
     ? "within_estimate"
     : "too_long";
 }
--- a/src/planned_stop.ts
+++ b/src/planned_stop.ts
@@ -83,10 +83,14 @@
     { route, timeoutMilliseconds, isStreamed }: FinishableRequest,
   ): StopAdmission {
     if (!this.isStopping) return "not_stopping";
+    const { hasOtherRouters } = this.#options;
     return decideStopAdmission({
       sinceSignalMilliseconds: this.sinceSignalMilliseconds(),
       remainingMilliseconds: this.remainingMilliseconds(),
-      hasOtherRouters: this.#options.hasOtherRouters(),
+      // Lists all peers, and only an estimate depends on it.
+      get hasOtherRouters() {
+        return hasOtherRouters();
+      },
     }, {
       timeoutMilliseconds,
       longestRecentMilliseconds: this.longestRecent(route),
