Compute the digest of registrations without a copy of them

Cause: the digest leaves deferred removals out and takes deferred returns in; for that, each rebuild copied the map of all servers. Change: servers with a deferred change are skipped, and the deferred ones are added. The digest is the same.

--- a/src/core/server_registry.ts
+++ b/src/core/server_registry.ts
@@ -377,13 +377,13 @@
   }
 
   #computeDigest(): number {
-    const registered = new Map(this.#servers);
-    for (const { id, server } of this.#deferred.changes()) {
-      if (server) registered.set(id, server);
-      else registered.delete(id);
-    }
     let digest = 0;
-    for (const server of registered.values()) digest ^= _hashServer(server);
+    for (const server of this.#servers.values()) {
+      if (!this.#deferred.get(server.id)) digest ^= _hashServer(server);
+    }
+    for (const { server } of this.#deferred.changes()) {
+      if (server) digest ^= _hashServer(server);
+    }
     return digest;
   }
 }
