Judge requests in a planned stop by one rule in the soak and the failure run

Cause: both wrote the rule for a server that outlasts the grace (sent within 3 s of the signal, at work in the last sixth), and three places listed the statuses that promise that a request has not run. Change: stand_ins/request_guarantees.ts holds both. The failure run now also demands, as the soak did, that the work began before the end of the grace; nothing else that either excuses has changed.

--- a/invariants/stop_callers.ts
+++ b/invariants/stop_callers.ts
@@ -7,6 +7,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { SOAK_HEADER_NAMES as NAMES } from "../platform/soak_fleet.ts";
 import type { RandomSource } from "../src/core/random.ts";
+import { guaranteesNotRun } from "../stand_ins/request_guarantees.ts";
 import {
   chooseRequest,
   type PlannedRequest,
@@ -52,11 +53,6 @@
   readonly attempts: StopAttempt[];
 }
 
-/** Whether a status promises that the request has not run. */
-function _promisesNotRun(status: number | undefined): boolean {
-  return status !== undefined && [408, 421, 429, 503].includes(status);
-}
-
 function _hasFailed(attempt: StopAttempt): boolean {
   return !attempt.isComplete || (attempt.status ?? 0) >= 500;
 }
@@ -119,7 +115,7 @@
 
   async #sendWithRetry(planned: PlannedRequest): Promise<void> {
     const attempt = await this.#send(planned, false);
-    const mayRetry = _promisesNotRun(attempt.status) ||
+    const mayRetry = guaranteesNotRun(attempt.status) ||
       attempt.error === "ECONNREFUSED" ||
       (planned.route.isIdempotent && _hasFailed(attempt));
     if (!mayRetry) return;
--- a/invariants/stop_loss.ts
+++ b/invariants/stop_loss.ts
@@ -6,24 +6,20 @@
  *
  * All times are in milliseconds since the Unix epoch.
  */
+import {
+  guaranteesNotRun,
+  hasOutlastedGrace,
+  type ServerWork,
+  type StopTimes,
+} from "../stand_ins/request_guarantees.ts";
 
-/** A request that was sent up to this long after the signal may outlast the grace. */
-const LATE_REQUEST_MILLISECONDS = 3_000;
-/** The last part of the grace, in which a server may still be at work. */
-const LAST_PART_RATIO = 1 / 6;
 /** A request counts until this long after the end of the grace. */
 const AFTER_GRACE_MILLISECONDS = 1_000;
 /** A request that was not passed on may cross the close of its connection. */
 const CROSSING_MILLISECONDS = 200;
-/** Statuses that promise that the request has not run. */
-const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
 
 /** Work of a backend server on a request. */
-export interface ServerRun {
-  /** When the request reached the server. */
-  readonly startedAt: number;
-  /** When the server stopped working on it; undefined if it still does. */
-  readonly endedAt: number | undefined;
+export interface ServerRun extends ServerWork {
   /** Whether the server ended the response early. */
   readonly hasBrokenOff: boolean;
 }
@@ -44,12 +40,6 @@
   readonly runs: readonly ServerRun[];
 }
 
-/** The stop of the router that took a request. */
-export interface StopTimes {
-  readonly signalledAt: number;
-  readonly graceMilliseconds: number;
-}
-
 /** What a stop did to a request. */
 export type StopVerdict =
   | "answered"
@@ -66,9 +56,10 @@
 
 function _judgeAnswer(request: ObservedRequest): StopVerdict {
   const { status, runs, isIdempotent } = request;
-  const promisesNotRun = NOT_RUN_STATUSES.includes(status ?? 0);
   const hasRun = runs.length > 0 && !isIdempotent;
-  return promisesNotRun && hasRun ? "run_despite_promise" : "answered";
+  return guaranteesNotRun(status) && hasRun
+    ? "run_despite_promise"
+    : "answered";
 }
 
 function _isWithinStop(endedAt: number, stop: StopTimes): boolean {
@@ -77,14 +68,6 @@
   return endedAt >= stop.signalledAt && endedAt <= lastMoment;
 }
 
-function _wasAtWorkAtTheEnd(
-  runs: readonly ServerRun[],
-  { signalledAt, graceMilliseconds }: StopTimes,
-): boolean {
-  const lastPartAt = signalledAt + graceMilliseconds * (1 - LAST_PART_RATIO);
-  return runs.some(({ endedAt }) => (endedAt ?? Infinity) >= lastPartAt);
-}
-
 /** Judges a request that was taken by a router that was told to stop. */
 export function judgeRequest(
   request: ObservedRequest,
@@ -96,9 +79,7 @@
   if (lastByteAt === undefined) return "not_sent_in_full";
   if (runs.some(({ hasBrokenOff }) => hasBrokenOff)) return "server_broke_off";
   if (endedAt - headAt >= request.timeoutMilliseconds) return "timed_out";
-  const wasSentInTime =
-    lastByteAt - stop.signalledAt <= LATE_REQUEST_MILLISECONDS;
-  if (wasSentInTime && _wasAtWorkAtTheEnd(runs, stop)) return "outlasted_grace";
+  if (hasOutlastedGrace(lastByteAt, runs, stop)) return "outlasted_grace";
   const hasCrossed = endedAt - lastByteAt <= CROSSING_MILLISECONDS;
   return runs.length === 0 && hasCrossed ? "crossed_close" : "lost";
 }
--- a/soak/guarantees.ts
+++ b/soak/guarantees.ts
@@ -1,4 +1,5 @@
 /** Checks the guarantees of the gateways against what callers and servers saw. */
+import { guaranteesNotRun } from "../stand_ins/request_guarantees.ts";
 import { findNoticeViolations } from "./notice_guarantees.ts";
 import { findRateLimitViolations } from "./rate_limit_guarantees.ts";
 import {
@@ -7,7 +8,7 @@
   type Run,
   STREAM_EVENTS,
 } from "./soak_backends.ts";
-import { type Attempt, guaranteesNotRun } from "./soak_callers.ts";
+import type { Attempt } from "./soak_callers.ts";
 import { groupRunsById, type SoakRecord } from "./soak_record.ts";
 import { deadlineOf, mustRunOnce, timeoutOf } from "./soak_routes.ts";
 import { type Stall, stillnessWithin } from "./stalls.ts";
--- a/soak/soak_callers.ts
+++ b/soak/soak_callers.ts
@@ -8,6 +8,7 @@
 } from "../platform/soak_fleet.ts";
 import type { RandomSource } from "../src/core/random.ts";
 import type { GatewayHeaderNames } from "../src/gateway_protocol.ts";
+import { guaranteesNotRun } from "../stand_ins/request_guarantees.ts";
 import { drawLongRequest, type RequestPace } from "./long_requests.ts";
 import { sendBody } from "./sent_body.ts";
 import type { SoakRouter } from "./soak_routers.ts";
@@ -62,13 +63,6 @@
   readonly keepsConnections: boolean;
 }
 
-const NOT_RUN_STATUSES = [408, 421, 429, 503];
-
-/** Whether a response status guarantees that the request has not run. */
-export function guaranteesNotRun(status: number | undefined): boolean {
-  return status !== undefined && NOT_RUN_STATUSES.includes(status);
-}
-
 /** Pauses a response after each part that arrives. */
 function _readSlowly(response: IncomingMessage): void {
   response.on("data", () => {
--- a/soak/stop_guarantees.ts
+++ b/soak/stop_guarantees.ts
@@ -1,5 +1,6 @@
 /** Checks that a planned stop loses no request that its router had taken. */
 import { GRACE_MILLISECONDS } from "../platform/soak_fleet.ts";
+import { hasOutlastedGrace } from "../stand_ins/request_guarantees.ts";
 import type { Run } from "./soak_backends.ts";
 import type { Attempt } from "./soak_callers.ts";
 import { groupRunsById, type SoakRecord } from "./soak_record.ts";
@@ -11,10 +12,6 @@
 const UNREAD_MILLISECONDS = 200;
 /** An unplanned disturbance excuses what follows it by at most this much. */
 const CONTACT_MILLISECONDS = 3_000;
-/** Requests sent later than this after the signal must not be begun in vain. */
-const LATEST_EXCUSED_SEND_MILLISECONDS = 3_000;
-/** A server that still works after this has used up the grace time. */
-const EXCUSED_WORK_MILLISECONDS = GRACE_MILLISECONDS * 5 / 6;
 
 /** A stop signal that a router got. */
 export interface StopSignal {
@@ -40,28 +37,18 @@
   });
 }
 
-/** Whether the grace time was too short for a server that got its request early. */
-function _isServerTooSlow(
-  { bodySentAt }: Attempt,
-  runs: readonly Run[],
-  stop: StopSignal,
-): boolean {
-  const isSentEarly = bodySentAt <= stop.at + LATEST_EXCUSED_SEND_MILLISECONDS;
-  const isAtWork = runs.some(({ at, endedAt }) =>
-    at < stop.at + GRACE_MILLISECONDS &&
-    endedAt >= stop.at + EXCUSED_WORK_MILLISECONDS
-  );
-  return isSentEarly && isAtWork;
-}
-
 /** Whether an attempt may end without an answer because its router stopped. */
 export function isExcusedByStop(
   attempt: Attempt,
   runs: readonly Run[],
   stops: readonly StopSignal[],
 ): boolean {
-  return _listStops(attempt, stops).some((stop) =>
-    _isServerTooSlow(attempt, runs, stop)
+  const work = runs.map(({ at, endedAt }) => ({ startedAt: at, endedAt }));
+  return _listStops(attempt, stops).some(({ at }) =>
+    hasOutlastedGrace(attempt.bodySentAt, work, {
+      signalledAt: at,
+      graceMilliseconds: GRACE_MILLISECONDS,
+    })
   );
 }
 
