Create the attempts of the soak's callers in one place

Cause: the callers of a suspended router wrote out again what an attempt is before anything is known of its outcome. Change: createAttempt of soak_callers.ts serves both.

--- a/soak/soak_callers.ts
+++ b/soak/soak_callers.ts
@@ -63,6 +63,28 @@
   readonly keepsConnections: boolean;
 }
 
+/** Creates an attempt of which nothing is known but what is sent. */
+export function createAttempt(
+  sent: Pick<
+    Attempt,
+    "requestId" | "route" | "path" | "body" | "key" | "router" | "sentAt"
+  >,
+): Attempt {
+  return {
+    ...sent,
+    method: "POST",
+    bodySentAt: Infinity,
+    endedAt: Infinity,
+    hasReachedRouter: false,
+    status: undefined,
+    isSigned: false,
+    responseId: undefined,
+    text: "",
+    isComplete: false,
+    wasRefused: false,
+  };
+}
+
 /** Pauses a response after each part that arrives. */
 function _readSlowly(response: IncomingMessage): void {
   response.on("data", () => {
@@ -152,26 +174,16 @@
     const number = this.#sent++;
     const usableKeys = keys();
     const pace = this.#drawPace(route);
-    const attempt: Attempt = {
+    const attempt = createAttempt({
       requestId: `soak-${this.#number}-${number}`,
       route,
-      method: "POST",
       path:
         `/${route.name}/${this.#number}/${number}?x=%20${number}${pace.query}`,
       body: pace.body,
       key: usableKeys[random.integer(usableKeys.length)] ?? "",
       router: router.settings.host,
       sentAt: now(),
-      bodySentAt: Infinity,
-      endedAt: Infinity,
-      hasReachedRouter: false,
-      status: undefined,
-      isSigned: false,
-      responseId: undefined,
-      text: "",
-      isComplete: false,
-      wasRefused: false,
-    };
+    });
     attempts.push(attempt);
     const [host = "", port = ""] = router.proxyAddress.split(":");
     return new Promise((resolve) => {
--- a/soak/suspended_callers.ts
+++ b/soak/suspended_callers.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { GatewayHeaderNames } from "../src/gateway_protocol.ts";
 import { responseText } from "./soak_backends.ts";
-import { type Attempt, HOST_NAME } from "./soak_callers.ts";
+import { type Attempt, createAttempt, HOST_NAME } from "./soak_callers.ts";
 import type { SoakRouter } from "./soak_routers.ts";
 import { SHORT_ROUTES } from "./soak_routes.ts";
 
@@ -59,25 +59,16 @@
   const { attempts, keys, now, headerNames } = context;
   const route = SHORT_ROUTES.find(({ kind }) => kind === "non_idempotent")!;
   const requestId = `suspended-${attempts.length}`;
-  const attempt: Attempt = {
+  const attempt = createAttempt({
     requestId,
     route,
-    method: "POST",
     path: `/${route.name}/${requestId}`,
     body: BODY,
     key: keys().at(-1) ?? "",
     router: router.settings.host,
     sentAt: now(),
-    bodySentAt: Infinity,
-    endedAt: Infinity,
-    hasReachedRouter: true,
-    status: undefined,
-    isSigned: false,
-    responseId: undefined,
-    text: "",
-    isComplete: false,
-    wasRefused: false,
-  };
+  });
+  attempt.hasReachedRouter = true;
   attempts.push(attempt);
   const [host = "", port = ""] = router.settings.callers.split(":");
   // A caller that keeps its end open learns whether its request runs all the same.
