Pass the suspension of a planned stop through as it is

Cause: an optional property was copied with a conditional spread in two places on its way to the router. Change: the property is always there and may be undefined.

--- a/invariants/long_requests_at_stop.ts
+++ b/invariants/long_requests_at_stop.ts
@@ -166,7 +166,7 @@
 /** What acts on a router beside its stop. */
 interface _Disturbance {
   readonly load: StopLoad;
-  readonly suspension?: Suspension;
+  readonly suspension: Suspension | undefined;
 }
 
 /** Stops one router under a load and starts it again. */
@@ -209,7 +209,7 @@
 interface _RoundOptions {
   readonly random: RandomSource;
   readonly previousStops: readonly RouterStop[];
-  readonly suspension?: Suspension;
+  readonly suspension: Suspension | undefined;
 }
 
 async function _executeRound(
@@ -226,10 +226,7 @@
   const chosen = _chooseRouters(system, round, random);
   const stops = await Promise.all(chosen.map(async (router, index) => {
     await sleep(index * random.next() * LONGEST_OVERLAP_DELAY_MILLISECONDS);
-    return _stopAndStart(router, system, {
-      load,
-      ...(suspension ? { suspension } : {}),
-    });
+    return _stopAndStart(router, system, { load, suspension });
   }));
   endBusy?.();
   const ended = attempts.filter(({ endedAt }) => endedAt < Infinity);
@@ -263,11 +260,7 @@
     const reports: StopReport[] = [];
     let previousStops: readonly RouterStop[] = [];
     for (let round = 0; round < rounds; round++) {
-      const options = {
-        random,
-        previousStops,
-        ...(suspension ? { suspension } : {}),
-      };
+      const options = { random, previousStops, suspension };
       const { report, stops } = await _executeRound(system, round, options);
       reports.push(report);
       previousStops = stops;
