--- a/src/closed_connection_test.ts
+++ b/src/closed_connection_test.ts
@@ -1,5 +1,5 @@
 /** Connections that the gateway closes: what it promised, and what may still run. */
-import { connect, type Socket } from "node:net";
+import { once } from "node:events";
 import test from "ava";
 import {
   type Bench,
@@ -18,6 +18,10 @@
   startLeavingCallers,
 } from "../stand_ins/leaving_callers.ts";
 import { responseHeaders } from "../stand_ins/raw_backend.ts";
+import {
+  openSocketCaller,
+  type SocketCaller,
+} from "../stand_ins/socket_callers.ts";
 
 const HEADER_TIMEOUT_MILLISECONDS = 300;
 const IDLE_TIMEOUT_MILLISECONDS = 1_000;
@@ -57,18 +61,11 @@
   return bench;
 }
 
-interface _Caller {
-  readonly socket: Socket;
-  text: string;
-}
-
-async function openCaller({ gateways }: Bench): Promise<_Caller> {
-  const [host, port] = gateways[0]!.callers.split(":") as [string, string];
-  const socket = connect({ port: Number(port), host, allowHalfOpen: true });
-  const caller = { socket, text: "" };
-  socket.on("error", () => undefined);
-  socket.on("data", (bytes) => (caller.text += String(bytes)));
-  await new Promise((resolve) => socket.once("connect", resolve));
+async function openCaller({ gateways }: Bench): Promise<SocketCaller> {
+  const caller = openSocketCaller(gateways[0]!.callers, {
+    allowHalfOpen: true,
+  });
+  await once(caller.socket, "connect");
   return caller;
 }
 
--- a/src/planned_stop_paths_test.ts
+++ b/src/planned_stop_paths_test.ts
@@ -3,7 +3,6 @@
 import test from "ava";
 import {
   type Bench,
-  callerHeaders,
   received,
   registerForCleanup,
   requestText,
@@ -19,12 +18,12 @@
 import { stall, startLeavingCallers } from "../stand_ins/leaving_callers.ts";
 import { MemoryFleet } from "../stand_ins/memory_fleet_store.ts";
 import { responseHeaders, startRawBackend } from "../stand_ins/raw_backend.ts";
+import type { SocketCaller } from "../stand_ins/socket_callers.ts";
 import {
   openCaller,
+  postHead,
   respondWithEvents,
-  type SocketCaller,
 } from "../stand_ins/stopping_callers.ts";
-import { DEFAULT_HEADER_NAMES as NAMES } from "./gateway_protocol.ts";
 
 /** Longer than the time after which a server of the bench's routes is suspect. */
 const SILENT_WORK_MILLISECONDS = 1_400;
@@ -37,14 +36,6 @@
 
 test.after.always(stopBenches);
 
-function postHead(path: string, id: string, framing: string): string {
-  const headers = { ...callerHeaders(id), [NAMES.deadline]: "15000" };
-  const lines = Object.entries(headers).map(([name, value]) =>
-    `${name}: ${value}\r\n`
-  );
-  return `POST ${path} HTTP/1.1\r\n${lines.join("")}${framing}\r\n\r\n`;
-}
-
 function statusOf({ text }: SocketCaller): string {
   return text.slice(9, 12);
 }
--- a/src/planned_stop_test.ts
+++ b/src/planned_stop_test.ts
@@ -3,18 +3,17 @@
 import test from "ava";
 import {
   type Bench,
-  callerHeaders,
   received,
   startBench,
   stopBenches,
 } from "../stand_ins/gateway_test_bench.ts";
 import { type RawBackend, refuse } from "../stand_ins/raw_backend.ts";
+import type { SocketCaller } from "../stand_ins/socket_callers.ts";
 import {
   openCaller,
+  postHead,
   respondWithEvents,
-  type SocketCaller,
 } from "../stand_ins/stopping_callers.ts";
-import { DEFAULT_HEADER_NAMES as NAMES } from "./gateway_protocol.ts";
 
 /** A slow stream lasts longer than the grace time of the gateways. */
 const DURATIONS_MILLISECONDS: Readonly<Record<string, number>> = {
@@ -31,13 +30,7 @@
 
 /** The head of a request whose body comes in chunks. */
 function chunkedHead(path: string, id: string): string {
-  const headers = Object.entries({
-    ...callerHeaders(id),
-    [NAMES.deadline]: "15000",
-    "transfer-encoding": "chunked",
-  });
-  const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`);
-  return `POST ${path} HTTP/1.1\r\n${lines.join("")}\r\n`;
+  return postHead(path, id, "transfer-encoding: chunked");
 }
 
 const LAST_CHUNK = "4\r\nlast\r\n0\r\n\r\n";
--- a/stand_ins/stopping_callers.ts
+++ b/stand_ins/stopping_callers.ts
@@ -1,31 +1,27 @@
 /** Callers and event streams for tests of planned stops. */
 import type { ServerResponse } from "node:http";
-import { connect, type Socket } from "node:net";
-import type { Bench } from "./gateway_test_bench.ts";
+import { DEFAULT_HEADER_NAMES as NAMES } from "../src/gateway_protocol.ts";
+import { type Bench, callerHeaders } from "./gateway_test_bench.ts";
 import { responseHeaders } from "./raw_backend.ts";
+import { openSocketCaller, type SocketCaller } from "./socket_callers.ts";
 
 const EVENT_PERIOD_MILLISECONDS = 50;
 
-/** A caller on a connection of its own. */
-export interface SocketCaller {
-  readonly socket: Socket;
-  readonly closed: Promise<unknown>;
-  /** What it has received so far. */
-  text: string;
-}
-
 /** Opens a connection to a gateway of a bench. */
 export function openCaller(
   { gateways }: Bench,
   { gateway = 0, allowHalfOpen = false } = {},
 ): SocketCaller {
-  const [host, port] = gateways[gateway]!.callers.split(":");
-  const socket = connect({ port: Number(port), host: host!, allowHalfOpen });
-  socket.on("error", () => undefined);
-  const closed = new Promise((resolve) => socket.once("close", resolve));
-  const caller = { socket, closed, text: "" };
-  socket.on("data", (bytes) => (caller.text += bytes.toString("latin1")));
-  return caller;
+  return openSocketCaller(gateways[gateway]!.callers, { allowHalfOpen });
+}
+
+/** The head of a request that leaves the gateway time until long after its stop. */
+export function postHead(path: string, id: string, framing: string): string {
+  const headers = { ...callerHeaders(id), [NAMES.deadline]: "15000" };
+  const lines = Object.entries(headers).map(([name, value]) =>
+    `${name}: ${value}\r\n`
+  );
+  return `POST ${path} HTTP/1.1\r\n${lines.join("")}${framing}\r\n\r\n`;
 }
 
 /** Responds to a request with events for a time in milliseconds. */
