Start settled fleets of tests in one place

Cause: peer_departures_test repeated the start of a simulated fleet and two views of it from report_hierarchy_test; two more tests had the same start with other servers. Change: stand_ins/settled_fleet.ts serves the four. The assertions, times and servers are unchanged.

--- a/src/peer_departures_test.ts
+++ b/src/peer_departures_test.ts
@@ -1,14 +1,9 @@
-import test, { type ExecutionContext } from "ava";
+import test from "ava";
 import { request } from "undici";
+import { type GatewayInTest } from "../stand_ins/gateway_fleet.ts";
 import {
-  type GatewayInTest,
-  testConfiguration,
-  testRoute,
-} from "../stand_ins/gateway_fleet.ts";
-import {
-  type SimulatedFleetOptions,
   type SimulatedGateway,
-  SimulatedGatewayFleet,
+  type SimulatedGatewayFleet,
   startRequests,
 } from "../stand_ins/gateway_peer_fleet.ts";
 import {
@@ -18,9 +13,13 @@
   stopBenches,
   waitUntil,
 } from "../stand_ins/gateway_test_bench.ts";
-import { testServer } from "../stand_ins/registered_servers.ts";
 import {
-  type BackendServerId,
+  loadsSeen,
+  reportsOf,
+  SETTLED_SERVER,
+  startSettledFleet,
+} from "../stand_ins/settled_fleet.ts";
+import {
   brandId,
   type DataCentreId,
   type HostId,
@@ -36,8 +35,6 @@
 import { GatewayPeers } from "./gateway_peers.ts";
 import type { PeerIdentity, PeerMessageKind } from "./peer_network.ts";
 
-const SERVER = brandId<BackendServerId>("s0");
-const SETTLED_MILLISECONDS = 7_000;
 /** Time for a last message, its handling and the next decision of a peer. */
 const TOLD_MILLISECONDS = 300;
 /** Time after which peers take a silence for a crash. */
@@ -52,19 +49,6 @@
 
 test.after.always(stopBenches);
 
-async function startFleet(
-  t: ExecutionContext,
-  options: SimulatedFleetOptions,
-): Promise<SimulatedGatewayFleet> {
-  const fleet = new SimulatedGatewayFleet(options);
-  fleet.memory.setConfiguration(testConfiguration(1, [testRoute("a")]));
-  fleet.memory.setServer(testServer("s0"));
-  await fleet.start();
-  t.teardown(() => fleet.stop());
-  await fleet.advance(SETTLED_MILLISECONDS);
-  return fleet;
-}
-
 /** Ends a router as planned; a kill follows, so that it sends nothing more. */
 async function leave(
   fleet: SimulatedGatewayFleet,
@@ -109,19 +93,11 @@
 }
 
 /** Addresses to which a router sends reports. */
-function recipientsOf({ peers }: SimulatedGateway): string[] {
-  const rows = peers.describe() as readonly {
-    address: string;
-    reports: string;
-  }[];
-  return rows.filter(({ reports }) => reports !== "none")
+function recipientsOf(router: SimulatedGateway): string[] {
+  return reportsOf(router).filter(({ reports }) => reports !== "none")
     .map(({ address }) => address);
 }
 
-function loadsSeen(routers: readonly SimulatedGateway[]): Set<number> {
-  return new Set(routers.map(({ load }) => load.inFlight(SERVER)));
-}
-
 function liveRoutersSeen(routers: readonly SimulatedGateway[]): Set<number> {
   return new Set(routers.map(({ peers }) => peers.liveRouters()));
 }
@@ -184,8 +160,8 @@
 });
 
 test("guards against peers that count the requests and the share of a router that has left", async (t) => {
-  const fleet = await startFleet(t, { routers: 6, dataCentres: 2 });
-  startRequests(fleet.routers, SERVER);
+  const fleet = await startSettledFleet(t, { routers: 6, dataCentres: 2 });
+  startRequests(fleet.routers, SETTLED_SERVER);
   await fleet.advance(PROPAGATION_MILLISECONDS);
   const [router] = fleet.routers.slice(-1) as [SimulatedGateway];
   await leave(fleet, router);
@@ -203,8 +179,8 @@
 });
 
 test("guards against sums of a large fleet that include a member that has left", async (t) => {
-  const fleet = await startFleet(t, { routers: 36, dataCentres: 3 });
-  startRequests(fleet.routers, SERVER);
+  const fleet = await startSettledFleet(t, { routers: 36, dataCentres: 3 });
+  startRequests(fleet.routers, SETTLED_SERVER);
   await fleet.advance(PROPAGATION_MILLISECONDS);
   t.deepEqual([...loadsSeen(fleet.routers)], [36]);
   const member = fleet.routers.find((router) =>
@@ -216,8 +192,8 @@
 });
 
 test("guards against the last sum of a collector that has left outliving it, because the sums of the others cover one router less", async (t) => {
-  const fleet = await startFleet(t, { routers: 36, dataCentres: 3 });
-  startRequests(fleet.routers, SERVER);
+  const fleet = await startSettledFleet(t, { routers: 36, dataCentres: 3 });
+  startRequests(fleet.routers, SETTLED_SERVER);
   await fleet.advance(PROPAGATION_MILLISECONDS);
   const [address] = recipientsOf(fleet.routers[35]!);
   const collector = fleet.routers.find(({ identity }) =>
@@ -226,7 +202,7 @@
   await leave(fleet, collector);
   await fleet.advance(NEXT_SUMS_MILLISECONDS);
   const outdated = fleet.alive().filter(({ load }) =>
-    load.inFlight(SERVER) !== 35
+    load.inFlight(SETTLED_SERVER) !== 35
   );
   // Only the router that takes its place has no other sum yet.
   t.true(
@@ -238,7 +214,7 @@
 });
 
 test("guards against a lost last message that keeps a router in the fleet", async (t) => {
-  const fleet = await startFleet(t, { routers: 6, dataCentres: 2 });
+  const fleet = await startSettledFleet(t, { routers: 6, dataCentres: 2 });
   const [router] = fleet.routers.slice(-1) as [SimulatedGateway];
   for (const { identity } of fleet.routers) {
     router.blocked.add(identity.address);
@@ -249,7 +225,7 @@
 });
 
 test("guards against a last message of an earlier incarnation that removes a router which has started again", async (t) => {
-  const fleet = await startFleet(t, { routers: 3, dataCentres: 1 });
+  const fleet = await startSettledFleet(t, { routers: 3, dataCentres: 1 });
   const [peer, , router] = fleet.routers as [
     SimulatedGateway,
     SimulatedGateway,
@@ -264,7 +240,7 @@
 });
 
 test("guards against a delayed report that brings back a router which has left, and against ignoring its next incarnation", async (t) => {
-  const fleet = await startFleet(t, { routers: 3, dataCentres: 1 });
+  const fleet = await startSettledFleet(t, { routers: 3, dataCentres: 1 });
   const [peer, , router] = fleet.routers as [
     SimulatedGateway,
     SimulatedGateway,
--- a/src/rate_limit_fleet_test.ts
+++ b/src/rate_limit_fleet_test.ts
@@ -1,17 +1,16 @@
 /** The rate limit of one server in fleets of many routers, in simulated time. */
 import test, { type ExecutionContext } from "ava";
-import {
-  type SimulatedGateway,
+import type {
+  SimulatedGateway,
   SimulatedGatewayFleet,
 } from "../stand_ins/gateway_peer_fleet.ts";
-import { testConfiguration, testRoute } from "../stand_ins/gateway_fleet.ts";
 import { testServer, testServers } from "../stand_ins/registered_servers.ts";
+import { startSettledFleet } from "../stand_ins/settled_fleet.ts";
 import { createSeededRandom } from "./core/random.ts";
 import { incarnationKeyOf } from "./core/server_incarnations.ts";
 import type { RateLimitHeader } from "./core/server_rate_limits.ts";
 import type { RegisteredServer } from "./core/server_registry.ts";
 
-const FLEET_START_MILLISECONDS = 7_000;
 const STEP_MILLISECONDS = 25;
 /** Time from sending a request until its response names the limit. */
 const RESPONSE_MILLISECONDS = 50;
@@ -99,16 +98,11 @@
   }
 }
 
-async function startFleet(
+function startFleet(
   t: ExecutionContext,
   routers: number,
 ): Promise<SimulatedGatewayFleet> {
-  const fleet = new SimulatedGatewayFleet({ routers, dataCentres: 3 });
-  fleet.memory.setConfiguration(testConfiguration(1, [testRoute("a")]));
-  await fleet.start();
-  t.teardown(() => fleet.stop());
-  await fleet.advance(FLEET_START_MILLISECONDS);
-  return fleet;
+  return startSettledFleet(t, { routers, dataCentres: 3, servers: [] });
 }
 
 function allowed(limit: number): number {
--- a/src/report_hierarchy_test.ts
+++ b/src/report_hierarchy_test.ts
@@ -1,17 +1,18 @@
-import test, { type ExecutionContext } from "ava";
+import test from "ava";
 import {
-  type SimulatedFleetOptions,
   type SimulatedGateway,
   SimulatedGatewayFleet,
   startRequests,
 } from "../stand_ins/gateway_peer_fleet.ts";
 import { testConfiguration, testRoute } from "../stand_ins/gateway_fleet.ts";
 import { testServer } from "../stand_ins/registered_servers.ts";
-import { type BackendServerId, brandId } from "./core/ids.ts";
+import {
+  loadsSeen,
+  reportsOf,
+  SETTLED_SERVER,
+  startSettledFleet,
+} from "../stand_ins/settled_fleet.ts";
 
-const SERVER = brandId<BackendServerId>("s0");
-/** Time for a started fleet to choose its collectors. */
-const SETTLED_MILLISECONDS = 7_000;
 /** Five reports a second to each of two collectors. */
 const MAXIMUM_MEMBER_MESSAGES = 10;
 /** Time within which a change at one router must reach all others. */
@@ -19,23 +20,6 @@
 /** Time within which a change must reach all routers after a failure. */
 const RECOVERY_MILLISECONDS = 3_000;
 
-async function startFleet(
-  t: ExecutionContext,
-  options: SimulatedFleetOptions,
-): Promise<SimulatedGatewayFleet> {
-  const fleet = new SimulatedGatewayFleet(options);
-  fleet.memory.setConfiguration(testConfiguration(1, [testRoute("a")]));
-  fleet.memory.setServer(testServer("s0"));
-  await fleet.start();
-  t.teardown(() => fleet.stop());
-  await fleet.advance(SETTLED_MILLISECONDS);
-  return fleet;
-}
-
-function loadsSeen(routers: readonly SimulatedGateway[]): Set<number> {
-  return new Set(routers.map(({ load }) => load.inFlight(SERVER)));
-}
-
 function collectorsOf(
   fleet: SimulatedGatewayFleet,
   dataCentre: string,
@@ -44,18 +28,14 @@
     identity.dataCentre === dataCentre
   );
   const member = localRouters.at(-1) as SimulatedGateway;
-  const rows = member.peers.describe() as readonly {
-    address: string;
-    reports: string;
-  }[];
-  const chosen = rows.filter(({ reports }) => reports === "own");
+  const chosen = reportsOf(member).filter(({ reports }) => reports === "own");
   return localRouters.filter(({ identity }) =>
     chosen.some(({ address }) => address === identity.address)
   );
 }
 
 test("guards against routers of a large fleet that go on sending a prompt part that crashed servers elsewhere", async (t) => {
-  const fleet = await startFleet(t, { routers: 36, dataCentres: 3 });
+  const fleet = await startSettledFleet(t, { routers: 36, dataCentres: 3 });
   const parts = [{ id: "deadly", tokens: 400 }, { id: "own", tokens: 100 }];
   for (let index = 0; index < 3; index++) {
     const router = fleet.routers[11 * index] as SimulatedGateway;
@@ -72,33 +52,39 @@
 });
 
 test("guards against routers of a large fleet seeing different or partial loads", async (t) => {
-  const fleet = await startFleet(t, { routers: 36, dataCentres: 3 });
-  startRequests(fleet.routers, SERVER);
+  const fleet = await startSettledFleet(t, { routers: 36, dataCentres: 3 });
+  startRequests(fleet.routers, SETTLED_SERVER);
   await fleet.advance(PROPAGATION_MILLISECONDS);
   t.deepEqual([...loadsSeen(fleet.routers)], [36]);
-  for (const { load } of fleet.routers.slice(0, 24)) load.requestEnded(SERVER);
+  for (const { load } of fleet.routers.slice(0, 24)) {
+    load.requestEnded(SETTLED_SERVER);
+  }
   await fleet.advance(PROPAGATION_MILLISECONDS);
   t.deepEqual([...loadsSeen(fleet.routers)], [12]);
 });
 
 test("guards against failures of a server being counted twice or not at all in a large fleet", async (t) => {
-  const fleet = await startFleet(t, { routers: 40, dataCentres: 2 });
+  const fleet = await startSettledFleet(t, { routers: 40, dataCentres: 2 });
   const servers = ["s0", "s1", "s2"].map((id) => testServer(id));
   for (const { outcomes } of fleet.routers.slice(0, 12)) {
-    outcomes.record(SERVER, true, fleet.timers.clock.monotonicMilliseconds());
+    outcomes.record(
+      SETTLED_SERVER,
+      true,
+      fleet.timers.clock.monotonicMilliseconds(),
+    );
   }
   await fleet.advance(PROPAGATION_MILLISECONDS);
   const now = fleet.timers.clock.monotonicMilliseconds();
   for (const { outcomes, identity } of fleet.routers) {
     outcomes.evaluate("pool", servers, now);
-    t.true(outcomes.isExcluded(SERVER, now), identity.host);
+    t.true(outcomes.isExcluded(SETTLED_SERVER, now), identity.host);
   }
 });
 
 test("guards against the number of reports growing with the square of the fleet size", async (t) => {
   const rates: number[] = [];
   for (const routers of [32, 96]) {
-    const fleet = await startFleet(t, { routers, dataCentres: 4 });
+    const fleet = await startSettledFleet(t, { routers, dataCentres: 4 });
     const before = fleet.messagesSent();
     await fleet.advance(4_000);
     rates.push((fleet.messagesSent() - before) / 4 / routers);
@@ -111,7 +97,7 @@
 });
 
 test("guards against routers disagreeing about the collectors because reports carry rounded capacities", async (t) => {
-  const fleet = await startFleet(t, {
+  const fleet = await startSettledFleet(t, {
     routers: 48,
     dataCentres: 2,
     capacity: () => 0.2274,
@@ -127,7 +113,7 @@
 });
 
 test("guards against choosing hosts of low capacity as collectors", async (t) => {
-  const fleet = await startFleet(t, {
+  const fleet = await startSettledFleet(t, {
     routers: 48,
     dataCentres: 2,
     capacity: (index) => index >= 10 && index < 14 ? 4 : 1,
@@ -140,21 +126,21 @@
 });
 
 test("guards against loads that stay partial after all collectors of a data centre fail", async (t) => {
-  const fleet = await startFleet(t, { routers: 36, dataCentres: 3 });
+  const fleet = await startSettledFleet(t, { routers: 36, dataCentres: 3 });
   const lost = collectorsOf(fleet, "data-centre-1");
   t.is(lost.length, 2);
   for (const collector of lost) fleet.kill(collector);
-  startRequests(fleet.alive(), SERVER);
+  startRequests(fleet.alive(), SETTLED_SERVER);
   fleet.memory.setServer(testServer("s0", { isDraining: true }));
   await fleet.advance(RECOVERY_MILLISECONDS);
   t.deepEqual([...loadsSeen(fleet.alive())], [34]);
   for (const { state, identity } of fleet.alive()) {
-    t.true(state.registry.get(SERVER)?.isDraining, identity.host);
+    t.true(state.registry.get(SETTLED_SERVER)?.isDraining, identity.host);
   }
 });
 
 test("guards against directing callers to a router that is stopping", async (t) => {
-  const fleet = await startFleet(t, { routers: 36, dataCentres: 3 });
+  const fleet = await startSettledFleet(t, { routers: 36, dataCentres: 3 });
   const [stopping] = fleet.routers.slice(-1) as [SimulatedGateway];
   stopping.isServing = false;
   stopping.peers.announce();
@@ -168,7 +154,7 @@
 });
 
 test("guards against stale state on routers of a large fleet that cannot reach the store", async (t) => {
-  const fleet = await startFleet(t, { routers: 36, dataCentres: 3 });
+  const fleet = await startSettledFleet(t, { routers: 36, dataCentres: 3 });
   const refused = [
     ...["data-centre-0", "data-centre-1", "data-centre-2"].flatMap((name) =>
       collectorsOf(fleet, name)
@@ -181,25 +167,25 @@
   fleet.memory.setConfiguration(testConfiguration(2, [testRoute("a")]));
   await fleet.advance(PROPAGATION_MILLISECONDS + 1_000);
   for (const { state, identity } of fleet.routers) {
-    t.true(state.registry.get(SERVER)?.isDraining, identity.host);
+    t.true(state.registry.get(SETTLED_SERVER)?.isDraining, identity.host);
     t.is(state.versions().configurationVersion, 2, identity.host);
   }
 });
 
 test("guards against stale state on a router that alone loses contact with both collectors", async (t) => {
-  const fleet = await startFleet(t, { routers: 36, dataCentres: 3 });
+  const fleet = await startSettledFleet(t, { routers: 36, dataCentres: 3 });
   const collectors = collectorsOf(fleet, "data-centre-0");
   const isolated = fleet.routers.find((router) =>
     router.identity.dataCentre === "data-centre-0" &&
     !collectors.includes(router)
   ) as SimulatedGateway;
   for (const { identity } of collectors) isolated.blocked.add(identity.address);
-  startRequests(fleet.routers, SERVER);
+  startRequests(fleet.routers, SETTLED_SERVER);
   fleet.memory.setServer(testServer("s0", { isDraining: true }));
   await fleet.advance(RECOVERY_MILLISECONDS);
-  t.true(isolated.state.registry.get(SERVER)?.isDraining);
+  t.true(isolated.state.registry.get(SETTLED_SERVER)?.isDraining);
   // The fleet sum no longer includes the isolated router's own request.
-  t.true(isolated.load.inFlight(SERVER) >= 35);
+  t.true(isolated.load.inFlight(SETTLED_SERVER) >= 35);
 });
 
 test("guards against callers being offered few routers for seconds after a restart of the fleet", async (t) => {
@@ -213,7 +199,7 @@
   await fleet.start(75);
   t.teardown(() => fleet.stop());
   await fleet.advance(PROPAGATION_MILLISECONDS + 500);
-  startRequests(fleet.routers, SERVER);
+  startRequests(fleet.routers, SETTLED_SERVER);
   for (const { peers, identity } of fleet.routers) {
     const near = peers.servingRouters().filter(({ dataCentre }) =>
       dataCentre === identity.dataCentre
--- a/src/store_restored_fleet_test.ts
+++ b/src/store_restored_fleet_test.ts
@@ -6,6 +6,7 @@
 } from "../stand_ins/gateway_peer_fleet.ts";
 import { testConfiguration, testRoute } from "../stand_ins/gateway_fleet.ts";
 import { testServer } from "../stand_ins/registered_servers.ts";
+import { startSettledFleet } from "../stand_ins/settled_fleet.ts";
 import { type BackendServerId, brandId } from "./core/ids.ts";
 import { createSeededRandom, type RandomSource } from "./core/random.ts";
 import { REREGISTRATION_GRACE_MILLISECONDS } from "./core/server_registry.ts";
@@ -24,19 +25,12 @@
 const STEP_MILLISECONDS = 25;
 const HISTORIES = 40;
 
-async function startFleet(
+function startFleet(
   t: ExecutionContext,
   routers: number,
 ): Promise<SimulatedGatewayFleet> {
-  const fleet = new SimulatedGatewayFleet({ routers, dataCentres: 3 });
-  fleet.memory.setConfiguration(testConfiguration(1, [testRoute("a")]));
-  for (const id of ["staying", "leaving", "removed"]) {
-    fleet.memory.setServer(testServer(id));
-  }
-  await fleet.start();
-  t.teardown(() => fleet.stop());
-  await fleet.advance(START_MILLISECONDS);
-  return fleet;
+  const servers = ["staying", "leaving", "removed"];
+  return startSettledFleet(t, { routers, dataCentres: 3, servers });
 }
 
 function setStoreFailing(
