Send the rounds of hostile requests in one place

Change: sendHostileRequests sends the rounds and calls the test's own checks after each; what is sent for a seed is the same.

--- a/src/hostile_request_test.ts
+++ b/src/hostile_request_test.ts
@@ -11,16 +11,10 @@
   workspaceKey,
 } from "../stand_ins/fleet_text.ts";
 import {
-  createHostileText,
   type HostileVocabulary,
-  sendBytes,
+  sendHostileRequests,
 } from "../stand_ins/hostile_requests.ts";
-import { createSeededRandom } from "./core/random.ts";
 
-/** More by hand: `HOSTILE_REQUESTS=10000 npx ava --timeout 10m dist/src/hostile_request_test.js`. */
-const REQUESTS = Number(process.env["HOSTILE_REQUESTS"] ?? 400);
-const SEED = Number(process.env["HOSTILE_SEED"] ?? 1);
-const ROUND = 50;
 const WORKSPACE = "temple";
 const AUTHORIZATION = `Bearer ${workspaceKey(WORKSPACE)}`;
 const SERVICE_PATH = `/v1/services/${STAND_IN_SERVICE}`;
@@ -107,20 +101,12 @@
   t.teardown(() => fleet.stop());
   const [router] = fleet.routers;
   const ports = [...fleet.routerAddresses, ...fleet.peerAddresses];
-  const random = createSeededRandom(SEED);
-  for (let sent = 0; sent < REQUESTS; sent += ROUND) {
-    const texts = Array.from(
-      { length: ROUND },
-      () => createHostileText(random, VOCABULARY),
-    );
-    await Promise.all(
-      texts.map((text, index) => sendBytes(ports[index % ports.length]!, text)),
-    );
+  await sendHostileRequests(ports, VOCABULARY, async (sent) => {
     t.true(router?.isRunning(), `ended after ${sent} requests`);
     t.deepEqual(
       await serveSoundRequests(fleet),
       [200, 200, 200, 200],
       `after ${sent} requests`,
     );
-  }
+  });
 });
--- a/stand_ins/hostile_requests.ts
+++ b/stand_ins/hostile_requests.ts
@@ -3,8 +3,13 @@
  * half requests and pipelined ones, drawn from a seeded random source.
  */
 import { connect } from "node:net";
-import type { RandomSource } from "../src/core/random.ts";
+import { createSeededRandom, type RandomSource } from "../src/core/random.ts";
 
+/** More by hand: set `HOSTILE_REQUESTS=10000`, and `HOSTILE_SEED` for others. */
+const REQUESTS = Number(process.env["HOSTILE_REQUESTS"] ?? 400);
+const SEED = Number(process.env["HOSTILE_SEED"] ?? 1);
+/** Requests that are sent at once. */
+const ROUND = 50;
 /** Half requests wait for the rest until they are cut here. */
 const PATIENCE_MILLISECONDS = 60;
 const SOUND_RATIO = 0.3;
@@ -93,7 +98,7 @@
 }
 
 /** Returns the bytes of one request, or of several, or of a part of one. */
-export function createHostileText(
+function _createText(
   random: RandomSource,
   vocabulary: HostileVocabulary,
 ): string {
@@ -116,7 +121,7 @@
 }
 
 /** Sends bytes on a connection of their own, and cuts it after a moment. */
-export function sendBytes(address: string, text: string): Promise<void> {
+function _sendBytes(address: string, text: string): Promise<void> {
   const [host, port] = address.split(":") as [string, string];
   return new Promise((resolve) => {
     const socket = connect(Number(port), host, () => {
@@ -128,3 +133,24 @@
     socket.once("close", () => resolve());
   });
 }
+
+/** Sends seeded requests to addresses in turn; calls `check` after each round. */
+export async function sendHostileRequests(
+  addresses: readonly string[],
+  vocabulary: HostileVocabulary,
+  check: (sent: number) => Promise<void>,
+): Promise<void> {
+  const random = createSeededRandom(SEED);
+  for (let sent = 0; sent < REQUESTS; sent += ROUND) {
+    const texts = Array.from(
+      { length: ROUND },
+      () => _createText(random, vocabulary),
+    );
+    await Promise.all(
+      texts.map((text, index) =>
+        _sendBytes(addresses[index % addresses.length]!, text)
+      ),
+    );
+    await check(sent);
+  }
+}
