--- a/review/support-2/fleet.mjs
+++ b/review/support-2/fleet.mjs
@@ -208,7 +208,7 @@
       version: "v1",
       slots: this.options.slots ?? 32,
       state: this.state ?? "ready",
-      coldRemainingMs: 0,
+      coldRemainingMs: Math.max(0, Math.round((this.coldUntil ?? 0) - Date.now())),
       sequence: this.sequence++,
       born: this.born,
     });
