Tell resets of connections to servers from regular ends

Cause: callers got a part of a response without a length as a whole one when its server reset the connection. libuv reports a reset that arrives with the last bytes as an end, and undici completes such a response on ECONNRESET. Ruled out: a write of no bytes alone. Change: connections to backend servers report a reset as an error of its own kind, after the bytes before it were read; both clients use such connections.

--- a/src/backend_connections.ts
+++ b/src/backend_connections.ts
@@ -4,7 +4,11 @@
  * belong to no request must not reach a caller.
  */
 import type { Socket } from "node:net";
-import { buildConnector, Client, type Dispatcher, errors } from "undici";
+import { Client, type Dispatcher, errors } from "undici";
+import {
+  type BackendConnector,
+  createBackendConnector,
+} from "./connection_end.ts";
 import type { RegisteredServer } from "./core/server_registry.ts";
 import type { ServiceId } from "./core/gateway_configuration.ts";
 import type { BackendServerId } from "./core/ids.ts";
@@ -69,8 +73,6 @@
   strayResponseCount(): number;
 }
 
-type _Connector = ReturnType<typeof buildConnector>;
-
 class _Connection implements BackendConnection {
   readonly server: BackendServerId;
   readonly service: ServiceId;
@@ -82,7 +84,7 @@
   socket: Socket | undefined;
   #readListener: () => void = () => undefined;
 
-  constructor(server: RegisteredServer, connector: _Connector) {
+  constructor(server: RegisteredServer, connector: BackendConnector) {
     this.server = server.id;
     this.service = server.service;
     this.client = new Client(`http://${server.address}`, {
@@ -169,7 +171,7 @@
     onExcess = () => undefined,
   }: BackendConnectionsOptions = {},
 ): BackendConnections {
-  const connector = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
+  const connector = createBackendConnector(CONNECT_TIMEOUT_MILLISECONDS);
   const idleConnections = new Map<BackendServerId, _Connection[]>();
   const usedConnections = new Map<BackendServerId, number>();
   const idleLimits = createIdleLimits();
--- a/src/backend_transport.ts
+++ b/src/backend_transport.ts
@@ -5,7 +5,8 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import type { Readable } from "node:stream";
-import { Agent, buildConnector, Client, type Dispatcher } from "undici";
+import { Agent, Client, type Dispatcher } from "undici";
+import { createBackendConnector } from "./connection_end.ts";
 import { type ApplicationError, createError } from "./core/errors.ts";
 import type { SocketAddress } from "./core/ids.ts";
 import type { TimerService } from "./timer_service.ts";
@@ -115,7 +116,7 @@
 /** Sends requests to backend servers; one per router. */
 export class BackendTransport {
   readonly #timers: TimerService;
-  readonly #connect = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
+  readonly #connect = createBackendConnector(CONNECT_TIMEOUT_MILLISECONDS);
   readonly #connectErrors = new WeakSet<Error>();
   readonly #agent: Agent;
 
