--- a/src/backend_exchange.ts
+++ b/src/backend_exchange.ts
@@ -27,17 +27,27 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const BAD_GATEWAY = 502;
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+/** With any other last transfer coding, a body ends with its connection. */
+const LAST_CODING_IS_CHUNKED = /(^|[,\s])chunked\s*$/i;
 
 /** Bytes of a discarded response that are read so that its connection is kept. */
 const MAXIMUM_DISCARDED_BYTES = 64 * 1024;
 
+/** What marks the end of a response's body. */
+export type BodyFraming =
+  /** The response has no body. */
+  | "none"
+  | "length"
+  | "chunks"
+  /** The body ends with its connection. */
+  | "connection";
+
 /** Status and headers of the response to the request. */
 export interface ResponseHead {
   readonly status: number;
   /** Headers for the caller: names and values in turn, as a flat list. */
   readonly headers: readonly string[];
-  /** Whether the body has no length and ends when the connection closes. */
-  readonly endsWithConnection: boolean;
+  readonly framing: BodyFraming;
 }
 
 /** Receives the body of a response. */
@@ -306,7 +316,7 @@
     const head: ResponseHead = {
       status: isUnprovenNotRun ? BAD_GATEWAY : status,
       headers: isUnprovenNotRun ? [] : protocol.responseHeaders(rawHeaders),
-      endsWithConnection: this.#endsWithConnection(status, headers),
+      framing: this.#framingOf(status, headers),
     };
     this.#reportOnce(() => {
       this.#sink = listener.onResponse(head);
@@ -319,11 +329,17 @@
     this.rejectExcess(this.#sink ? "body" : "head", excess);
   }
 
-  #endsWithConnection(status: number, headers: ResponseHeaders): boolean {
-    const hasBody = this.#options.method !== "HEAD" &&
-      !BODILESS_STATUSES.has(status);
-    return hasBody && headers["content-length"] === undefined &&
-      headers["transfer-encoding"] === undefined;
+  #framingOf(status: number, headers: ResponseHeaders): BodyFraming {
+    if (this.#options.method === "HEAD" || BODILESS_STATUSES.has(status)) {
+      return "none";
+    }
+    const encoding = headers["transfer-encoding"];
+    if (encoding !== undefined) {
+      return LAST_CODING_IS_CHUNKED.test(String(encoding))
+        ? "chunks"
+        : "connection";
+    }
+    return headers["content-length"] === undefined ? "connection" : "length";
   }
 
   #rejectResponse(kind: _ResponseKind, status: number): void {
--- a/src/caller_connection.ts
+++ b/src/caller_connection.ts
@@ -144,7 +144,7 @@
     if (last) last.shouldKeepAlive = false;
     if (this.#hasWholeRequest()) return;
     this.#leave();
-    // A normal close would mark a begun response without a length as complete.
+    // The rest of a begun response cannot follow, so nothing waits for its output.
     if (this.#hasBegunResponse()) {
       this.#socket.resetAndDestroy();
       return;
--- a/src/connection_guard.ts
+++ b/src/connection_guard.ts
@@ -134,7 +134,7 @@
     if (!state) return;
     const { remoteAddress } = socket;
     remove(socket);
-    // A normal close would mark a begun response without a length as complete.
+    // Frees the output that waits in the kernel for a client that does not read.
     if (state.openResponses > 0) socket.resetAndDestroy();
     else socket.destroy();
     onClosed({
--- a/src/core/memory_account.ts
+++ b/src/core/memory_account.ts
@@ -1,7 +1,7 @@
 /**
  * Account of the memory that a process holds for its clients: bodies, pipelined
- * requests, responses that wait for a slow reader, and the connections themselves. The
- * budget is the memory of the process less what it needs without clients. When it is
+ * requests, responses that wait for their end or for a slow reader, and the connections
+ * themselves. The budget is the memory of the process less what it needs without clients. When it is
  * used up, the holding that costs most relative to its progress is given up first, if
  * it is slow; a holding that makes progress is never given up for another.
  */
@@ -12,6 +12,7 @@
   "streamed_body",
   "pipelined_request",
   "response",
+  "held_response",
   "connection",
 ] as const;
 
--- a/src/pass_through_context.ts
+++ b/src/pass_through_context.ts
@@ -3,6 +3,7 @@
 import type { ConnectionShedder } from "./connection_shedder.ts";
 import type { ClientLimits } from "./core/client_limits.ts";
 import type { PromptCrashes } from "./core/prompt_crashes.ts";
+import type { MemoryAccount } from "./core/memory_account.ts";
 import type { LoopStalls } from "./core/load_control/stream_gaps.ts";
 import type { RetryBudget } from "./core/retry_budget.ts";
 import type { ReadListener } from "./memory_reclamation.ts";
@@ -24,6 +25,8 @@
   readonly loopStalls: LoopStalls;
   readonly waiting: WaitingRequests;
   readonly limits: ClientLimits;
+  /** Memory that all clients share. */
+  readonly memory: MemoryAccount;
   /** Memory that the bodies of all requests share. */
   readonly bodies: BodyReserve;
   /** Called with bytes that were read from clients. */
--- a/src/request_sending.ts
+++ b/src/request_sending.ts
@@ -331,6 +331,7 @@
     return createResponseRelay({
       response: this.response,
       mode: chooseRelayMode(this.checked.route.kind, head.status),
+      memory: this.context.memory,
       extraHeaders: () =>
         this.closesConnection() ? ["Connection", "close"] : [],
       listener: {
@@ -338,10 +339,18 @@
         onEvents: () => this.#onEvents(),
         onFlow: (isPaused) => this.history.recordFlow(isPaused),
         onEnd: (isComplete, detail) => this.#onResponseEnd(isComplete, detail),
+        onNoRoom: () => this.#onNoRoom(),
       },
     });
   }
 
+  /** Ends a request whose response cannot be held back until it is complete. */
+  #onNoRoom(): void {
+    this.#attempt?.cancel("no_room");
+    const detail = "the memory for responses is full";
+    this.reject("outcome_unknown", detail, { cause: "full" });
+  }
+
   #onFirstByte(): void {
     this.history.recordFirstByte();
     this.log.begun(this.history.progress());
--- a/src/request_timeout.ts
+++ b/src/request_timeout.ts
@@ -84,9 +84,7 @@
       const { socket } = response;
       if (response.writableFinished || !socket) return;
       onGivenUp(socket.writableLength);
-      // A normal close would mark a body without a length as complete.
-      if (response.useChunkedEncodingByDefault) socket.destroy();
-      else socket.resetAndDestroy();
+      socket.destroy();
     },
   );
   response.once("close", () => timer.cancel());
