Find parts that crash servers in prompts of any number of parts

Such prompts counted as prompts without parts, so their crashes left no evidence. Two further bounds, 4,096 suspects and 2,048 announcements, were below what one head has room for. Ruled out: raising the bound of 64 alone. Placement, the directory and the account of server memory compare parts with each other, each stored part costs over a hundred bytes, and the search for a quarantine took time that grew with the square. Change: the keys of all shared parts go to the search; the rest of the gateway gets at most 65 parts, of which one may stand for a run of parts that begins like that of other prompts. Suspects of the same crashes share one record; 65,536 suspects and 16,384 announcements are kept. Prompts of up to 65 parts are handled as before.

--- a/src/core/bounded_map.ts
+++ b/src/core/bounded_map.ts
@@ -1,11 +1,16 @@
 /** Keeps maps bounded whose keys come from outside the process. */
 
-/** Deletes the entry that was set first if there are more than `maximum`. */
+/**
+ * Deletes the entries that were set first, beyond `maximum`. Deleted entries are passed
+ * over again by the next call, so call this once for several new ones.
+ */
 export function evictOldest<Key>(
   entries: Map<Key, unknown>,
   maximum: number,
 ): void {
   if (entries.size <= maximum) return;
-  const [oldest] = entries.keys();
-  entries.delete(oldest as Key);
+  for (const oldest of entries.keys()) {
+    entries.delete(oldest);
+    if (entries.size <= maximum) return;
+  }
 }
--- a/src/core/prompt.ts
+++ b/src/core/prompt.ts
@@ -9,15 +9,14 @@
   readonly tokens: number;
 }
 
-const MAXIMUM_PARTS = 64;
-
-/** Parses comma-separated `id:tokens` entries; invalid text gives no parts. */
+/**
+ * Parses comma-separated `id:tokens` entries; invalid text gives no parts. The size of
+ * the head bounds their number.
+ */
 export function parsePromptParts(text: string | undefined): PromptPart[] {
   if (!text) return [];
-  const entries = text.split(",");
-  if (entries.length > MAXIMUM_PARTS) return [];
   const parts: PromptPart[] = [];
-  for (const entry of entries) {
+  for (const entry of text.split(",")) {
     const match = /^\s*([^:\s]+):(\d+)\s*$/.exec(entry);
     if (!match) return [];
     parts.push({ id: match[1] as string, tokens: Number(match[2]) });
--- a/src/core/prompt_crashes.ts
+++ b/src/core/prompt_crashes.ts
@@ -9,11 +9,13 @@
  * request in the whole fleet. Servers that crash together for another reason
  * count once. Routers announce crashes and completions of suspects to each other,
  * since every router sees few requests of a part.
+ *
+ * A head has room for thousands of parts, and a crash makes all of them suspect. Parts
+ * that were read in the same crashes are indistinguishable and share one record.
  */
 import { AnnouncementLog } from "./announcement_log.ts";
 import { evictOldest } from "./bounded_map.ts";
-import type { PromptPart } from "./prompt.ts";
-import { type PartKey, partKeyOf, sharedPartsOf } from "./prompt_directory.ts";
+import type { PartKey } from "./prompt_directory.ts";
 import {
   type IncarnationKey,
   incarnationKeyOf,
@@ -32,11 +34,14 @@
 const SOUND_MILLISECONDS = 60_000;
 /** Beyond this number, the parts that completed longest ago are forgotten. */
 const MAXIMUM_COMPLETED_PARTS = 20_000;
-/** Beyond this number, the oldest suspects are forgotten. */
-const MAXIMUM_SUSPECTS = 4_096;
+/** Beyond this number, the suspects whose last crash is oldest are forgotten. */
+const MAXIMUM_SUSPECTS = 65_536;
+/** Suspects that are forgotten together. */
+const EVICTED_SUSPECTS = 4_096;
 /** Crashes that are kept for each part. */
 const MAXIMUM_CRASHES = 16;
-const MAXIMUM_ANNOUNCEMENTS = 2_048;
+/** Several prompts with as many parts as a head has room for. */
+const MAXIMUM_ANNOUNCEMENTS = 16_384;
 
 /** What a request showed about a part of its prompt. */
 export interface PartEvidence {
@@ -62,9 +67,21 @@
   readonly onCleared?: (part: PartKey) => void;
 }
 
-interface _Suspect {
-  readonly crashes: Map<IncarnationKey, number>;
-  quarantinedUntil: number;
+/** What the parts have in common that were read in the same crashes. */
+interface _CrashSet {
+  readonly key: string;
+  /** When each crash was; the oldest entry first. */
+  readonly times: ReadonlyMap<IncarnationKey, number>;
+  readonly lastCrash: number;
+  readonly quarantinedUntil: number;
+  /** Number of suspects. */
+  suspects: number;
+}
+
+/** The suspects of one prompt that share a crash set. */
+interface _ReadSuspects {
+  readonly part: PartKey;
+  count: number;
 }
 
 /** Returns the number of crashes without those that follow another closely. */
@@ -79,11 +96,31 @@
   return count;
 }
 
+function _createCrashSet(
+  key: string,
+  times: ReadonlyMap<IncarnationKey, number>,
+): _CrashSet {
+  const lastCrash = Math.max(...times.values());
+  const isQuarantined =
+    _countSeparate([...times.values()]) >= QUARANTINE_CRASHES;
+  return {
+    key,
+    times,
+    lastCrash,
+    quarantinedUntil: isQuarantined
+      ? lastCrash + QUARANTINE_MILLISECONDS
+      : Number.NEGATIVE_INFINITY,
+    suspects: 0,
+  };
+}
+
 /** The prompt parts that one router suspects or has quarantined. */
 export class PromptCrashes {
   readonly #options: PromptCrashesOptions;
   readonly #completed = new Map<PartKey, number>();
-  readonly #suspects = new Map<PartKey, _Suspect>();
+  /** The suspects, those whose last crash is oldest first. */
+  readonly #suspects = new Map<PartKey, _CrashSet>();
+  readonly #crashSets = new Map<string, _CrashSet>();
   readonly #announcements = new AnnouncementLog<PartEvidence>(
     MAXIMUM_ANNOUNCEMENTS,
   );
@@ -93,28 +130,27 @@
   }
 
   /** Records that a request completed, which proves its parts sound. */
-  recordCompleted(parts: readonly PromptPart[], now: number): void {
-    for (const part of sharedPartsOf(parts)) {
-      const key = partKeyOf(part);
-      const wasSuspect = this.#suspects.has(key);
-      this.#setSound(key, now);
+  recordCompleted(parts: readonly PartKey[], now: number): void {
+    for (const part of parts) {
+      const wasSuspect = this.#suspects.has(part);
+      this.#setSound(part, now);
       if (wasSuspect) {
-        this.#announcements.add({ part: key, crash: undefined, at: now });
+        this.#announcements.add({ part, crash: undefined, at: now });
       }
     }
+    evictOldest(this.#completed, MAXIMUM_COMPLETED_PARTS);
   }
 
   /** Records that a server's crash interrupted a request. */
   recordCrash(
     server: RegisteredServer,
-    parts: readonly PromptPart[],
+    parts: readonly PartKey[],
     now: number,
   ): void {
     const crash = incarnationKeyOf(server);
-    for (const part of sharedPartsOf(parts)) {
-      const evidence = { part: partKeyOf(part), crash, at: now };
-      if (this.#addCrash(evidence.part, crash, now, now)) {
-        this.#announcements.add(evidence);
+    for (const part of parts) {
+      if (this.#addCrash(part, crash, now, now)) {
+        this.#announcements.add({ part, crash, at: now });
       }
     }
   }
@@ -128,6 +164,7 @@
     if (crash === undefined) {
       const wasKnown = this.#isSound(part, at);
       this.#setSound(part, at);
+      evictOldest(this.#completed, MAXIMUM_COMPLETED_PARTS);
       if (!wasKnown) this.#announcements.add(evidence);
       return;
     }
@@ -146,23 +183,37 @@
    * the prompt, a request tells which of the two is sound.
    */
   findQuarantine(
-    parts: readonly PromptPart[],
+    parts: readonly PartKey[],
     now: number,
   ): Quarantine | undefined {
     if (this.#suspects.size === 0) return undefined;
-    const keys = new Set(sharedPartsOf(parts).map(partKeyOf));
+    const read = this.#suspectsOf(parts);
     let longest: Quarantine | undefined;
-    for (const key of keys) {
-      const quarantine = this.#quarantineOf(key, now);
-      if (!quarantine || this.#isExplained(key, keys)) continue;
-      const { remainingMilliseconds } = quarantine;
-      if (remainingMilliseconds > (longest?.remainingMilliseconds ?? 0)) {
-        longest = quarantine;
+    for (const [crashSet, { part }] of read) {
+      const remainingMilliseconds = crashSet.quarantinedUntil - now;
+      if (remainingMilliseconds <= (longest?.remainingMilliseconds ?? 0)) {
+        continue;
       }
+      if (this.#isExplained(crashSet, read)) continue;
+      longest = { part, crashes: crashSet.times.size, remainingMilliseconds };
     }
     return longest;
   }
 
+  #suspectsOf(
+    parts: readonly PartKey[],
+  ): ReadonlyMap<_CrashSet, _ReadSuspects> {
+    const read = new Map<_CrashSet, _ReadSuspects>();
+    for (const part of new Set(parts)) {
+      const crashSet = this.#suspects.get(part);
+      if (!crashSet) continue;
+      const known = read.get(crashSet);
+      if (known) known.count++;
+      else read.set(crashSet, { part, count: 1 });
+    }
+    return read;
+  }
+
   /** Returns all quarantines, for the state dump and the metrics. */
   quarantines(now: number): Quarantine[] {
     const quarantines: Quarantine[] = [];
@@ -175,9 +226,8 @@
 
   /** Forgets suspects whose crashes are long ago. */
   expire(now: number): void {
-    for (const [part, { crashes }] of this.#suspects) {
-      const last = Math.max(...crashes.values());
-      if (now - last >= SUSPICION_MILLISECONDS) this.#suspects.delete(part);
+    for (const [part, { lastCrash }] of this.#suspects) {
+      if (now - lastCrash >= SUSPICION_MILLISECONDS) this.#remove(part);
     }
   }
 
@@ -191,23 +241,26 @@
     return this.#announcements.since(sequence);
   }
 
-  /** Whether a suspect that the prompt lacks was read in all crashes of a part. */
-  #isExplained(part: PartKey, prompt: ReadonlySet<PartKey>): boolean {
-    const crashes = [...this.#suspects.get(part)?.crashes.keys() ?? []];
-    for (const [other, suspect] of this.#suspects) {
-      if (prompt.has(other)) continue;
-      if (crashes.every((crash) => suspect.crashes.has(crash))) return true;
+  /** Whether a suspect that the prompt lacks was read in all crashes of a set. */
+  #isExplained(
+    crashSet: _CrashSet,
+    read: ReadonlyMap<_CrashSet, _ReadSuspects>,
+  ): boolean {
+    const crashes = [...crashSet.times.keys()];
+    for (const other of this.#crashSets.values()) {
+      if (other.suspects <= (read.get(other)?.count ?? 0)) continue;
+      if (crashes.every((crash) => other.times.has(crash))) return true;
     }
     return false;
   }
 
   #quarantineOf(part: PartKey, now: number): Quarantine | undefined {
-    const suspect = this.#suspects.get(part);
-    if (!suspect || now >= suspect.quarantinedUntil) return undefined;
+    const crashSet = this.#suspects.get(part);
+    if (!crashSet || now >= crashSet.quarantinedUntil) return undefined;
     return {
       part,
-      crashes: suspect.crashes.size,
-      remainingMilliseconds: suspect.quarantinedUntil - now,
+      crashes: crashSet.times.size,
+      remainingMilliseconds: crashSet.quarantinedUntil - now,
     };
   }
 
@@ -220,11 +273,10 @@
     const latest = Math.max(at, this.#completed.get(part) ?? at);
     this.#completed.delete(part);
     this.#completed.set(part, latest);
-    evictOldest(this.#completed, MAXIMUM_COMPLETED_PARTS);
-    const suspect = this.#suspects.get(part);
-    if (!suspect) return;
-    this.#suspects.delete(part);
-    if (suspect.quarantinedUntil > at) this.#options.onCleared?.(part);
+    const crashSet = this.#suspects.get(part);
+    if (!crashSet) return;
+    this.#remove(part);
+    if (crashSet.quarantinedUntil > at) this.#options.onCleared?.(part);
   }
 
   /** Adds a crash; returns whether the part is suspect and the crash was new. */
@@ -236,30 +288,53 @@
   ): boolean {
     if (this.#isSound(part, at)) return false;
     if (now - at >= SUSPICION_MILLISECONDS) return false;
-    let suspect = this.#suspects.get(part);
-    if (!suspect) {
-      suspect = {
-        crashes: new Map(),
-        quarantinedUntil: Number.NEGATIVE_INFINITY,
-      };
-      this.#suspects.set(part, suspect);
-      evictOldest(this.#suspects, MAXIMUM_SUSPECTS);
+    const known = this.#suspects.get(part);
+    if (known?.times.has(crash)) return false;
+    const crashSet = this.#withCrash(known, crash, at);
+    this.#remove(part);
+    this.#suspects.set(part, crashSet);
+    crashSet.suspects++;
+    this.#evictSuspects();
+    const wasQuarantined = known !== undefined && now < known.quarantinedUntil;
+    const quarantine = this.#quarantineOf(part, now);
+    if (quarantine && !wasQuarantined) {
+      this.#options.onQuarantined?.(quarantine);
     }
-    if (suspect.crashes.has(crash)) return false;
-    suspect.crashes.set(crash, at);
-    evictOldest(suspect.crashes, MAXIMUM_CRASHES);
-    this.#quarantine(part, suspect, now);
     return true;
   }
 
-  #quarantine(part: PartKey, suspect: _Suspect, now: number): void {
-    const times = [...suspect.crashes.values()];
-    if (_countSeparate(times) < QUARANTINE_CRASHES) return;
-    const wasQuarantined = now < suspect.quarantinedUntil;
-    suspect.quarantinedUntil = Math.max(...times) + QUARANTINE_MILLISECONDS;
-    const quarantine = this.#quarantineOf(part, now);
-    if (quarantine && !wasQuarantined) {
-      this.#options.onQuarantined?.(quarantine);
+  /** Returns the set of the known crashes and a further one. */
+  #withCrash(
+    known: _CrashSet | undefined,
+    crash: IncarnationKey,
+    at: number,
+  ): _CrashSet {
+    const times = new Map(known?.times);
+    times.set(crash, at);
+    evictOldest(times, MAXIMUM_CRASHES);
+    const key = [...times.keys()].sort((left, right) => left - right).join();
+    let crashSet = this.#crashSets.get(key);
+    if (!crashSet) {
+      crashSet = _createCrashSet(key, times);
+      this.#crashSets.set(key, crashSet);
+    }
+    return crashSet;
+  }
+
+  #remove(part: PartKey): void {
+    const crashSet = this.#suspects.get(part);
+    if (!crashSet) return;
+    this.#suspects.delete(part);
+    crashSet.suspects--;
+    if (crashSet.suspects === 0) this.#crashSets.delete(crashSet.key);
+  }
+
+  #evictSuspects(): void {
+    if (this.#suspects.size <= MAXIMUM_SUSPECTS) return;
+    const kept = MAXIMUM_SUSPECTS - EVICTED_SUSPECTS;
+    for (const oldest of this.#suspects.keys()) {
+      this.#remove(oldest);
+      if (this.#suspects.size <= kept) return;
     }
   }
 }
--- a/src/crash_detection.ts
+++ b/src/crash_detection.ts
@@ -4,8 +4,8 @@
  * requests that it dropped are evidence against their prompt parts.
  */
 import type { BackendServerId } from "./core/ids.ts";
-import type { PromptPart } from "./core/prompt.ts";
 import { type PromptCrashes } from "./core/prompt_crashes.ts";
+import type { PartKey } from "./core/prompt_directory.ts";
 import type { RegisteredServer } from "./core/server_registry.ts";
 import type { ServerOutcomes } from "./core/server_outcomes.ts";
 import type { DecisionLog } from "./decision_log.ts";
@@ -32,11 +32,11 @@
 /** Detects crashes of backend servers. */
 export interface CrashDetection {
   /** Records that a server dropped the connection of a request it had received. */
-  recordDropped(server: RegisteredServer, parts: readonly PromptPart[]): void;
+  recordDropped(server: RegisteredServer, parts: readonly PartKey[]): void;
 }
 
 interface _Dropped {
-  readonly parts: readonly PromptPart[];
+  readonly parts: readonly PartKey[];
   readonly at: number;
 }
 
--- a/src/gateway_protocol.ts
+++ b/src/gateway_protocol.ts
@@ -3,7 +3,9 @@
  * read from a table, so that a deployment can change them without a code change.
  */
 import type { IncomingHttpHeaders } from "node:http";
-import { parsePromptParts, type PromptPart } from "./core/prompt.ts";
+import type { PromptPart } from "./core/prompt.ts";
+import type { PartKey } from "./core/prompt_directory.ts";
+import { parseStatedPrompt } from "./core/stated_prompt.ts";
 import {
   parseStatedTokens,
   type StatedTokens,
@@ -85,7 +87,10 @@
   readonly requestId: string | undefined;
   readonly deadlineMilliseconds: number | undefined;
   readonly key: string | undefined;
+  /** Parts of the prompt; in a long prompt, one may stand for a run of parts. */
   readonly promptParts: readonly PromptPart[];
+  /** Keys of all parts of the prompt that requests share. */
+  readonly sharedPartKeys: readonly PartKey[];
 }
 
 /** Metadata that the gateway adds to a forwarded request. */
@@ -289,13 +294,15 @@
   return {
     readRequest(headers) {
       const bearer = BEARER.exec(headers.authorization ?? "");
+      const prompt = parseStatedPrompt(_firstValue(headers[names.promptParts]));
       return {
         requestId: _firstValue(headers[names.requestId]),
         deadlineMilliseconds: _parseMilliseconds(
           _firstValue(headers[names.deadline]),
         ),
         key: bearer?.[1],
-        promptParts: parsePromptParts(_firstValue(headers[names.promptParts])),
+        promptParts: prompt.parts,
+        sharedPartKeys: prompt.sharedKeys,
       };
     },
     readTokens: (headers) =>
--- a/src/request_attempt.ts
+++ b/src/request_attempt.ts
@@ -11,7 +11,7 @@
   type ResponseSink,
   startExchange,
 } from "./backend_exchange.ts";
-import type { PromptPart } from "./core/prompt.ts";
+import type { PartKey } from "./core/prompt_directory.ts";
 import type { CrashDetection } from "./crash_detection.ts";
 import type { FleetLoad } from "./core/load_control/fleet_load.ts";
 import type { PromptReads } from "./core/load_control/prompt_reads.ts";
@@ -141,8 +141,8 @@
   }
 
   /** Records that the server dropped the request, which a crash may explain. */
-  recordDropped(promptParts: readonly PromptPart[]): void {
-    this.#context.crashDetection.recordDropped(this.server, promptParts);
+  recordDropped(sharedParts: readonly PartKey[]): void {
+    this.#context.crashDetection.recordDropped(this.server, sharedParts);
   }
 
   /** Ends the attempt and cancels its exchange. */
--- a/src/request_placement.ts
+++ b/src/request_placement.ts
@@ -100,8 +100,8 @@
   { tried, runs, mayWait }: PlacementOptions,
 ): Result<PlacedRequest, PlacementRefusal> {
   const now = context.timers.clock.monotonicMilliseconds();
-  const { promptParts } = checked.metadata;
-  const quarantine = context.crashes.findQuarantine(promptParts, now);
+  const { sharedPartKeys } = checked.metadata;
+  const quarantine = context.crashes.findQuarantine(sharedPartKeys, now);
   if (quarantine) return _refuse(_refuseQuarantined(quarantine), runs);
   if (context.capacity.isTooLarge(checked.service, checked)) {
     return _refuse(TOO_LARGE, runs);
--- a/src/request_sending.ts
+++ b/src/request_sending.ts
@@ -297,7 +297,7 @@
 
   #onOutcomeUnknown(detail: string): void {
     this.history.recordRun();
-    this.#attempt?.recordDropped(this.checked.metadata.promptParts);
+    this.#attempt?.recordDropped(this.checked.metadata.sharedPartKeys);
     this.#attempt?.cancel("unknown");
     this.#onFailure("unknown", detail);
   }
@@ -364,7 +364,7 @@
     const server = this.#attempt?.server.id;
     if (!isComplete) {
       this.#attempt?.recordOutcome(true);
-      this.#attempt?.recordDropped(this.checked.metadata.promptParts);
+      this.#attempt?.recordDropped(this.checked.metadata.sharedPartKeys);
       this.#attempt?.cancel("broken");
       return this.#onFailure("broken", detail);
     }
@@ -373,8 +373,8 @@
     const outcome = status >= SERVER_ERROR_STATUS ? "server_error" : "ok";
     const isSuccess = status < FIRST_ERROR_STATUS;
     if (isSuccess) {
-      const { promptParts } = this.checked.metadata;
-      this.context.crashes.recordCompleted(promptParts, this.#now());
+      const { sharedPartKeys } = this.checked.metadata;
+      this.context.crashes.recordCompleted(sharedPartKeys, this.#now());
       this.context.waiting.recordServed(
         this.checked.service,
         this.checked,
