Reject responses of servers whose status HTTP does not define

Cause: a server in trouble sent a response with the status 600 or 999, and its caller got it as an answer. The parser reads any three digits, and only those below 200 were handled. Ruled out: 000, 099 and 199 already ended in 502, at every kind of route. Change: a final response has a status from 200 to 599, for the gateway and for the client of the product's own interface; any other leaves the outcome unknown. Conclusion: no undefined status reaches a caller.

--- a/src/backend_client_test.ts
+++ b/src/backend_client_test.ts
@@ -109,6 +109,25 @@
   }
 });
 
+test("guards against a service call that returns a response whose status is none of HTTP", async (t) => {
+  const { client, now } = createFixture(t);
+  for (const status of ["000", "600", "999"]) {
+    const { address } = await startTcpServer(t, (socket) => {
+      socket.end(`HTTP/1.1 ${status} X\r\nContent-Length: 2\r\n\r\nok`);
+    });
+    for (const idempotent of [true, false]) {
+      const result = await client.call({
+        address,
+        method: "GET",
+        path: "/slots/4",
+        idempotent,
+        deadline: now() + 2_000,
+      });
+      t.is(result._unsafeUnwrapErr().kind, "outcome_unknown", status);
+    }
+  }
+});
+
 test("guards against reporting an unknown outcome when nothing was sent", async (t) => {
   const server = await startTcpServer(t, () => t.fail("a byte was sent"));
   const service = await startPlainService();
--- a/src/backend_exchange.ts
+++ b/src/backend_exchange.ts
@@ -13,6 +13,7 @@
   type ResponseByteLimit,
   type ResponsePhase,
 } from "./core/response_byte_limit.ts";
+import { FIRST_FINAL_STATUS, isFinalStatus } from "./core/response_status.ts";
 import type { RegisteredServer } from "./core/server_registry.ts";
 import type {
   GatewayProtocol,
@@ -119,7 +120,7 @@
   wasSent(): boolean;
 }
 
-type _ResponseKind = "answer" | "not_run" | "stray" | "invalid";
+type _ResponseKind = "answer" | "not_run" | "stray" | "unsigned";
 
 function _classifyResponse(
   status: number,
@@ -138,7 +139,7 @@
   }
   if (metadata.requestId === undefined) return "stray";
   const isSuccess = status >= 200 && status < 300;
-  return isSuccess && !metadata.isSigned ? "invalid" : "answer";
+  return isSuccess && !metadata.isSigned ? "unsigned" : "answer";
 }
 
 function _toNotSentReason(error: Error): NotSentReason {
@@ -244,7 +245,10 @@
     status: number,
     headers: ResponseHeaders,
   ): void {
-    if (this.#cancelled || status < 200) return;
+    if (this.#cancelled || status < FIRST_FINAL_STATUS) return;
+    if (!isFinalStatus(status)) {
+      return this.#reject(`the response has the status ${status}`);
+    }
     const { protocol, requestId } = this.#options;
     const metadata = protocol.readResponse(status, headers);
     const isReused = this.#connection.idleMilliseconds !== undefined;
@@ -258,7 +262,7 @@
     } else if (kind === "answer") {
       this.#startResponse(controller, status, headers);
     } else {
-      this.#rejectResponse(kind, status);
+      this.#rejectUnproven(kind, status);
     }
   }
 
@@ -342,15 +346,21 @@
     return headers["content-length"] === undefined ? "connection" : "length";
   }
 
-  #rejectResponse(kind: _ResponseKind, status: number): void {
-    const { connections, clock, server, listener } = this.#options;
+  /** Rejects a response that is not proven to be the one to the request. */
+  #rejectUnproven(kind: _ResponseKind, status: number): void {
+    const { connections, clock, server } = this.#options;
     if (kind === "stray") {
       connections.recordStrayResponse(server.id, clock.monotonicMilliseconds());
     }
-    const detail = kind === "stray"
-      ? "received a response to another request"
-      : `the response with status ${status} has no signature`;
-    this.#reportOnce(() => listener.onOutcomeUnknown(detail));
+    this.#reject(
+      kind === "stray"
+        ? "received a response to another request"
+        : `the response with status ${status} has no signature`,
+    );
+  }
+
+  #reject(detail: string): void {
+    this.#reportOnce(() => this.#options.listener.onOutcomeUnknown(detail));
     this.cancel();
   }
 
--- a/src/backend_transport.ts
+++ b/src/backend_transport.ts
@@ -9,6 +9,7 @@
 import { createBackendConnector } from "./connection_end.ts";
 import { type ApplicationError, createError } from "./core/errors.ts";
 import type { SocketAddress } from "./core/ids.ts";
+import { isFinalStatus } from "./core/response_status.ts";
 import type { TimerService } from "./timer_service.ts";
 
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
@@ -146,7 +147,7 @@
         ? this.#openPooled(request, guard)
         : this.#openSingleUse(request, guard));
     if (opened.isErr()) guard.dispose();
-    return opened;
+    return opened.andThen(_requireFinalStatus);
   }
 
   async stop(): Promise<void> {
@@ -218,6 +219,15 @@
   }
 }
 
+function _requireFinalStatus(
+  response: UnreadResponse,
+): Result<UnreadResponse, ApplicationError> {
+  if (isFinalStatus(response.status)) return ok(response);
+  response.release();
+  const detail = `the response has the status ${response.status}`;
+  return err(createError("outcome_unknown", detail));
+}
+
 function _createUnreadResponse(
   response: Dispatcher.ResponseData,
   release: () => void,
--- a/src/gateway_test.ts
+++ b/src/gateway_test.ts
@@ -166,6 +166,23 @@
   }
 });
 
+test.serial("guards against relaying a response whose status is none of HTTP, at every kind of route", async (t) => {
+  const bench = await startBench({ backends: 1 });
+  const [backend] = bench.backends as [RawBackend];
+  for (const status of ["000", "099", "199", "600", "700", "999"]) {
+    backend.script(({ id }, { socket }) =>
+      socket?.end(responseBytes(id, "data: a\n\n").replace("200 OK", status))
+    );
+    for (const path of ["/once/x", "/safe/x", "/stream/x", "/single/x"]) {
+      const response = await call(bench, { path, method: "POST" });
+      t.is(response.status, 502, `${path} ${status}`);
+      t.is(response.headers[NAMES.signature], undefined);
+    }
+  }
+  backend.script(undefined);
+  t.is((await call(bench, { path: "/once/x" })).status, 200);
+});
+
 test.serial("guards against relaying a stray response to the next request on a connection", async (t) => {
   const bench = await startBench({ backends: 1 });
   const [backend] = bench.backends as [RawBackend];
