State the capacity of a growing buffer beside its growth

Change: byte_buffer.ts exports it, and its growth uses it. connection_end.ts gets the blank line after its first constant. Behaviour is unchanged. Conclusion: one constant for what bodies and held back responses count.

--- a/src/body_reserve.ts
+++ b/src/body_reserve.ts
@@ -4,6 +4,7 @@
  * fill the memory of the process. Each body has a small part for itself; what it takes
  * beyond that is counted in the memory account that all clients of the process share.
  */
+import { BUFFER_CAPACITY_FACTOR } from "./core/byte_buffer.ts";
 import {
   createMemoryAccount,
   DEFAULT_BODY_BYTES,
@@ -23,8 +24,6 @@
  * more, and the connection to the server.
  */
 export const STREAMED_BODY_BYTES = 192 * 1024;
-/** A buffer that grows has up to twice the capacity of its bytes. */
-const BUFFER_CAPACITY_FACTOR = 2;
 
 /** The part of the reserve that one body holds. */
 export interface BodyReservation {
--- a/src/connection_end.ts
+++ b/src/connection_end.ts
@@ -7,6 +7,7 @@
 import { buildConnector } from "undici";
 
 const NO_BYTES = Buffer.alloc(0);
+
 /** A connection was reset. Its code is none that undici takes for an end. */
 export class ConnectionResetError extends Error {
   readonly code = "CONNECTION_RESET";
--- a/src/core/byte_buffer.ts
+++ b/src/core/byte_buffer.ts
@@ -6,6 +6,8 @@
  */
 
 const MINIMUM_CAPACITY_BYTES = 1_024;
+/** A buffer that grows has up to twice the capacity of its bytes. */
+export const BUFFER_CAPACITY_FACTOR = 2;
 
 /** Bytes that arrive in pieces. */
 export interface ByteBuffer {
@@ -34,7 +36,7 @@
     const length = end - start;
     const capacity = Math.max(
       MINIMUM_CAPACITY_BYTES,
-      2 * length,
+      BUFFER_CAPACITY_FACTOR * length,
       length + additional,
     );
     // What was taken stays valid, so the storage is never reused.
--- a/src/response_relay.ts
+++ b/src/response_relay.ts
@@ -9,7 +9,10 @@
  * complete and sent with its length.
  */
 import type { ServerResponse } from "node:http";
-import { createByteBuffer } from "./core/byte_buffer.ts";
+import {
+  BUFFER_CAPACITY_FACTOR,
+  createByteBuffer,
+} from "./core/byte_buffer.ts";
 import {
   createEventSplitter,
   type EventSplitter,
@@ -25,8 +28,6 @@
 
 /** Largest response that is buffered until it is complete. */
 const MAXIMUM_BUFFERED_RESPONSE_BYTES = 64 * 1024;
-/** A buffer that grows has up to twice the capacity of its bytes. */
-const BUFFER_CAPACITY_FACTOR = 2;
 
 /** How the body of a response is relayed. */
 export type RelayMode =
